--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,8 @@
+//! Fleet capacity and maintenance manager: admission, routing, limits, maintenance and recovery
+//! between callers and upstreams. `docs/design.md` describes the division into modules.
+
+pub mod config;
+pub mod ids;
+pub mod kind;
+pub mod protocol;
+pub mod record;
--- /dev/null
+++ b/tests/record.rs
@@ -0,0 +1,44 @@
+//! Framing of log entries. Guards against damaged entries that decode into part of a batch.
+
+use jacinthhook::record::{Batch, DecodeError, Record, decode, encode};
+use quickcheck::quickcheck;
+
+fn batch() -> Batch {
+    let record = Record::KeyWithdraw { op: "op-1".into(), key: "k1".into() };
+    Batch { writer: "entry-1".into(), incarnation: 7, seq: 1, records: vec![record] }
+}
+
+#[test]
+fn decode_round_trip() {
+    let entry = encode(&batch()).unwrap();
+    assert_eq!(decode(&entry).unwrap(), batch());
+}
+
+#[test]
+fn decode_every_flipped_byte() {
+    let entry = encode(&batch()).unwrap();
+    for i in 0..entry.len() {
+        let mut damaged = entry.to_vec();
+        damaged[i] ^= 0x20;
+        assert!(decode(&damaged).is_err(), "byte {i} flipped and still decoded");
+    }
+}
+
+#[test]
+fn decode_every_cut() {
+    let entry = encode(&batch()).unwrap();
+    for len in 0..entry.len() {
+        assert!(decode(&entry[..len]).is_err(), "cut to {len} bytes and still decoded");
+    }
+}
+
+#[test]
+fn decode_wrong_magic() {
+    assert_eq!(decode(b"JHR9aaaabbbb"), Err(DecodeError::Header));
+}
+
+quickcheck! {
+    fn decode_arbitrary_bytes(bytes: Vec<u8>) -> bool {
+        decode(&bytes).is_err()
+    }
+}
