Parse and check the published declarations

Cause: Config had types only; the fold, publish and check need one parser. Change: Config::change parses the changed sections, checks references against an overlay of the changes, and folds all or nothing. Keys of a profile have defaults, so that a section states only what differs.

--- a/src/config.rs
+++ b/src/config.rs
@@ -4,10 +4,82 @@
 //! `Publish` record and at the start of a process.
 
 use crate::ids::*;
-use crate::record::Class;
+use crate::record::{Class, SectionChange, Version};
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::ops::RangeInclusive;
+use std::sync::Arc;
 use std::time::Duration;
 
+/// Longest name of a zone, team, pool, profile or service in bytes.
+pub const MAX_NAME_LEN: usize = 40;
+/// Longest value in bytes; the longest sensible one is a list of classes.
+pub const MAX_VALUE_LEN: usize = 200;
+/// Milliseconds in a day.
+const DAY_MS: u32 = 86_400_000;
+/// Shape of a name, as mistakes state it.
+const NAME_SHAPE: &str = "1 to 40 lower-case letters, digits and -, the first one not -";
+
+/// One published section.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Section {
+    /// Offset of its last change.
+    pub version: Version,
+    /// Keys and values as published.
+    pub values: IndexMap<String, String>,
+}
+
+/// Published sections by kind and name, for example `profile guarded`.
+pub type Sections = IndexMap<String, Section>;
+
+/// One mistake in declarations or settings.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Mistake {
+    /// Section as written, without brackets.
+    pub section: String,
+    /// Key within the section; `None` when the mistake is about the section itself.
+    pub key: Option<String>,
+    /// Value found, cut to `MAX_VALUE_LEN`.
+    pub found: String,
+    /// Values allowed.
+    pub allowed: String,
+    /// What is wrong, in one sentence.
+    pub message: String,
+}
+
+/// What a section declares.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum SectionKind {
+    Zone,
+    Team,
+    Pool,
+    Profile,
+    Service,
+}
+
+impl SectionKind {
+    /// All kinds, in the order in which files list them.
+    pub const ALL: [SectionKind; 5] = [
+        SectionKind::Zone,
+        SectionKind::Team,
+        SectionKind::Pool,
+        SectionKind::Profile,
+        SectionKind::Service,
+    ];
+
+    /// First word of the section header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            SectionKind::Zone => "zone",
+            SectionKind::Team => "team",
+            SectionKind::Pool => "pool",
+            SectionKind::Profile => "profile",
+            SectionKind::Service => "service",
+        }
+    }
+}
+
 /// Everything that operators have published.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Config {
@@ -88,3 +160,640 @@
     /// Class of requests that do not name one.
     pub class: Class,
 }
+
+impl Default for Profile {
+    /// Values of the keys that a `[profile NAME]` section leaves out.
+    fn default() -> Profile {
+        Profile {
+            shares: IndexMap::new(),
+            limits: IndexMap::new(),
+            class_order: vec![Class::Urgent, Class::Planned, Class::Overnight],
+            class_floor_percent: 10,
+            queue_bound: 200,
+            max_deadline: Duration::from_secs(30),
+            urgent_start: Duration::from_millis(1_400),
+            unavailable_percent: 20,
+            unavailable_per_rack: 1,
+            drain_timeout: Duration::from_secs(120),
+            maintenance_interval: Duration::from_secs(21 * 86_400),
+            reserve_percent: 50,
+            stale_limit: Some(Duration::from_secs(600)),
+            buffer_percent: 50,
+        }
+    }
+}
+
+impl Config {
+    /// A configuration without sections.
+    pub fn new() -> Config {
+        Config::default()
+    }
+
+    /// Folds changed sections in: all of them, or none when there are mistakes.
+    ///
+    /// Only the changed sections are parsed. A reference can break only when its target is removed, so
+    /// unchanged sections are looked at only for removals. `base` is not checked here.
+    pub fn change(&mut self, changes: &[SectionChange]) -> Result<(), Vec<Mistake>> {
+        let mut mistakes = Vec::new();
+        let parsed = parse_changes(changes, &mut mistakes);
+        let view = Overlay::new(self, &parsed);
+        for change in &parsed {
+            view.check_change(change, &mut mistakes);
+        }
+        view.check_referrers(&parsed, &mut mistakes);
+        if !mistakes.is_empty() {
+            return Err(mistakes);
+        }
+        for change in parsed {
+            self.fold(change);
+        }
+        Ok(())
+    }
+
+    /// Weight of a team for services of a profile; 0 for a team that does not exist.
+    pub fn share(&self, profile: &ProfileId, team: &TeamId) -> u32 {
+        let own = self.profiles.get(profile).and_then(|profile| profile.shares.get(team));
+        own.copied().unwrap_or_else(|| self.teams.get(team).map_or(0, |team| team.share))
+    }
+
+    /// Whether a section exists.
+    pub fn has(&self, kind: SectionKind, name: &str) -> bool {
+        match kind {
+            SectionKind::Zone => self.zones.contains_key(name),
+            SectionKind::Team => self.teams.contains_key(name),
+            SectionKind::Pool => self.pools.contains_key(name),
+            SectionKind::Profile => self.profiles.contains_key(name),
+            SectionKind::Service => self.services.contains_key(name),
+        }
+    }
+
+    /// Names of the sections of one kind, in the order of their first publication.
+    pub fn names(&self, kind: SectionKind) -> Vec<&str> {
+        match kind {
+            SectionKind::Zone => self.zones.keys().map(|name| &**name).collect(),
+            SectionKind::Team => self.teams.keys().map(|name| &**name).collect(),
+            SectionKind::Pool => self.pools.keys().map(|name| &**name).collect(),
+            SectionKind::Profile => self.profiles.keys().map(|name| &**name).collect(),
+            SectionKind::Service => self.services.keys().map(|name| &**name).collect(),
+        }
+    }
+
+    fn fold(&mut self, change: Change) {
+        let name: Arc<str> = change.name.into();
+        match change.value {
+            Some(Value::Zone(zone)) => drop(self.zones.insert(name, zone)),
+            Some(Value::Team(team)) => drop(self.teams.insert(name, team)),
+            Some(Value::Pool(pool)) => drop(self.pools.insert(name, pool)),
+            Some(Value::Profile(profile)) => drop(self.profiles.insert(name, *profile)),
+            Some(Value::Service(service)) => drop(self.services.insert(name, service)),
+            None => self.remove(change.kind, &name),
+        }
+    }
+
+    fn remove(&mut self, kind: SectionKind, name: &str) {
+        match kind {
+            SectionKind::Zone => drop(self.zones.shift_remove(name)),
+            SectionKind::Team => drop(self.teams.shift_remove(name)),
+            SectionKind::Pool => drop(self.pools.shift_remove(name)),
+            SectionKind::Profile => drop(self.profiles.shift_remove(name)),
+            SectionKind::Service => drop(self.services.shift_remove(name)),
+        }
+    }
+}
+
+/// Whether a text has the shape of a name.
+pub fn is_name(text: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
+    (1..=MAX_NAME_LEN).contains(&text.len()) && !text.starts_with('-') && text.bytes().all(allowed)
+}
+
+/// Splits a section header into its kind and name.
+pub fn split_section(section: &str) -> Result<(SectionKind, &str), Mistake> {
+    let (word, name) = section.split_once(' ').unwrap_or((section, ""));
+    let Some(kind) = SectionKind::ALL.into_iter().find(|kind| kind.as_str() == word) else {
+        let words = SectionKind::ALL.map(SectionKind::as_str);
+        let message = format!("unknown kind of section{}", nearest(word, words));
+        return Err(Mistake::in_section(section, &format!("{} NAME", words.join(" | ")), &message));
+    };
+    if !is_name(name) {
+        let message = format!("the name of the {word} is malformed");
+        return Err(Mistake::in_section(section, NAME_SHAPE, &message));
+    }
+    Ok((kind, name))
+}
+
+/// The nearest of the known words as the end of a message, or nothing when none is near.
+pub fn nearest<'a>(found: &str, known: impl IntoIterator<Item = &'a str>) -> String {
+    // A word with more than a third of its letters wrong is more likely another word.
+    const MIN_LIKENESS: f64 = 0.6;
+    let found = cut(found);
+    let scored =
+        known.into_iter().map(|word| (strsim::normalized_damerau_levenshtein(&found, word), word));
+    let best = scored.max_by(|a, b| a.0.total_cmp(&b.0));
+    match best {
+        Some((likeness, word)) if likeness >= MIN_LIKENESS => format!("; did you mean {word}?"),
+        _ => String::new(),
+    }
+}
+
+/// Cuts a text to `MAX_VALUE_LEN` bytes so that a mistake has a bounded size.
+fn cut(text: &str) -> String {
+    if text.len() <= MAX_VALUE_LEN {
+        return text.to_string();
+    }
+    let end = (0..=MAX_VALUE_LEN).rev().find(|i| text.is_char_boundary(*i)).unwrap_or(0);
+    format!("{}...", &text[..end])
+}
+
+impl Mistake {
+    /// A mistake about a section itself.
+    pub fn in_section(section: &str, allowed: &str, message: &str) -> Mistake {
+        Mistake {
+            section: cut(section),
+            key: None,
+            found: cut(section),
+            allowed: allowed.to_string(),
+            message: message.to_string(),
+        }
+    }
+
+    /// A mistake about a key of a section.
+    pub fn in_key(section: &str, key: &str, found: &str, allowed: &str, message: &str) -> Mistake {
+        Mistake {
+            section: cut(section),
+            key: Some(cut(key)),
+            found: cut(found),
+            allowed: allowed.to_string(),
+            message: message.to_string(),
+        }
+    }
+}
+
+/// Reads the values of one section and remembers which keys are known.
+///
+/// Every getter reports a mistake and returns a value within bounds, so that one pass finds all.
+pub struct Reader<'a> {
+    section: &'a str,
+    values: &'a IndexMap<String, String>,
+    known: Vec<&'static str>,
+    prefixes: Vec<&'static str>,
+    mistakes: &'a mut Vec<Mistake>,
+}
+
+impl<'a> Reader<'a> {
+    /// Starts to read a section.
+    pub fn new(
+        section: &'a str,
+        values: &'a IndexMap<String, String>,
+        mistakes: &'a mut Vec<Mistake>,
+    ) -> Reader<'a> {
+        Reader { section, values, known: Vec::new(), prefixes: Vec::new(), mistakes }
+    }
+
+    /// The value of a key, when the section has it.
+    pub fn get(&mut self, key: &'static str) -> Option<&'a str> {
+        self.known.push(key);
+        self.values.get(key).map(String::as_str)
+    }
+
+    /// The value of a key that every such section must have; empty after a mistake.
+    pub fn required(&mut self, key: &'static str, allowed: &str) -> &'a str {
+        let value = self.get(key);
+        if value.is_none() {
+            self.mistake(key, "", allowed, "the key is missing");
+        }
+        value.unwrap_or("")
+    }
+
+    /// A required name; empty after a mistake.
+    pub fn name(&mut self, key: &'static str) -> Arc<str> {
+        let value = self.required(key, NAME_SHAPE);
+        if !value.is_empty() || self.values.contains_key(key) {
+            self.shape(key, value);
+        }
+        value.into()
+    }
+
+    /// Checks that a value has the shape of a name.
+    pub fn shape(&mut self, key: &str, value: &str) {
+        if !is_name(value) {
+            self.mistake(key, value, NAME_SHAPE, "the name is malformed");
+        }
+    }
+
+    /// A number within a range; the default when the key is absent.
+    pub fn number(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<u32>,
+        default: Option<u32>,
+    ) -> u32 {
+        let low = *range.start();
+        match self.get(key) {
+            Some(value) => self.parse_number(key, value, &range).unwrap_or(low),
+            None => default.unwrap_or_else(|| {
+                self.mistake(key, "", &allowed_range(&range), "the key is missing");
+                low
+            }),
+        }
+    }
+
+    /// A time in milliseconds within a range; the default when the key is absent.
+    pub fn millis(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<u32>,
+        default: Duration,
+    ) -> Duration {
+        match self.get(key) {
+            Some(value) => {
+                let number = self.parse_number(key, value, &range).unwrap_or(*range.start());
+                Duration::from_millis(number.into())
+            }
+            None => default,
+        }
+    }
+
+    /// Numbers by the rest of their key after a prefix.
+    pub fn numbers(
+        &mut self,
+        prefix: &'static str,
+        range: RangeInclusive<u32>,
+    ) -> IndexMap<Arc<str>, u32> {
+        self.prefixes.push(prefix);
+        let mut numbers = IndexMap::new();
+        for (key, value) in self.values {
+            let Some(name) = key.strip_prefix(prefix) else { continue };
+            self.shape(key, name);
+            if let Some(number) = self.parse_number(key, value, &range) {
+                numbers.insert(name.into(), number);
+            }
+        }
+        numbers
+    }
+
+    /// One of a closed set of words; the default when the key is absent.
+    pub fn word<T: Copy>(&mut self, key: &'static str, words: &[(&str, T)], default: T) -> T {
+        match self.get(key) {
+            Some(value) => self.parse_word(key, value, words).unwrap_or(default),
+            None => default,
+        }
+    }
+
+    /// Parses one word of a closed set.
+    pub fn parse_word<T: Copy>(
+        &mut self,
+        key: &str,
+        value: &str,
+        words: &[(&str, T)],
+    ) -> Option<T> {
+        let found = words.iter().find(|(word, _)| *word == value);
+        if found.is_none() {
+            let known: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
+            let message = format!("unknown value{}", nearest(value, known.iter().copied()));
+            self.mistake(key, value, &known.join(" | "), &message);
+        }
+        found.map(|(_, value)| *value)
+    }
+
+    /// Parses a whole number of decimal digits.
+    pub fn parse_number(
+        &mut self,
+        key: &str,
+        value: &str,
+        range: &RangeInclusive<u32>,
+    ) -> Option<u32> {
+        let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+        let number = if digits { value.parse().ok() } else { None };
+        let number = number.filter(|number| range.contains(number));
+        if number.is_none() {
+            let message = if digits { "the number is out of range" } else { "not a whole number" };
+            self.mistake(key, value, &allowed_range(range), message);
+        }
+        number
+    }
+
+    /// Reports a mistake about a key.
+    pub fn mistake(&mut self, key: &str, found: &str, allowed: &str, message: &str) {
+        self.mistakes.push(Mistake::in_key(self.section, key, found, allowed, message));
+    }
+
+    /// Reports every key that no getter asked for.
+    pub fn finish(mut self) {
+        let values = self.values;
+        for (key, value) in values {
+            let prefixed = self.prefixes.iter().any(|prefix| key.starts_with(prefix));
+            if prefixed || self.known.contains(&key.as_str()) {
+                continue;
+            }
+            let message = format!("unknown key{}", nearest(key, self.known.iter().copied()));
+            let prefixes = self.prefixes.iter().map(|prefix| format!("{prefix}TEAM"));
+            let known = self.known.iter().map(|known| known.to_string());
+            let allowed: Vec<String> = known.chain(prefixes).collect();
+            self.mistake(key, value, &format!("keys {}", allowed.join(", ")), &message);
+        }
+    }
+}
+
+fn allowed_range(range: &RangeInclusive<u32>) -> String {
+    format!("{} to {}", range.start(), range.end())
+}
+
+/// A parsed section.
+enum Value {
+    Zone(Zone),
+    Team(Team),
+    Pool(Pool),
+    Profile(Box<Profile>),
+    Service(Service),
+}
+
+/// A parsed change; `value` is `None` when the section is removed.
+struct Change<'a> {
+    section: &'a str,
+    kind: SectionKind,
+    name: &'a str,
+    value: Option<Value>,
+}
+
+fn parse_changes<'a>(changes: &'a [SectionChange], mistakes: &mut Vec<Mistake>) -> Vec<Change<'a>> {
+    let mut parsed = Vec::with_capacity(changes.len());
+    for change in changes {
+        let section = change.section.as_str();
+        match split_section(section) {
+            Ok((kind, name)) => {
+                let value =
+                    change.body.as_ref().map(|body| parse_body(section, kind, body, mistakes));
+                parsed.push(Change { section, kind, name, value });
+            }
+            Err(mistake) => mistakes.push(mistake),
+        }
+    }
+    parsed
+}
+
+fn parse_body(
+    section: &str,
+    kind: SectionKind,
+    body: &IndexMap<String, String>,
+    mistakes: &mut Vec<Mistake>,
+) -> Value {
+    let mut reader = Reader::new(section, body, mistakes);
+    let value = match kind {
+        SectionKind::Zone => Value::Zone(Zone { region: reader.name("region").to_string() }),
+        SectionKind::Team => Value::Team(parse_team(&mut reader)),
+        SectionKind::Pool => Value::Pool(parse_pool(&mut reader)),
+        SectionKind::Profile => Value::Profile(Box::new(parse_profile(&mut reader))),
+        SectionKind::Service => Value::Service(parse_service(&mut reader)),
+    };
+    reader.finish();
+    value
+}
+
+fn parse_team(reader: &mut Reader) -> Team {
+    Team {
+        share: reader.number("share", SHARE, Some(1)),
+        limit: reader.number("limit", LIMIT, None),
+    }
+}
+
+fn parse_pool(reader: &mut Reader) -> Pool {
+    Pool {
+        spare: reader.word("spare", &[("false", false), ("true", true)], false),
+        min_instances: reader.number("min_instances", 0..=10_000, Some(1)),
+    }
+}
+
+fn parse_profile(reader: &mut Reader) -> Profile {
+    let default = Profile::default();
+    let profile = Profile {
+        shares: reader.numbers("share.", SHARE),
+        limits: reader.numbers("limit.", LIMIT),
+        class_order: class_order(reader, default.class_order),
+        class_floor_percent: reader.number(
+            "class_floor_percent",
+            0..=50,
+            Some(default.class_floor_percent),
+        ),
+        queue_bound: reader.number("queue_bound", 1..=100_000, Some(default.queue_bound)),
+        max_deadline: reader.millis("max_deadline_ms", 10..=3_600_000, default.max_deadline),
+        urgent_start: reader.millis("urgent_start_ms", 10..=60_000, default.urgent_start),
+        unavailable_percent: reader.number(
+            "unavailable_percent",
+            1..=90,
+            Some(default.unavailable_percent),
+        ),
+        unavailable_per_rack: reader.number(
+            "unavailable_per_rack",
+            1..=100,
+            Some(default.unavailable_per_rack),
+        ),
+        drain_timeout: reader.millis("drain_timeout_ms", 1_000..=DAY_MS, default.drain_timeout),
+        maintenance_interval: maintenance_interval(reader, default.maintenance_interval),
+        reserve_percent: reader.number("reserve_percent", 0..=100, Some(default.reserve_percent)),
+        stale_limit: stale_limit(reader, default.stale_limit),
+        buffer_percent: reader.number("buffer_percent", 0..=500, Some(default.buffer_percent)),
+    };
+    check_times(reader, &profile);
+    profile
+}
+
+fn parse_service(reader: &mut Reader) -> Service {
+    let open_to = reader.get("open_to");
+    if let Some(team) = open_to {
+        reader.shape("open_to", team);
+    }
+    Service {
+        profile: reader.name("profile"),
+        pool: reader.name("pool"),
+        open_to: open_to.map(TeamId::from),
+        class: reader.word("class", &CLASSES, Class::Planned),
+    }
+}
+
+/// Weights; a larger spread than 1,000 leaves the smallest team without a whole slot in any pool.
+const SHARE: RangeInclusive<u32> = 1..=1_000;
+/// Upper limits; the design size has 76,000 slots.
+const LIMIT: RangeInclusive<u32> = 1..=1_000_000;
+/// Words for classes.
+const CLASSES: [(&str, Class); 3] =
+    [("urgent", Class::Urgent), ("planned", Class::Planned), ("overnight", Class::Overnight)];
+
+fn class_order(reader: &mut Reader, default: Vec<Class>) -> Vec<Class> {
+    let Some(value) = reader.get("class_order") else { return default };
+    let mut order = Vec::new();
+    for word in value.split(',').map(str::trim) {
+        order.extend(reader.parse_word("class_order", word, &CLASSES));
+    }
+    let complete = CLASSES.iter().all(|(_, class)| order.contains(class));
+    if !complete || order.len() != CLASSES.len() {
+        let allowed = "urgent, planned and overnight in any order, separated by commas";
+        reader.mistake("class_order", value, allowed, "each class must occur exactly once");
+    }
+    order
+}
+
+fn maintenance_interval(reader: &mut Reader, default: Duration) -> Duration {
+    let default_days = (default.as_secs() / 86_400) as u32;
+    let days = reader.number("maintenance_days", 1..=365, Some(default_days));
+    Duration::from_secs(u64::from(days) * 86_400)
+}
+
+fn stale_limit(reader: &mut Reader, default: Option<Duration>) -> Option<Duration> {
+    let value = match reader.get("stale_limit_ms") {
+        Some("never") => return None,
+        Some(value) => value,
+        None => return default,
+    };
+    let range = 1_000..=DAY_MS;
+    let number = Some(value)
+        .filter(|value| !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit()))
+        .and_then(|value| value.parse::<u32>().ok())
+        .filter(|number| range.contains(number));
+    if number.is_none() {
+        let allowed = format!("never or {}", allowed_range(&range));
+        reader.mistake("stale_limit_ms", value, &allowed, "neither never nor a number in range");
+    }
+    number.map(|number| Duration::from_millis(number.into()))
+}
+
+fn check_times(reader: &mut Reader, profile: &Profile) {
+    if profile.urgent_start <= profile.max_deadline {
+        return;
+    }
+    let allowed = format!("at most max_deadline_ms = {}", profile.max_deadline.as_millis());
+    let found = profile.urgent_start.as_millis().to_string();
+    reader.mistake("urgent_start_ms", &found, &allowed, "work would start after its deadline");
+}
+
+/// The sections as they would be after the changes.
+struct Overlay<'a> {
+    cfg: &'a Config,
+    /// Changed sections; true when the section exists afterwards.
+    changed: HashMap<(SectionKind, &'a str), bool>,
+    /// Sections that occur twice in one list of changes.
+    repeated: Vec<&'a str>,
+}
+
+impl<'a> Overlay<'a> {
+    fn new(cfg: &'a Config, changes: &[Change<'a>]) -> Overlay<'a> {
+        let mut changed = HashMap::with_capacity(changes.len());
+        let mut repeated = Vec::new();
+        for change in changes {
+            if changed.insert((change.kind, change.name), change.value.is_some()).is_some() {
+                repeated.push(change.section);
+            }
+        }
+        Overlay { cfg, changed, repeated }
+    }
+
+    fn has(&self, kind: SectionKind, name: &str) -> bool {
+        let changed = self.changed.get(&(kind, name));
+        changed.copied().unwrap_or_else(|| self.cfg.has(kind, name))
+    }
+
+    fn is_changed(&self, kind: SectionKind, name: &str) -> bool {
+        self.changed.contains_key(&(kind, name))
+    }
+
+    fn check_change(&self, change: &Change, mistakes: &mut Vec<Mistake>) {
+        let section = change.section;
+        if self.repeated.contains(&section) {
+            let message = "the section occurs more than once";
+            mistakes.push(Mistake::in_section(section, "one section of each name", message));
+        }
+        match &change.value {
+            Some(Value::Profile(profile)) => self.check_profile(section, profile, mistakes),
+            Some(Value::Service(service)) => self.check_service(section, service, mistakes),
+            Some(Value::Zone(_) | Value::Team(_) | Value::Pool(_)) => {}
+            None if self.cfg.has(change.kind, change.name) => {}
+            None => {
+                let message = "the section to remove does not exist";
+                mistakes.push(Mistake::in_section(section, "a published section", message));
+            }
+        }
+    }
+
+    fn check_profile(&self, section: &str, profile: &Profile, mistakes: &mut Vec<Mistake>) {
+        for (prefix, numbers) in [("share", &profile.shares), ("limit", &profile.limits)] {
+            for team in numbers.keys() {
+                let key = || format!("{prefix}.{team}");
+                self.check_reference(section, key, SectionKind::Team, team, mistakes);
+            }
+        }
+    }
+
+    fn check_service(&self, section: &str, service: &Service, mistakes: &mut Vec<Mistake>) {
+        let profile = || "profile".to_string();
+        let pool = || "pool".to_string();
+        let open_to = || "open_to".to_string();
+        self.check_reference(section, profile, SectionKind::Profile, &service.profile, mistakes);
+        self.check_reference(section, pool, SectionKind::Pool, &service.pool, mistakes);
+        if let Some(team) = &service.open_to {
+            self.check_reference(section, open_to, SectionKind::Team, team, mistakes);
+        }
+    }
+
+    fn check_reference(
+        &self,
+        section: &str,
+        key: impl Fn() -> String,
+        kind: SectionKind,
+        name: &str,
+        mistakes: &mut Vec<Mistake>,
+    ) {
+        // A malformed name has its own mistake already.
+        if !is_name(name) || self.has(kind, name) {
+            return;
+        }
+        let known = self.names(kind);
+        let near = nearest(name, known.iter().copied());
+        let word = kind.as_str();
+        let message = format!("there is no section [{word} {name}]{near}");
+        let allowed = format!("the name of a [{word} ..] section");
+        mistakes.push(Mistake::in_key(section, &key(), name, &allowed, &message));
+    }
+
+    fn names(&self, kind: SectionKind) -> Vec<&str> {
+        let mut names = self.cfg.names(kind);
+        names.retain(|name| !self.is_changed(kind, name));
+        let added = self.changed.iter().filter(|(key, exists)| key.0 == kind && **exists);
+        names.extend(added.map(|(key, _)| key.1));
+        names.sort_unstable();
+        names
+    }
+
+    /// Checks the unchanged sections that refer to removed ones.
+    fn check_referrers(&self, changes: &[Change], mistakes: &mut Vec<Mistake>) {
+        for change in changes.iter().filter(|change| change.value.is_none()) {
+            match change.kind {
+                SectionKind::Team => {
+                    self.check_profiles_with(change.name, mistakes);
+                    self.check_services(mistakes, |s| s.open_to.as_deref() == Some(change.name));
+                }
+                SectionKind::Pool => self.check_services(mistakes, |s| *s.pool == *change.name),
+                SectionKind::Profile => {
+                    self.check_services(mistakes, |s| *s.profile == *change.name)
+                }
+                SectionKind::Zone | SectionKind::Service => {}
+            }
+        }
+    }
+
+    fn check_profiles_with(&self, team: &str, mistakes: &mut Vec<Mistake>) {
+        for (name, profile) in &self.cfg.profiles {
+            let refers = profile.shares.contains_key(team) || profile.limits.contains_key(team);
+            if refers && !self.is_changed(SectionKind::Profile, name) {
+                self.check_profile(&format!("profile {name}"), profile, mistakes);
+            }
+        }
+    }
+
+    fn check_services(&self, mistakes: &mut Vec<Mistake>, refers: impl Fn(&Service) -> bool) {
+        for (name, service) in &self.cfg.services {
+            if refers(service) && !self.is_changed(SectionKind::Service, name) {
+                self.check_service(&format!("service {name}"), service, mistakes);
+            }
+        }
+    }
+}
