--- a/src/config.rs
+++ b/src/config.rs
@@ -297,7 +297,7 @@
 }
 
 /// Cuts a text to `MAX_VALUE_LEN` bytes so that a mistake has a bounded size.
-fn cut(text: &str) -> String {
+pub(crate) fn cut(text: &str) -> String {
     if text.len() <= MAX_VALUE_LEN {
         return text.to_string();
     }
@@ -356,6 +356,11 @@
         self.values.get(key).map(String::as_str)
     }
 
+    /// Whether the section has a key.
+    pub fn has(&self, key: &str) -> bool {
+        self.values.contains_key(key)
+    }
+
     /// The value of a key that every such section must have; empty after a mistake.
     pub fn required(&mut self, key: &'static str, allowed: &str) -> &'a str {
         let value = self.get(key);
@@ -368,7 +373,7 @@
     /// A required name; empty after a mistake.
     pub fn name(&mut self, key: &'static str) -> Arc<str> {
         let value = self.required(key, NAME_SHAPE);
-        if !value.is_empty() || self.values.contains_key(key) {
+        if self.has(key) {
             self.shape(key, value);
         }
         value.into()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod api;
 pub mod config;
+pub mod file;
 pub mod ids;
 pub mod kind;
 pub mod protocol;
 pub mod record;
+pub mod settings;
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -6,6 +6,7 @@
 use jacinthhook::record::SectionChange;
 use quickcheck::{Gen, QuickCheck};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 type Body = IndexMap<String, String>;
 
@@ -247,3 +248,61 @@
     let property: fn(String, Vec<(String, String)>) -> bool = arbitrary_text;
     QuickCheck::new().rng(Gen::from_size_and_seed(100, 2)).quickcheck(property);
 }
+
+/// A configuration of the design size: 7 zones, 230 teams, 66 pools, 20 profiles, 66 services.
+fn design_size() -> Config {
+    let mut changes = Vec::new();
+    for i in 0..7 {
+        changes.push(set(&format!("zone z{i}"), &[("region", "r1")]));
+    }
+    for i in 0..230 {
+        changes.push(set(&format!("team t{i}"), &[("share", "3"), ("limit", "400")]));
+    }
+    for i in 0..20 {
+        changes.push(profile(i, 1));
+    }
+    for i in 0..66 {
+        changes.push(set(&format!("pool p{i}"), &[("min_instances", "2")]));
+        changes.push(service(i, i));
+    }
+    let mut cfg = Config::new();
+    cfg.change(&changes).expect("the configuration has no mistakes");
+    cfg
+}
+
+/// A profile with weights of 40 teams.
+fn profile(i: usize, share: usize) -> SectionChange {
+    let mut body = body(&[("queue_bound", "300"), ("stale_limit_ms", "never")]);
+    body.extend((0..40).map(|team| (format!("share.t{team}"), (share % 9 + 1).to_string())));
+    SectionChange { section: format!("profile f{}", i % 20), base: None, body: Some(body) }
+}
+
+fn service(i: usize, profile: usize) -> SectionChange {
+    let profile = format!("f{}", profile % 20);
+    let pool = format!("p{}", i % 66);
+    set(&format!("service s{}", i % 66), &[("profile", &profile), ("pool", &pool)])
+}
+
+/// Guards against a parse of everything per change, which takes minutes for a day's changes.
+#[test]
+fn change_one_day_at_design_size() {
+    let mut cfg = design_size();
+    let day: Vec<SectionChange> = (0..27_000usize)
+        .map(|i| match i % 4 {
+            0 => profile(i / 4, i),
+            1 => service(i, i / 4),
+            2 => set(&format!("team t{}", i % 230), &[("limit", &(i + 1).to_string())]),
+            _ => set(&format!("pool p{}", i % 66), &[("min_instances", "3")]),
+        })
+        .collect();
+    let start = Instant::now();
+    for change in &day {
+        cfg.change(std::slice::from_ref(change)).expect("the change has no mistake");
+    }
+    let took = start.elapsed();
+    println!("27,000 changes took {took:?}");
+    assert_eq!((cfg.teams.len(), cfg.pools.len()), (230, 66));
+    if !cfg!(debug_assertions) {
+        assert!(took < Duration::from_secs(1), "27,000 changes took {took:?}");
+    }
+}
