Add stand-ins for platform and upstream

Cause: the entry instance needs a log, a list and upstreams on real sockets, with the faults that the environment has. Ruled out: pausing the listener for 'down' and 'silent', since rocket 0.5 takes no listener of ours; the switches act on accepted connections instead. Ending a streamed body early does not cut it: rocket closes the chunked body as if it were complete (server.rs drops the body channel on a read error), so connection::abort shuts the socket down through a duplicate from pidfd_getfd. Change: standin (server and fault switches), standin_platform (log, list), standin_upstream (services, status, drain, run counts), standin_tasks (leases, fences), connection::abort, and the bodies of throttle, checkpoint and stop in protocol. Conclusion: usable by the server; any streamed answer of rocket that may be cut needs connection::abort.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,12 @@
 //! between callers and upstreams. `docs/design.md` describes the division into modules.
 
 pub mod config;
+pub mod connection;
 pub mod ids;
 pub mod kind;
 pub mod protocol;
 pub mod record;
+pub mod standin;
+pub mod standin_platform;
+mod standin_tasks;
+pub mod standin_upstream;
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -91,6 +91,29 @@
     pub lease_ms: u64,
 }
 
+/// Body of `POST /tasks/<id>/throttle`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TaskThrottle {
+    /// As in `TaskStart`.
+    pub fence: Offset,
+    /// Part of the full speed, from 1 to 100.
+    pub percent: u32,
+}
+
+/// Body of `POST /tasks/<id>/checkpoint` and `POST /tasks/<id>/stop`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TaskFence {
+    /// As in `TaskStart`.
+    pub fence: Offset,
+}
+
+/// Answer to `POST /tasks/<id>/checkpoint`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Checkpoint {
+    /// Work done, in milliseconds at full speed.
+    pub done_ms: u64,
+}
+
 /// State of a task at an upstream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "state")]
--- /dev/null
+++ b/src/standin_platform.rs
@@ -0,0 +1,287 @@
+//! Stand-in for the platform: an append-only log with long poll and retention, and a lagging list of
+//! instances. `docs/platform.md` states the protocol.
+
+use crate::ids::*;
+use crate::protocol::{Entry, InstanceList, Listed, ReadAnswer};
+use crate::record::MAX_ENTRY_LEN;
+use crate::standin::{self, Answer, Gate, Running, StandinError, Switches};
+use bytes::Bytes;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use rocket::State;
+use rocket::data::{Data, ToByteUnit};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// Longest wait of a read.
+pub const MAX_WAIT: Duration = Duration::from_secs(30);
+/// Most entries in one answer to a read.
+pub const MAX_READ_ENTRIES: usize = 1_000;
+/// Most bytes of entries in one answer to a read; one entry is always sent.
+pub const MAX_READ_LEN: usize = 4 * 1024 * 1024;
+/// Largest registration in bytes.
+const MAX_LISTED_LEN: u64 = 16 * 1024;
+
+/// Settings of a platform stand-in.
+#[derive(Clone, Debug)]
+pub struct PlatformOptions {
+    /// Where to listen; port 0 takes a free one.
+    pub addr: SocketAddr,
+    /// Entries kept; older ones are trimmed.
+    pub retention: usize,
+    /// How late the list shows a change.
+    pub list_lag: Duration,
+}
+
+impl PlatformOptions {
+    /// A large log and a list without lag.
+    pub fn new(addr: SocketAddr) -> PlatformOptions {
+        PlatformOptions { addr, retention: 1_000_000, list_lag: Duration::ZERO }
+    }
+
+    /// Replaces the number of entries kept.
+    pub fn with_retention(mut self, entries: usize) -> PlatformOptions {
+        self.retention = entries;
+        self
+    }
+
+    /// Replaces the lag of the list.
+    pub fn with_list_lag(mut self, lag: Duration) -> PlatformOptions {
+        self.list_lag = lag;
+        self
+    }
+}
+
+/// The log. Invariant: `entries` are consecutive and end at `next - 1`.
+#[derive(Debug, Default)]
+struct Log {
+    next: Offset,
+    entries: VecDeque<Bytes>,
+}
+
+impl Log {
+    fn first(&self) -> Offset {
+        self.next - self.entries.len() as Offset
+    }
+
+    fn append(&mut self, data: Bytes, retention: usize) -> Offset {
+        let offset = self.next;
+        self.entries.push_back(data);
+        self.next += 1;
+        self.trim(retention);
+        offset
+    }
+
+    fn trim(&mut self, keep: usize) {
+        let excess = self.entries.len().saturating_sub(keep);
+        self.entries.drain(..excess);
+    }
+
+    fn read(&self, from: Offset, max: usize) -> ReadAnswer {
+        let first = self.first();
+        let skip = usize::try_from(from.saturating_sub(first)).unwrap_or(usize::MAX);
+        let mut left = MAX_READ_LEN;
+        let mut entries = Vec::new();
+        for (i, data) in self.entries.iter().enumerate().skip(skip).take(max) {
+            if data.len() > left && !entries.is_empty() {
+                break;
+            }
+            left = left.saturating_sub(data.len());
+            entries.push(Entry { offset: first + i as Offset, data: data.clone() });
+        }
+        ReadAnswer { first, next: self.next, entries }
+    }
+}
+
+/// One change of the list that is not visible yet; `None` removes the instance.
+#[derive(Debug)]
+struct ListChange {
+    made: Instant,
+    id: InstanceId,
+    listed: Option<Listed>,
+}
+
+/// The list: what is registered, and what a reader sees.
+#[derive(Debug, Default)]
+struct Registry {
+    current: IndexMap<InstanceId, Listed>,
+    visible: IndexMap<InstanceId, Listed>,
+    pending: VecDeque<ListChange>,
+}
+
+impl Registry {
+    fn change(&mut self, id: InstanceId, listed: Option<Listed>) {
+        match &listed {
+            Some(listed) => {
+                self.current.insert(id.clone(), listed.clone());
+            }
+            None => {
+                self.current.shift_remove(&id);
+            }
+        }
+        self.pending.push_back(ListChange { made: Instant::now(), id, listed });
+    }
+
+    /// The list as it was `lag` ago, but for an instance that has been registered again since it was
+    /// removed: the list never shows a live instance as gone.
+    fn read(&mut self, lag: Duration) -> InstanceList {
+        while self.pending.front().is_some_and(|c| c.made.elapsed() >= lag) {
+            let Some(change) = self.pending.pop_front() else { break };
+            match change.listed {
+                Some(listed) => {
+                    self.visible.insert(change.id, listed);
+                }
+                None if !self.current.contains_key(&change.id) => {
+                    self.visible.shift_remove(&change.id);
+                }
+                None => (),
+            }
+        }
+        InstanceList { instances: self.visible.values().cloned().collect() }
+    }
+}
+
+/// State of one platform stand-in.
+struct Store {
+    log: Mutex<Log>,
+    registry: Mutex<Registry>,
+    retention: usize,
+    list_lag: Mutex<Duration>,
+    /// Tells waiting reads the next offset.
+    next: watch::Sender<Offset>,
+}
+
+/// A running platform stand-in.
+pub struct PlatformStandin {
+    running: Running,
+    store: Arc<Store>,
+    /// Its fault switches, as `PUT /faults` sets them.
+    pub switches: Arc<Switches>,
+}
+
+impl PlatformStandin {
+    /// Starts a stand-in and returns once it is bound.
+    pub async fn start(options: PlatformOptions) -> Result<PlatformStandin, StandinError> {
+        let switches = Arc::new(Switches::default());
+        let store = Arc::new(Store {
+            log: Mutex::default(),
+            registry: Mutex::default(),
+            retention: options.retention,
+            list_lag: Mutex::new(options.list_lag),
+            next: watch::Sender::new(0),
+        });
+        let rocket = standin::build(options.addr, switches.clone())
+            .manage(store.clone())
+            .mount("/", rocket::routes![append, read, list, register, remove]);
+        let running = standin::launch(options.addr, rocket).await?;
+        Ok(PlatformStandin { running, store, switches })
+    }
+
+    /// The address it is bound to.
+    pub fn addr(&self) -> SocketAddr {
+        self.running.addr()
+    }
+
+    /// Offset that the next append will get.
+    pub fn next_offset(&self) -> Offset {
+        self.store.log.lock().next
+    }
+
+    /// Drops all but the newest `keep` entries, as retention does over time.
+    pub fn trim(&self, keep: usize) {
+        self.store.log.lock().trim(keep);
+    }
+
+    /// Replaces the lag of the list.
+    pub fn set_list_lag(&self, lag: Duration) {
+        *self.store.list_lag.lock() = lag;
+    }
+
+    /// Ends it as a crash would.
+    pub async fn stop(self) {
+        self.running.stop().await;
+    }
+
+    /// Returns when it has ended.
+    pub async fn ended(&mut self) {
+        self.running.ended().await;
+    }
+}
+
+#[rocket::post("/log", data = "<data>")]
+async fn append(gate: Gate, data: Data<'_>, store: &State<Arc<Store>>) -> Answer {
+    let limit = (MAX_ENTRY_LEN as u64).bytes();
+    let body = match data.open(limit).into_bytes().await {
+        Ok(body) if body.is_complete() => Bytes::from(body.into_inner()),
+        Ok(_) => return gate.leave(Answer::new(413)).await,
+        Err(_) => return gate.leave(Answer::new(400)).await,
+    };
+    if gate.failing {
+        return gate.leave(Answer::new(500)).await;
+    }
+    let offset = {
+        let mut log = store.log.lock();
+        let offset = log.append(body, store.retention);
+        store.next.send_replace(log.next);
+        offset
+    };
+    gate.leave(Answer::json(200, &serde_json::json!({ "offset": offset }))).await
+}
+
+#[rocket::get("/log?<from>&<max>&<wait_ms>")]
+async fn read(
+    gate: Gate,
+    from: Offset,
+    max: Option<usize>,
+    wait_ms: Option<u64>,
+    store: &State<Arc<Store>>,
+) -> Answer {
+    if gate.failing {
+        return gate.leave(Answer::new(500)).await;
+    }
+    let wait = Duration::from_millis(wait_ms.unwrap_or(0)).min(MAX_WAIT);
+    let mut next = store.next.subscribe();
+    // A wait that ends without an append answers with no entries.
+    let _ = tokio::time::timeout(wait, next.wait_for(|next| *next > from)).await;
+    let max = max.unwrap_or(MAX_READ_ENTRIES).clamp(1, MAX_READ_ENTRIES);
+    let answer = store.log.lock().read(from, max);
+    gate.leave(Answer::json(200, &answer)).await
+}
+
+#[rocket::get("/instances")]
+async fn list(gate: Gate, store: &State<Arc<Store>>) -> Answer {
+    if gate.failing {
+        return gate.leave(Answer::new(500)).await;
+    }
+    let lag = *store.list_lag.lock();
+    let list = store.registry.lock().read(lag);
+    gate.leave(Answer::json(200, &list)).await
+}
+
+#[rocket::put("/instances/<id>", data = "<data>")]
+async fn register(gate: Gate, id: &str, data: Data<'_>, store: &State<Arc<Store>>) -> Answer {
+    let listed = match data.open(MAX_LISTED_LEN.bytes()).into_bytes().await {
+        Ok(body) if body.is_complete() => serde_json::from_slice::<Listed>(&body).ok(),
+        _ => None,
+    };
+    match listed.filter(|listed| &*listed.id == id) {
+        Some(_) if gate.failing => gate.leave(Answer::new(500)).await,
+        Some(listed) => {
+            store.registry.lock().change(id.into(), Some(listed));
+            gate.leave(Answer::new(204)).await
+        }
+        None => gate.leave(Answer::new(400)).await,
+    }
+}
+
+#[rocket::delete("/instances/<id>")]
+async fn remove(gate: Gate, id: &str, store: &State<Arc<Store>>) -> Answer {
+    if gate.failing {
+        return gate.leave(Answer::new(500)).await;
+    }
+    store.registry.lock().change(id.into(), None);
+    gate.leave(Answer::new(204)).await
+}
--- /dev/null
+++ b/src/standin_upstream.rs
@@ -0,0 +1,461 @@
+//! Stand-in for an upstream: HTTP services under any path, tasks under leases and fences, and its
+//! status. `docs/platform.md` states the protocol.
+
+use crate::ids::*;
+use crate::protocol::*;
+use crate::standin::{self, Answer, AnswerBody, Gate, Running, StandinError, Switches};
+use crate::standin_tasks::{self, Tasks};
+use bytes::Bytes;
+use futures::StreamExt;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use rocket::State;
+use rocket::data::{Data, ToByteUnit};
+use rocket::http::Method;
+use rocket::request::Request;
+use rocket::route::{Handler, Outcome, Route};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Slots of an upstream.
+pub const DEFAULT_SLOTS: u32 = 8;
+/// Connections that an upstream serves at once.
+pub const DEFAULT_CONNECTIONS: u32 = 64;
+/// Largest request body that the services read, in bytes.
+const MAX_BODY_LEN: u64 = 64 * 1024 * 1024;
+/// Largest piece of a generated body in bytes.
+const PIECE_LEN: usize = 16 * 1024;
+/// Most tags whose runs are counted.
+const MAX_TAGS: usize = 1_000_000;
+/// Rank of the service routes, behind every other route.
+const SERVICE_RANK: isize = 20;
+
+/// Settings of an upstream stand-in.
+#[derive(Clone, Debug)]
+pub struct UpstreamOptions {
+    /// Id that `GET /status` reports.
+    pub id: InstanceId,
+    /// Where to listen; port 0 takes a free one.
+    pub addr: SocketAddr,
+    /// Requests and tasks that run at once.
+    pub slots: u32,
+    /// Requests that are open at once, running or waiting for a slot.
+    pub connections: u32,
+    /// Value of its monotonic clock at the start.
+    pub clock_origin: Duration,
+}
+
+impl UpstreamOptions {
+    /// An upstream with the default slots and connections.
+    pub fn new(id: impl Into<InstanceId>, addr: SocketAddr) -> UpstreamOptions {
+        UpstreamOptions {
+            id: id.into(),
+            addr,
+            slots: DEFAULT_SLOTS,
+            connections: DEFAULT_CONNECTIONS,
+            clock_origin: Duration::ZERO,
+        }
+    }
+
+    /// Replaces slots and connections.
+    pub fn with_size(mut self, slots: u32, connections: u32) -> UpstreamOptions {
+        self.slots = slots;
+        self.connections = connections;
+        self
+    }
+
+    /// Replaces the value of its clock at the start.
+    pub fn with_clock_origin(mut self, origin: Duration) -> UpstreamOptions {
+        self.clock_origin = origin;
+        self
+    }
+}
+
+/// State that the handlers share.
+pub(crate) struct Worker {
+    id: InstanceId,
+    started: Instant,
+    clock_origin: Duration,
+    slots: u32,
+    /// One permit per free slot.
+    pub(crate) free: Arc<Semaphore>,
+    connections: u32,
+    open: AtomicU32,
+    pub(crate) draining: AtomicBool,
+    /// How often work with a tag started.
+    runs: Mutex<IndexMap<String, u32>>,
+    pub(crate) tasks: Tasks,
+}
+
+impl Worker {
+    /// Its own monotonic clock in milliseconds.
+    pub(crate) fn clock_ms(&self) -> u64 {
+        (self.clock_origin + self.started.elapsed()).as_millis() as u64
+    }
+
+    fn running(&self) -> u32 {
+        self.slots.saturating_sub(self.free.available_permits() as u32)
+    }
+
+    fn status(&self) -> UpstreamStatus {
+        UpstreamStatus {
+            id: self.id.clone(),
+            clock_ms: self.clock_ms(),
+            slots: self.slots,
+            running: self.running(),
+            draining: self.draining.load(Ordering::SeqCst),
+        }
+    }
+
+    pub(crate) fn count_run(&self, tag: &str) {
+        let mut runs = self.runs.lock();
+        if runs.len() < MAX_TAGS || runs.contains_key(tag) {
+            *runs.entry(tag.to_string()).or_default() += 1;
+        }
+    }
+
+    /// Adds what every answer carries.
+    pub(crate) fn sign(&self, answer: Answer) -> Answer {
+        let answer = answer.with_header(LOAD_HEADER, self.running().to_string());
+        if self.draining.load(Ordering::SeqCst) {
+            return answer.with_header(DRAINING_HEADER, "true");
+        }
+        answer
+    }
+
+    /// A refusal: the work was not started and will not be.
+    pub(crate) fn not_run(&self, status: u16, why: &str) -> Answer {
+        let body = serde_json::json!({ "refused": why });
+        self.sign(Answer::json(status, &body).with_header(RAN_HEADER, "not_run"))
+    }
+}
+
+/// A running upstream stand-in.
+pub struct UpstreamStandin {
+    running: Running,
+    worker: Arc<Worker>,
+    /// Its fault switches, as `PUT /faults` sets them.
+    pub switches: Arc<Switches>,
+}
+
+impl UpstreamStandin {
+    /// Starts a stand-in and returns once it is bound.
+    pub async fn start(options: UpstreamOptions) -> Result<UpstreamStandin, StandinError> {
+        let switches = Arc::new(Switches::default());
+        let worker = Arc::new(Worker {
+            id: options.id,
+            started: Instant::now(),
+            clock_origin: options.clock_origin,
+            slots: options.slots,
+            free: Arc::new(Semaphore::new(options.slots as usize)),
+            connections: options.connections,
+            open: AtomicU32::new(0),
+            draining: AtomicBool::new(false),
+            runs: Mutex::default(),
+            tasks: Tasks::default(),
+        });
+        let rocket = standin::build(options.addr, switches.clone())
+            .manage(worker.clone())
+            .mount("/", rocket::routes![status, runs, put_drain])
+            .mount("/", standin_tasks::routes())
+            .mount("/", service_routes());
+        let running = standin::launch(options.addr, rocket).await?;
+        Ok(UpstreamStandin { running, worker, switches })
+    }
+
+    /// The address it is bound to.
+    pub fn addr(&self) -> SocketAddr {
+        self.running.addr()
+    }
+
+    /// How often work with each tag started, in the order of the first starts.
+    pub fn runs(&self) -> IndexMap<String, u32> {
+        self.worker.runs.lock().clone()
+    }
+
+    /// Requests and tasks that run now.
+    pub fn running(&self) -> u32 {
+        self.worker.running()
+    }
+
+    /// Lets it take nothing new, or again.
+    pub fn set_draining(&self, draining: bool) {
+        self.worker.draining.store(draining, Ordering::SeqCst);
+    }
+
+    /// How the platform's list shows it.
+    pub fn listed(&self, pool: &str, zone: &str, rack: &str) -> Listed {
+        Listed {
+            id: self.worker.id.clone(),
+            role: Role::Upstream,
+            pool: pool.into(),
+            zone: zone.into(),
+            rack: rack.into(),
+            addr: self.addr().to_string(),
+            presence: Presence::Live,
+            slots: self.worker.slots,
+            connections: self.worker.connections,
+        }
+    }
+
+    /// Ends it as a crash would.
+    pub async fn stop(self) {
+        self.running.stop().await;
+    }
+
+    /// Returns when it has ended.
+    pub async fn ended(&mut self) {
+        self.running.ended().await;
+    }
+}
+
+#[rocket::get("/status")]
+async fn status(gate: Gate, worker: &State<Arc<Worker>>) -> Answer {
+    let answer = if gate.failing { Answer::new(500) } else { Answer::json(200, &worker.status()) };
+    gate.leave(worker.sign(answer)).await
+}
+
+#[rocket::get("/runs")]
+fn runs(worker: &State<Arc<Worker>>) -> Answer {
+    Answer::json(200, &*worker.runs.lock())
+}
+
+/// Body of `PUT /drain`.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Drain {
+    /// Whether the upstream takes nothing new.
+    pub draining: bool,
+}
+
+#[rocket::put("/drain", data = "<data>")]
+async fn put_drain(data: Data<'_>, worker: &State<Arc<Worker>>) -> Answer {
+    let body = data.open(1.kibibytes()).into_bytes().await;
+    match body.ok().and_then(|body| serde_json::from_slice::<Drain>(&body).ok()) {
+        Some(drain) => {
+            worker.draining.store(drain.draining, Ordering::SeqCst);
+            Answer::json(200, &drain)
+        }
+        None => Answer::new(400),
+    }
+}
+
+fn service_routes() -> Vec<Route> {
+    use Method::*;
+    [Get, Head, Put, Post, Delete, Options, Patch]
+        .into_iter()
+        .map(|method| Route::ranked(SERVICE_RANK, method, "/<path..>", Service))
+        .collect()
+}
+
+/// Handler of every path that is not part of the protocol.
+#[derive(Clone)]
+struct Service;
+
+#[rocket::async_trait]
+impl Handler for Service {
+    async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let Some(worker) = req.rocket().state::<Arc<Worker>>() else {
+            return Outcome::Error(rocket::http::Status::InternalServerError);
+        };
+        let Some(gate) = Gate::enter(req).await else {
+            return Outcome::Error(rocket::http::Status::ServiceUnavailable);
+        };
+        let answer = serve(worker, &gate, req, data).await;
+        Outcome::from(req, gate.leave(answer).await)
+    }
+}
+
+/// Counts an open request for as long as it lives.
+struct OpenRequest(Arc<Worker>);
+
+impl OpenRequest {
+    fn new(worker: &Arc<Worker>) -> Option<OpenRequest> {
+        let before = worker.open.fetch_add(1, Ordering::SeqCst);
+        let request = OpenRequest(worker.clone());
+        (before < worker.connections).then_some(request)
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// A time on the upstream's clock from a header.
+fn header_ms(req: &Request<'_>, name: &str) -> Option<u64> {
+    req.headers().get_one(name)?.trim().parse().ok()
+}
+
+async fn serve(worker: &Arc<Worker>, gate: &Gate, req: &Request<'_>, data: Data<'_>) -> Answer {
+    if worker.draining.load(Ordering::SeqCst) {
+        return worker.not_run(503, "draining");
+    }
+    let Some(open) = OpenRequest::new(worker) else { return worker.not_run(503, "busy") };
+    let start_by = header_ms(req, START_BY_HEADER);
+    let deadline = header_ms(req, DEADLINE_HEADER);
+    let Some(slot) = wait_for_slot(worker, start_by).await else {
+        return worker.not_run(503, "busy");
+    };
+    let now = worker.clock_ms();
+    if start_by.is_some_and(|t| now > t) || deadline.is_some_and(|t| now >= t) {
+        return worker.not_run(503, "late");
+    }
+    run(worker, gate, req, data, Held { _open: open, _slot: slot }, deadline).await
+}
+
+/// Slot and connection of a request, held until its answer has been made.
+struct Held {
+    _open: OpenRequest,
+    _slot: OwnedSemaphorePermit,
+}
+
+/// Waits for a slot until the latest start; without one as long as it takes.
+async fn wait_for_slot(
+    worker: &Arc<Worker>,
+    start_by: Option<u64>,
+) -> Option<OwnedSemaphorePermit> {
+    let slot = worker.free.clone().acquire_owned();
+    match start_by {
+        Some(by) => {
+            let wait = Duration::from_millis(by.saturating_sub(worker.clock_ms()));
+            tokio::time::timeout(wait, slot).await.ok()?.ok()
+        }
+        None => slot.await.ok(),
+    }
+}
+
+/// What the query of a request asks a service to do.
+struct Wanted {
+    delay: Duration,
+    status: u16,
+    size: Option<usize>,
+    chunks: Option<usize>,
+    chunk_size: usize,
+    chunk_delay: Duration,
+    cut_after: Option<usize>,
+}
+
+fn query<T>(req: &Request<'_>, name: &str) -> Option<T>
+where
+    T: for<'a> rocket::form::FromForm<'a>,
+{
+    req.query_value(name)?.ok()
+}
+
+fn query_ms(req: &Request<'_>, name: &str) -> Duration {
+    Duration::from_millis(query(req, name).unwrap_or(0))
+}
+
+impl Wanted {
+    fn new(req: &Request<'_>) -> Wanted {
+        Wanted {
+            delay: query_ms(req, "delay_ms"),
+            status: query(req, "status").unwrap_or(200),
+            size: query(req, "size"),
+            chunks: query(req, "chunks"),
+            chunk_size: query(req, "chunk_size").unwrap_or(1_024),
+            chunk_delay: query_ms(req, "chunk_delay_ms"),
+            cut_after: query(req, "cut_after"),
+        }
+    }
+}
+
+async fn run(
+    worker: &Arc<Worker>,
+    gate: &Gate,
+    req: &Request<'_>,
+    data: Data<'_>,
+    held: Held,
+    deadline: Option<u64>,
+) -> Answer {
+    let wanted = Wanted::new(req);
+    if let Some(tag) = query::<String>(req, "tag") {
+        worker.count_run(&tag);
+    }
+    let body = match data.open(MAX_BODY_LEN.bytes()).into_bytes().await {
+        Ok(body) if body.is_complete() => Bytes::from(body.into_inner()),
+        Ok(_) => return worker.sign(Answer::new(413)),
+        Err(_) => return worker.sign(Answer::new(400)),
+    };
+    if gate.failing {
+        return worker.sign(Answer::new(500));
+    }
+    if !work(worker, wanted.delay, deadline).await {
+        return worker.sign(Answer::new(504));
+    }
+    let method = req.method().as_str();
+    let answer = Answer::new(wanted.status)
+        .with_header("standin-id", &*worker.id)
+        .with_header("standin-method", method)
+        .with_header("standin-path", req.uri().to_string())
+        .with_body(make_body(&wanted, body, gate, held));
+    let answer = match wanted.size {
+        Some(size) => answer.with_header("content-length", size.to_string()),
+        None => answer,
+    };
+    worker.sign(answer)
+}
+
+/// Works for a time; false when the deadline came first.
+async fn work(worker: &Worker, time: Duration, deadline: Option<u64>) -> bool {
+    let left = deadline
+        .map(|t| Duration::from_millis(t.saturating_sub(worker.clock_ms())))
+        .unwrap_or(Duration::MAX);
+    if !time.is_zero() {
+        tokio::time::sleep(time.min(left)).await;
+    }
+    time <= left
+}
+
+fn make_body(wanted: &Wanted, echo: Bytes, gate: &Gate, held: Held) -> AnswerBody {
+    let pieces = match (wanted.size, wanted.chunks) {
+        (Some(size), _) => pieces(size, PIECE_LEN),
+        (None, Some(chunks)) => vec![wanted.chunk_size; chunks],
+        (None, None) if wanted.cut_after.is_none() => return AnswerBody::Full(echo),
+        (None, None) => pieces(echo.len(), PIECE_LEN),
+    };
+    AnswerBody::Stream(generated(pieces, wanted, gate, held))
+}
+
+/// Lengths of the pieces of a body of `size` bytes.
+fn pieces(size: usize, piece: usize) -> Vec<usize> {
+    let mut pieces = vec![piece; size / piece];
+    if !size.is_multiple_of(piece) {
+        pieces.push(size % piece);
+    }
+    pieces
+}
+
+/// A body of the given pieces; byte `i` is `i % 251`, so that a lost or doubled piece shows.
+fn generated(
+    pieces: Vec<usize>,
+    wanted: &Wanted,
+    gate: &Gate,
+    held: Held,
+) -> futures::stream::BoxStream<'static, Bytes> {
+    let (port, remote) = gate.connection();
+    let delay = wanted.chunk_delay;
+    let cut_after = wanted.cut_after;
+    let start = (0_usize, pieces.into_iter(), held);
+    futures::stream::unfold(start, move |(sent, mut pieces, held)| async move {
+        if cut_after.is_some_and(|n| sent >= n) {
+            standin::cut(port, remote);
+            return None;
+        }
+        let mut len = pieces.next()?;
+        if let Some(n) = cut_after {
+            len = len.min(n - sent);
+        }
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        let piece: Bytes = (sent..sent + len).map(|i| (i % 251) as u8).collect();
+        Some((piece, (sent + len, pieces, held)))
+    })
+    .boxed()
+}
