--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,9 +3,14 @@
 
 pub mod api;
 pub mod config;
+pub mod connection;
 pub mod file;
 pub mod ids;
 pub mod kind;
 pub mod protocol;
 pub mod record;
 pub mod settings;
+pub mod standin;
+pub mod standin_platform;
+mod standin_tasks;
+pub mod standin_upstream;
