Add the command line of operators

Cause: operators publish, grant keys and take instances and zones out through any entry instance. Ruled out: a refusal after a lost answer taken as 'nothing changed', since the first send may have taken effect; the command line then asks for the op and otherwise reports an unknown fate. Nested tags in Outcome, which gave {"standing":{"standing":..}}; result and standing are flattened. Change: cli (arguments), operate (commands), admin (client), report and difference (texts), exit (codes and failures), standin_command, docs/cli.md.

--- a/src/api.rs
+++ b/src/api.rs
@@ -148,6 +148,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Outcome {
     pub op: OpId,
+    #[serde(flatten)]
     pub result: OpResult,
     /// Every entry instance that the answering one knows of, itself first.
     pub entries: Vec<EntryOutcome>,
@@ -174,6 +175,7 @@
 pub struct EntryOutcome {
     pub entry: EntryId,
     pub zone: ZoneId,
+    #[serde(flatten)]
     pub standing: Standing,
 }
 
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,390 @@
+//! Command line. `docs/cli.md` describes the commands and exit codes for operators.
+
+use crate::difference::Missing;
+use crate::exit::{Exit, Failure};
+use crate::ids::InstanceId;
+use crate::operate::{self, Report, Run, StatusFormat, Target};
+use crate::settings::{self, Checked};
+use crate::standin_command::{self, PlatformRun, UpstreamRun};
+use argh::FromArgs;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Default of `--wait-ms`; a change is in force everywhere within this time.
+const DEFAULT_WAIT_MS: u64 = 4_000;
+
+/// Fleet capacity and maintenance manager.
+#[derive(Debug, FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(CheckArgs),
+    Publish(PublishArgs),
+    Key(KeyArgs),
+    Instance(InstanceArgs),
+    Zone(ZoneArgs),
+    Status(StatusArgs),
+    Platform(PlatformArgs),
+    Upstream(UpstreamArgs),
+}
+
+/// Check settings or declarations and report every mistake.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+struct CheckArgs {
+    /// settings of an entry instance, or declarations
+    #[argh(positional)]
+    file: String,
+}
+
+/// Publish what a declarations file changes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "publish")]
+struct PublishArgs {
+    /// declarations
+    #[argh(positional)]
+    file: String,
+    /// show the difference to what is in force and publish nothing
+    #[argh(switch)]
+    dry_run: bool,
+    /// remove sections in force that the file does not have
+    #[argh(switch)]
+    remove_missing: bool,
+    /// address of any entry instance, IP:PORT
+    #[argh(option)]
+    at: SocketAddr,
+    /// how long to wait until in force everywhere, in milliseconds (4000)
+    #[argh(option, default = "DEFAULT_WAIT_MS")]
+    wait_ms: u64,
+    /// op id of an earlier command to repeat
+    #[argh(option)]
+    op: Option<String>,
+}
+
+/// Grant, withdraw or list keys.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "key")]
+struct KeyArgs {
+    #[argh(subcommand)]
+    command: KeyCommand,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum KeyCommand {
+    Grant(KeyGrantArgs),
+    Withdraw(KeyWithdrawArgs),
+    List(KeyListArgs),
+}
+
+/// Grant a new key to a team and print it once.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "grant")]
+struct KeyGrantArgs {
+    /// team that the key stands for
+    #[argh(positional)]
+    team: String,
+    /// address of any entry instance, IP:PORT
+    #[argh(option)]
+    at: SocketAddr,
+    /// how long to wait until in force everywhere, in milliseconds (4000)
+    #[argh(option, default = "DEFAULT_WAIT_MS")]
+    wait_ms: u64,
+}
+
+/// Withdraw a key for good.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "withdraw")]
+struct KeyWithdrawArgs {
+    /// key id, the part before the dot
+    #[argh(positional)]
+    key: String,
+    /// address of any entry instance, IP:PORT
+    #[argh(option)]
+    at: SocketAddr,
+    /// how long to wait until in force everywhere, in milliseconds (4000)
+    #[argh(option, default = "DEFAULT_WAIT_MS")]
+    wait_ms: u64,
+    /// op id of an earlier command to repeat
+    #[argh(option)]
+    op: Option<String>,
+}
+
+/// List keys without their secrets.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+struct KeyListArgs {
+    /// address of any entry instance, IP:PORT
+    #[argh(option)]
+    at: SocketAddr,
+}
+
+/// Take an upstream instance out of service or back.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "instance")]
+struct InstanceArgs {
+    #[argh(subcommand)]
+    command: Direction,
+}
+
+/// Take an availability zone out of service or back.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "zone")]
+struct ZoneArgs {
+    #[argh(subcommand)]
+    command: Direction,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Direction {
+    Out(OutArgs),
+    Back(BackArgs),
+}
+
+/// Take out of service.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "out")]
+struct OutArgs {
+    /// name of the instance or availability zone
+    #[argh(positional)]
+    name: String,
+    /// address of any entry instance, IP:PORT
+    #[argh(option)]
+    at: SocketAddr,
+    /// how long to wait until in force everywhere, in milliseconds (4000)
+    #[argh(option, default = "DEFAULT_WAIT_MS")]
+    wait_ms: u64,
+    /// op id of an earlier command to repeat
+    #[argh(option)]
+    op: Option<String>,
+}
+
+/// Take back into service.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "back")]
+struct BackArgs {
+    /// name of the instance or availability zone
+    #[argh(positional)]
+    name: String,
+    /// offset of the command to undo; by default the one that the entry instance shows in force
+    #[argh(option)]
+    undoes: Option<u64>,
+    /// address of any entry instance, IP:PORT
+    #[argh(option)]
+    at: SocketAddr,
+    /// how long to wait until in force everywhere, in milliseconds (4000)
+    #[argh(option, default = "DEFAULT_WAIT_MS")]
+    wait_ms: u64,
+    /// op id of an earlier command to repeat
+    #[argh(option)]
+    op: Option<String>,
+}
+
+/// Show the fleet as one entry instance sees it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+struct StatusArgs {
+    /// address of the entry instance, IP:PORT
+    #[argh(option)]
+    at: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Run a stand-in for the platform.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+struct PlatformArgs {
+    /// address to listen on, IP:PORT; port 0 takes a free one
+    #[argh(option)]
+    addr: SocketAddr,
+    /// log entries kept (1000000)
+    #[argh(option, default = "1_000_000")]
+    retention: usize,
+    /// how late the list shows a change, in milliseconds (0)
+    #[argh(option, default = "0")]
+    list_lag_ms: u64,
+}
+
+/// Run a stand-in for an upstream.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "upstream")]
+struct UpstreamArgs {
+    /// name of the instance
+    #[argh(option)]
+    id: String,
+    /// address to listen on, IP:PORT; port 0 takes a free one
+    #[argh(option)]
+    addr: SocketAddr,
+    /// address of the platform stand-in to register with, IP:PORT
+    #[argh(option)]
+    platform: SocketAddr,
+    /// pool that it starts in
+    #[argh(option)]
+    pool: String,
+    /// availability zone
+    #[argh(option)]
+    zone: String,
+    /// rack
+    #[argh(option)]
+    rack: String,
+    /// tasks and requests at once (8)
+    #[argh(option, default = "8")]
+    slots: u32,
+    /// connections at once (64)
+    #[argh(option, default = "64")]
+    connections: u32,
+}
+
+/// Runs one command: `args` starts with the program's name. Results go to `out`, failures to `err`.
+pub fn run(args: &[&str], out: &mut dyn Write, err: &mut dyn Write) -> Exit {
+    let rest = args.get(1..).unwrap_or(&[]);
+    let args = match Args::from_args(&["jacinthhook"], rest) {
+        Ok(args) => args,
+        Err(early) if early.status.is_ok() => return print(out, &early.output, Exit::Done),
+        Err(early) => return print(err, &early.output, Exit::Usage),
+    };
+    match execute(args.command, out) {
+        Ok(report) => print(out, &report.text, report.exit),
+        Err(failure) => print(err, &failure.to_string(), failure.exit()),
+    }
+}
+
+fn print(to: &mut dyn Write, text: &str, exit: Exit) -> Exit {
+    let text = text.trim_end();
+    let written = if text.is_empty() { Ok(()) } else { writeln!(to, "{text}") };
+    match written.and_then(|()| to.flush()) {
+        Ok(()) => exit,
+        // The reader is gone; a failure of the command itself stays the more useful code.
+        Err(_) if exit == Exit::Done => Exit::Local,
+        Err(_) => exit,
+    }
+}
+
+fn execute(command: Command, out: &mut dyn Write) -> Result<Report, Failure> {
+    match command {
+        Command::Check(args) => check(&args.file),
+        Command::Publish(args) => block_on(publish(args)),
+        Command::Key(args) => block_on(key(args.command)),
+        Command::Instance(args) => block_on(instance(args.command)),
+        Command::Zone(args) => block_on(zone(args.command)),
+        Command::Status(args) => block_on(status(args)),
+        Command::Platform(args) => block_on(standin_command::platform(args.into(), out)),
+        Command::Upstream(args) => block_on(standin_command::upstream(args.into(), out)),
+    }
+}
+
+fn block_on(work: impl Future<Output = Result<Report, Failure>>) -> Result<Report, Failure> {
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let runtime = runtime.map_err(|e| Failure::Process { message: e.to_string() })?;
+    runtime.block_on(work)
+}
+
+fn read(file: &str) -> Result<String, Failure> {
+    std::fs::read_to_string(file).map_err(|source| Failure::Read { file: file.to_string(), source })
+}
+
+fn check(file: &str) -> Result<Report, Failure> {
+    let checked = settings::check(file, &read(file)?);
+    let text = match checked.map_err(|mistakes| Failure::Mistakes { mistakes })? {
+        Checked::Settings(settings) => {
+            format!("settings of entry instance {} in zone {}", settings.id, settings.zone)
+        }
+        Checked::Declarations(cfg) => format!(
+            "declarations: {} zones, {} teams, {} pools, {} profiles, {} services",
+            cfg.zones.len(),
+            cfg.teams.len(),
+            cfg.pools.len(),
+            cfg.profiles.len(),
+            cfg.services.len(),
+        ),
+    };
+    Ok(Report { exit: Exit::Done, text: format!("{file}: {text}; no mistakes") })
+}
+
+fn target(at: SocketAddr, wait_ms: u64, op: Option<String>) -> Target {
+    Target { at, wait: Duration::from_millis(wait_ms), op }
+}
+
+async fn publish(args: PublishArgs) -> Result<Report, Failure> {
+    let text = read(&args.file)?;
+    let missing = if args.remove_missing { Missing::Remove } else { Missing::Keep };
+    let run = if args.dry_run { Run::Dry } else { Run::Real };
+    let target = target(args.at, args.wait_ms, args.op);
+    operate::publish(&target, &args.file, &text, missing, run).await
+}
+
+async fn key(command: KeyCommand) -> Result<Report, Failure> {
+    match command {
+        KeyCommand::Grant(args) => {
+            operate::key_grant(&target(args.at, args.wait_ms, None), &args.team).await
+        }
+        KeyCommand::Withdraw(args) => {
+            operate::key_withdraw(&target(args.at, args.wait_ms, args.op), &args.key).await
+        }
+        KeyCommand::List(args) => operate::key_list(args.at).await,
+    }
+}
+
+async fn instance(command: Direction) -> Result<Report, Failure> {
+    match command {
+        Direction::Out(args) => {
+            operate::instance_out(&target(args.at, args.wait_ms, args.op), &args.name).await
+        }
+        Direction::Back(args) => {
+            let target = target(args.at, args.wait_ms, args.op);
+            operate::instance_back(&target, &args.name, args.undoes).await
+        }
+    }
+}
+
+async fn zone(command: Direction) -> Result<Report, Failure> {
+    match command {
+        Direction::Out(args) => {
+            operate::zone_out(&target(args.at, args.wait_ms, args.op), &args.name).await
+        }
+        Direction::Back(args) => {
+            let target = target(args.at, args.wait_ms, args.op);
+            operate::zone_back(&target, &args.name, args.undoes).await
+        }
+    }
+}
+
+async fn status(args: StatusArgs) -> Result<Report, Failure> {
+    let format = if args.json { StatusFormat::Json } else { StatusFormat::Text };
+    operate::status(args.at, format).await
+}
+
+impl From<PlatformArgs> for PlatformRun {
+    fn from(args: PlatformArgs) -> PlatformRun {
+        PlatformRun {
+            addr: args.addr,
+            retention: args.retention,
+            list_lag: Duration::from_millis(args.list_lag_ms),
+        }
+    }
+}
+
+impl From<UpstreamArgs> for UpstreamRun {
+    fn from(args: UpstreamArgs) -> UpstreamRun {
+        UpstreamRun {
+            id: InstanceId::from(args.id),
+            addr: args.addr,
+            platform: args.platform,
+            pool: args.pool,
+            zone: args.zone,
+            rack: args.rack,
+            slots: args.slots,
+            connections: args.connections,
+        }
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -19,7 +19,7 @@
 /// Milliseconds in a day.
 const DAY_MS: u32 = 86_400_000;
 /// Shape of a name, as mistakes state it.
-const NAME_SHAPE: &str = "1 to 40 lower-case letters, digits and -, the first one not -";
+pub const NAME_SHAPE: &str = "1 to 40 lower-case letters, digits and -, the first one not -";
 
 /// One published section.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- /dev/null
+++ b/src/difference.rs
@@ -0,0 +1,76 @@
+//! Difference between the declarations in force and those of a file.
+
+use crate::config::{Section, Sections};
+use crate::record::SectionChange;
+use crate::settings::Bodies;
+use indexmap::IndexMap;
+
+/// What becomes of sections in force that the file does not have.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Missing {
+    Keep,
+    Remove,
+}
+
+/// Changes that turn what is in force into what the file declares, each based on the version in force.
+pub fn difference(in_force: &Sections, wanted: &Bodies, missing: Missing) -> Vec<SectionChange> {
+    let mut changes = Vec::new();
+    for (name, body) in wanted {
+        let current = in_force.get(name);
+        // Maps compare without regard to order, which carries no meaning here.
+        if current.is_none_or(|section| section.values != *body) {
+            changes.push(change(name, current, Some(body.clone())));
+        }
+    }
+    if missing == Missing::Remove {
+        let gone = in_force.iter().filter(|(name, _)| !wanted.contains_key(*name));
+        changes.extend(gone.map(|(name, section)| change(name, Some(section), None)));
+    }
+    changes
+}
+
+fn change(
+    name: &str,
+    current: Option<&Section>,
+    body: Option<IndexMap<String, String>>,
+) -> SectionChange {
+    let base = current.map(|section| section.version);
+    SectionChange { section: name.to_string(), base, body }
+}
+
+/// One line per section added, removed or changed, and one per key of a changed section.
+pub fn describe(in_force: &Sections, changes: &[SectionChange]) -> String {
+    let mut lines = Vec::new();
+    for change in changes {
+        let before = in_force.get(&change.section).map(|section| &section.values);
+        match (before, &change.body) {
+            (None, Some(body)) => {
+                lines.push(format!("+ [{}]", change.section));
+                lines.extend(body.iter().map(|(key, value)| format!("+   {key} = {value}")));
+            }
+            (Some(before), Some(body)) => {
+                lines.push(format!("~ [{}]", change.section));
+                lines.extend(describe_keys(before, body));
+            }
+            (_, None) => lines.push(format!("- [{}]", change.section)),
+        }
+    }
+    lines.join("\n")
+}
+
+fn describe_keys(
+    before: &IndexMap<String, String>,
+    after: &IndexMap<String, String>,
+) -> Vec<String> {
+    let mut lines = Vec::new();
+    for (key, value) in after {
+        match before.get(key) {
+            None => lines.push(format!("+   {key} = {value}")),
+            Some(old) if old != value => lines.push(format!("~   {key} = {old} -> {value}")),
+            Some(_) => {}
+        }
+    }
+    let gone = before.iter().filter(|(key, _)| !after.contains_key(*key));
+    lines.extend(gone.map(|(key, value)| format!("-   {key} = {value}")));
+    lines
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,16 +1,23 @@
 //! Fleet capacity and maintenance manager: admission, routing, limits, maintenance and recovery
 //! between callers and upstreams. `docs/design.md` describes the division into modules.
 
+pub mod admin;
 pub mod api;
+pub mod cli;
 pub mod config;
 pub mod connection;
+pub mod difference;
+pub mod exit;
 pub mod file;
 pub mod ids;
 pub mod kind;
+pub mod operate;
 pub mod protocol;
 pub mod record;
+pub mod report;
 pub mod settings;
 pub mod standin;
+pub mod standin_command;
 pub mod standin_platform;
 mod standin_tasks;
 pub mod standin_upstream;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -164,7 +164,8 @@
     if mistakes.is_empty() { Ok(value) } else { Err(mistakes) }
 }
 
-fn bodies(sections: FileSections) -> Bodies {
+/// Keys and values by section.
+pub fn bodies(sections: FileSections) -> Bodies {
     sections.sections.into_iter().map(|(name, section)| (name, section.values)).collect()
 }
 
