Add numbered events, metrics and generated catalogues

Cause: operators need stable event numbers, metrics with bounded labels and pages that agree with the code. Ruled out: slog's macros per call, which fix the level and message at the call and leave no list to compare; series per team without a bound, since teams come and go.

--- a/src/config.rs
+++ b/src/config.rs
@@ -624,6 +624,15 @@
 const CLASSES: [(&str, Class); 3] =
     [("urgent", Class::Urgent), ("planned", Class::Planned), ("overnight", Class::Overnight)];
 
+/// The word for a class in declarations, headers and metrics.
+pub fn class_word(class: Class) -> &'static str {
+    match class {
+        Class::Urgent => "urgent",
+        Class::Planned => "planned",
+        Class::Overnight => "overnight",
+    }
+}
+
 fn class_order(reader: &mut Reader, default: Vec<Class>) -> Vec<Class> {
     let Some(value) = reader.get("class_order") else { return default };
     let mut order = Vec::new();
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,297 @@
+//! Numbered log events. `docs/events.md` is generated from the list here.
+//!
+//! Events go to one writer as JSON lines or as text for people. An event never holds a key, a secret or a
+//! payload.
+
+use crate::settings::{LogFormat, LogLevel};
+use slog::{Drain, KV, Key, Level, Logger, Record, Serializer};
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Instant;
+
+/// Most events of one number in a second; the rest are counted and the count is logged with the next one.
+pub const MAX_PER_SECOND: u32 = 50;
+/// Longest text of a field in bytes; names are shorter, but messages may quote what a caller sent.
+pub const MAX_FIELD_LEN: usize = 500;
+/// Events that wait for the writer; beyond it they are dropped and counted.
+const CHANNEL_LEN: usize = 4_096;
+
+macro_rules! events {
+    ($($variant:ident, $code:literal, $level:ident, $fields:literal, $message:literal, $action:literal;)*) => {
+        /// Every event that is logged.
+        #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+        pub enum Event { $(#[doc = $message] $variant,)* }
+
+        impl Event {
+            /// All events, in the order of their numbers.
+            pub const ALL: &'static [Event] = &[$(Event::$variant,)*];
+
+            /// What the catalogue says of an event.
+            pub fn entry(self) -> EventEntry {
+                match self {
+                    $(Event::$variant => EventEntry {
+                        code: $code,
+                        level: LogLevel::$level,
+                        fields: $fields,
+                        message: $message,
+                        action: $action,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+/// One entry of the catalogue.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EventEntry {
+    /// Number, stable between versions.
+    pub code: u16,
+    pub level: LogLevel,
+    /// Fields that come with it.
+    pub fields: &'static str,
+    /// What happened.
+    pub message: &'static str,
+    /// What operators do.
+    pub action: &'static str,
+}
+
+events! {
+    Starting, 100, Info, "entry zone incarnation", "The process starts.", "None.";
+    Listening, 101, Info, "http_addr peer_addr", "The sockets are open.", "None.";
+    Ready, 102, Info, "offset source", "The entry instance has a view and takes work.", "None.";
+    Stopping, 103, Info, "signal", "The process reports not ready, refuses new work and finishes what it has.", "None.";
+    StopTimeout, 104, Warning, "in_progress", "The time to stop is over and work is still in progress.", "Raise stop_timeout_ms or lower max_deadline_ms.";
+    StoppedAtOnce, 105, Warning, "in_progress", "A second signal ended the process.", "Look for callers that got no answer.";
+    Stopped, 106, Info, "", "The process has given back what it held and ends.", "None.";
+    StartFailed, 107, Error, "error", "The process could not start.", "Correct what the error names.";
+    InternalFailure, 108, Error, "error", "A part of the process failed in an unexpected way.", "Report it with the log around it.";
+    PlatformLost, 200, Warning, "since_ms error", "The platform's log does not answer.", "See docs/operators/platform-outage.md.";
+    PlatformBack, 201, Info, "after_ms", "The platform's log answers again.", "None.";
+    EntrySkipped, 202, Warning, "offset error", "An entry of the log does not decode and was skipped.", "Find its writer; the state is not changed by it.";
+    LogTrimmed, 203, Error, "next first", "The log no longer has entries that the view needs.", "None; the view is loaded anew.";
+    SnapshotWritten, 204, Info, "upto parts bytes", "A snapshot was written to the log.", "None.";
+    ViewLoaded, 205, Info, "upto source bytes", "The view was loaded from a snapshot.", "None.";
+    SnapshotTorn, 206, Warning, "snapshot parts", "A snapshot is not complete and was ignored.", "None.";
+    RelayUsed, 207, Info, "peer from", "The tail of the log is read from another entry instance.", "See docs/operators/platform-outage.md.";
+    ViewStale, 208, Warning, "age_ms service", "The view is older than a profile allows; its services refuse work.", "See docs/operators/platform-outage.md.";
+    AppendLost, 209, Warning, "seq error", "The answer to an append was lost; its fate is read from the log.", "None.";
+    RecordRejected, 210, Warning, "offset record reason", "A record of this instance was not valid at its offset.", "None, unless it repeats.";
+    DigestDiffers, 211, Error, "offset own other peer", "Two entry instances have different states at one offset.", "Replace the instance whose version differs; report it.";
+    EntrySeen, 300, Info, "entry zone", "Another entry instance appeared.", "None.";
+    EntryDeparting, 301, Info, "entry", "Another entry instance stops as planned.", "None.";
+    LeaseExpired, 302, Warning, "entry level", "The lease of another entry instance lapsed and was expired.", "Look whether it still runs.";
+    OwnLeaseLapsed, 303, Warning, "since_ms", "The own lease lapsed; work goes on within the reserve.", "See docs/operators/platform-outage.md.";
+    PeerLost, 304, Warning, "peer error", "Another entry instance does not answer.", "Look whether its zone is cut off.";
+    PeerBack, 305, Info, "peer after_ms", "Another entry instance answers again.", "None.";
+    UpstreamSeen, 306, Info, "instance pool zone", "An upstream appeared in the list.", "None.";
+    UpstreamDeparting, 307, Info, "instance source", "An upstream departs and gets no new work.", "None.";
+    UpstreamGone, 308, Info, "instance", "An upstream left the list.", "None.";
+    Published, 400, Info, "op offset sections", "Declarations were published and are in force here.", "None.";
+    PublishRejected, 401, Warning, "op offset reason", "A publish was not valid at its offset; nothing changed.", "Look at the difference again and repeat.";
+    KeyGranted, 402, Info, "op offset key team", "A key was granted.", "None.";
+    KeyWithdrawn, 403, Info, "op offset key", "A key was withdrawn.", "None.";
+    ZoneOut, 404, Warning, "op offset zone", "An availability zone was taken out.", "See docs/operators/zone-out-and-back.md.";
+    ZoneBack, 405, Info, "op offset zone", "An availability zone was taken back.", "None.";
+    InstanceOut, 406, Info, "op offset instance", "An upstream instance was taken out.", "None.";
+    InstanceBack, 407, Info, "op offset instance", "An upstream instance was taken back.", "None.";
+    HoldTaken, 408, Warning, "op what", "A command is in force as a hold; the log does not have it yet.", "See docs/operators/platform-outage.md.";
+    HoldEnded, 409, Info, "op offset", "The log has the record of a hold.", "None.";
+    CommandRefused, 410, Warning, "op kind", "An operator's command was refused.", "Read the message of the command.";
+    UpstreamSetAside, 500, Warning, "instance failures for_ms", "An upstream is set aside after failures.", "Look at the instance if it stays set aside.";
+    UpstreamReturned, 501, Info, "instance after_ms", "An upstream that was set aside takes work again.", "None.";
+    ConnectionsRetired, 502, Warning, "instance generation", "Connections to an upstream went silent and get no new request.", "Look at the network if it repeats.";
+    JobSetAside, 503, Warning, "job service instances", "A job failed on several instances that run other work well.", "Tell its team.";
+    RetryBudgetEmpty, 504, Warning, "service", "Retries of a service are at their budget; failures reach callers.", "See docs/operators/overload.md.";
+    AnswerCut, 505, Warning, "instance service", "An answer was cut after its head; the caller's connection was closed.", "Look at the instance if it repeats.";
+    PoolEmpty, 506, Error, "pool", "No upstream of a pool can take work.", "See docs/operators/recovery.md.";
+    UpstreamMalformed, 507, Warning, "instance error", "An upstream sent an answer that does not decode.", "Look at its version.";
+    TeamAtLimit, 600, Info, "team limit", "A team is at its upper limit.", "See docs/operators/overload.md.";
+    QueueFull, 601, Warning, "service team waiting", "The queue of a service is at its bound for a team.", "See docs/operators/overload.md.";
+    WorkRefused, 602, Debug, "kind service team", "A request or job was refused.", "None.";
+    JobAdopted, 603, Info, "job from attempt", "A running job was taken over from a lapsed holder.", "None.";
+    JobReleased, 604, Info, "job attempt", "A job was surely not started and waits again.", "None.";
+    JobUnknown, 605, Error, "job attempt instance", "A job was started and nobody can tell how it ended.", "Tell its team; it is not started again.";
+    DuplicateRefused, 606, Info, "service team", "A request with a used id was refused.", "None.";
+    BadInput, 607, Info, "error", "Malformed input was refused and reached no upstream.", "None.";
+    DrainStarted, 700, Info, "instance pool reason", "An instance drains.", "None.";
+    DrainEnded, 701, Info, "instance done", "A drain ended.", "None.";
+    DrainTimedOut, 702, Warning, "instance running", "A drain reached its time and stops what still runs.", "Raise drain_timeout_ms if it repeats.";
+    MoveStarted, 703, Info, "instance from to", "An instance starts to move to another pool.", "None.";
+    MoveEnded, 704, Info, "instance to", "An instance is in its new pool.", "None.";
+    MoveCancelled, 705, Info, "instance reason", "A move was given up.", "None.";
+    MaintenanceWaits, 706, Info, "pool reason", "No instance of a pool may leave now.", "See docs/operators/maintenance.md.";
+    MaintenanceLate, 707, Warning, "pool instance late_ms", "An instance was not maintained within its interval.", "See docs/operators/maintenance.md.";
+    BufferChanged, 708, Info, "pool slots", "The spare slots of a pool changed.", "None.";
+}
+
+impl LogLevel {
+    /// The word used in settings and catalogues.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            LogLevel::Debug => "debug",
+            LogLevel::Info => "info",
+            LogLevel::Warning => "warning",
+            LogLevel::Error => "error",
+        }
+    }
+
+    fn slog(self) -> Level {
+        match self {
+            LogLevel::Debug => Level::Debug,
+            LogLevel::Info => Level::Info,
+            LogLevel::Warning => Level::Warning,
+            LogLevel::Error => Level::Error,
+        }
+    }
+}
+
+/// Value of a field.
+#[derive(Clone, Copy, Debug)]
+pub enum Field<'a> {
+    Number(u64),
+    /// Cut to `MAX_FIELD_LEN`.
+    Text(&'a str),
+}
+
+impl From<u64> for Field<'_> {
+    fn from(number: u64) -> Self {
+        Field::Number(number)
+    }
+}
+
+impl From<u32> for Field<'_> {
+    fn from(number: u32) -> Self {
+        Field::Number(number.into())
+    }
+}
+
+impl<'a> From<&'a str> for Field<'a> {
+    fn from(text: &'a str) -> Self {
+        Field::Text(text)
+    }
+}
+
+impl<'a> From<&'a Arc<str>> for Field<'a> {
+    fn from(text: &'a Arc<str>) -> Self {
+        Field::Text(text)
+    }
+}
+
+impl<'a> From<&'a String> for Field<'a> {
+    fn from(text: &'a String) -> Self {
+        Field::Text(text)
+    }
+}
+
+/// Where events go; clones share one writer. Dropping the last clone writes what waits.
+#[derive(Clone)]
+pub struct Log {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    logger: Logger,
+    started: Instant,
+    /// One per event, in the order of `Event::ALL`.
+    limits: Vec<Limit>,
+    // Fields drop in order: the logger first, then the guard, which waits for the writer.
+    _guard: slog_async::AsyncGuard,
+}
+
+impl Log {
+    /// A log that writes to `writer` in a thread of its own.
+    pub fn new(format: LogFormat, level: LogLevel, writer: impl Write + Send + 'static) -> Log {
+        let (drain, guard) = match format {
+            LogFormat::Json => spawn(slog_json::Json::default(writer)),
+            LogFormat::Terminal => {
+                let decorator = slog_term::PlainDecorator::new(writer);
+                let format = slog_term::FullFormat::new(decorator).use_utc_timestamp().build();
+                spawn(format)
+            }
+        };
+        let drain = slog::LevelFilter::new(drain, level.slog()).map(slog::Fuse);
+        let limits = Event::ALL.iter().map(|_| Limit::default()).collect();
+        let logger = Logger::root(drain, slog::o!());
+        let shared = Shared { logger, started: Instant::now(), limits, _guard: guard };
+        Log { shared: Arc::new(shared) }
+    }
+
+    /// Logs one event with its fields.
+    pub fn event(&self, event: Event, fields: &[(&'static str, Field<'_>)]) {
+        let second = self.shared.started.elapsed().as_secs();
+        let Some(suppressed) = self.shared.limits[event as usize].pass(second) else { return };
+        let EventEntry { code, level, message, .. } = event.entry();
+        let name = format!("{event:?}");
+        let fields = Fields { code, name: &name, suppressed, fields };
+        let location = slog::record_static!(level.slog(), "");
+        let text = format_args!("{message}");
+        self.shared.logger.log(&Record::new(&location, &text, slog::BorrowedKV(&fields)));
+    }
+}
+
+fn spawn<D>(drain: D) -> (slog_async::Async, slog_async::AsyncGuard)
+where
+    D: Drain<Err = std::io::Error, Ok = ()> + Send + 'static,
+{
+    // A writer that fails must not end the process, and there is nowhere else to write.
+    let drain = drain.ignore_res();
+    slog_async::Async::new(drain)
+        .chan_size(CHANNEL_LEN)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build_with_guard()
+}
+
+struct Fields<'a> {
+    code: u16,
+    name: &'a str,
+    suppressed: u32,
+    fields: &'a [(&'static str, Field<'a>)],
+}
+
+impl KV for Fields<'_> {
+    fn serialize(&self, _record: &Record, serializer: &mut dyn Serializer) -> slog::Result {
+        // Later ones stand first in the output of both formats.
+        for (key, value) in self.fields.iter().rev() {
+            match value {
+                Field::Number(number) => serializer.emit_u64(Key::from(*key), *number)?,
+                Field::Text(text) => serializer.emit_str(Key::from(*key), cut(text))?,
+            }
+        }
+        if self.suppressed > 0 {
+            serializer.emit_u32(Key::from("suppressed"), self.suppressed)?;
+        }
+        serializer.emit_str(Key::from("name"), self.name)?;
+        serializer.emit_u16(Key::from("event"), self.code)
+    }
+}
+
+fn cut(text: &str) -> &str {
+    let end = (0..=MAX_FIELD_LEN.min(text.len())).rev().find(|i| text.is_char_boundary(*i));
+    &text[..end.unwrap_or(0)]
+}
+
+/// Bounds how often one event is written.
+#[derive(Default)]
+struct Limit {
+    /// Second that the count belongs to.
+    second: AtomicU64,
+    count: AtomicU32,
+    suppressed: AtomicU32,
+}
+
+impl Limit {
+    /// How many events were suppressed since the last one written; `None` to suppress this one too.
+    fn pass(&self, second: u64) -> Option<u32> {
+        // Two threads at the turn of a second may let a few more pass, which does no harm.
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.count.store(0, Ordering::Relaxed);
+        }
+        if self.count.fetch_add(1, Ordering::Relaxed) < MAX_PER_SECOND {
+            return Some(self.suppressed.swap(0, Ordering::Relaxed));
+        }
+        self.suppressed.fetch_add(1, Ordering::Relaxed);
+        None
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,14 +3,17 @@
 
 pub mod admin;
 pub mod api;
+pub mod catalogue;
 pub mod cli;
 pub mod config;
 pub mod connection;
 pub mod difference;
+pub mod event;
 pub mod exit;
 pub mod file;
 pub mod ids;
 pub mod kind;
+pub mod metrics;
 pub mod operate;
 pub mod protocol;
 pub mod record;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,282 @@
+//! Metrics of an entry instance in the text format of Prometheus. `docs/metrics.md` is generated from the
+//! list here.
+//!
+//! Labels that come from declarations have a fixed bound on their values; the rest count as `other`, so that
+//! churn of teams, services and pools costs bounded memory.
+
+use crate::config::class_word;
+use crate::event::Event;
+use crate::kind::Kind;
+use crate::record::Class;
+use parking_lot::Mutex;
+use prometheus::{
+    GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+use std::collections::HashSet;
+use std::time::Duration;
+
+/// Most values of the label `team`; the design size has 230.
+pub const MAX_TEAMS: usize = 256;
+/// Most values of the labels `service` and `pool`; the design size has 66 pools.
+pub const MAX_SERVICES: usize = 128;
+/// Value of a label beyond its bound.
+pub const OTHER: &str = "other";
+/// Upper bounds of time buckets in seconds, around the targets of 1 ms, 5 ms and 1.4 s.
+const TIME_BUCKETS: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.4, 2.5, 10.0, 60.0];
+
+/// What the catalogue says of a metric.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Described {
+    pub name: &'static str,
+    /// `counter`, `gauge` or `histogram`.
+    pub kind: &'static str,
+    pub labels: &'static [&'static str],
+    pub help: &'static str,
+}
+
+macro_rules! metrics {
+    ($($constant:ident, $name:literal, $kind:literal, [$($label:literal),*], $help:literal;)*) => {
+        $(const $constant: Described = Described {
+            name: concat!("jacinthhook_", $name),
+            kind: $kind,
+            labels: &[$($label),*],
+            help: $help,
+        };)*
+
+        /// All metrics, in the order of `docs/metrics.md`.
+        pub const ALL: &[Described] = &[$($constant),*];
+    };
+}
+
+metrics! {
+    ANSWERS, "answers_total", "counter", ["team", "class", "kind"], "Answers to requests and jobs; kind is ok or the kind of refusal or failure.";
+    DURATION, "request_seconds", "histogram", ["team", "class"], "Time from arrival to the end of the answer.";
+    WAIT, "start_wait_seconds", "histogram", ["team", "class"], "Time from arrival to the start at an upstream.";
+    RETRIES, "retries_total", "counter", ["service"], "Requests sent to another upstream after a failed attempt.";
+    WAITING, "waiting", "gauge", ["team"], "Requests and jobs waiting at this entry instance.";
+    UNITS_HELD, "units_held", "gauge", ["team"], "Units that this entry instance may use, reserve and borrowed.";
+    UNITS_USED, "units_used", "gauge", ["team"], "Units in use at this entry instance.";
+    USABLE, "upstreams_usable", "gauge", ["pool"], "Upstreams that may get new work.";
+    SET_ASIDE, "upstreams_set_aside", "gauge", ["pool"], "Upstreams set aside for failures.";
+    IN_PROGRESS, "in_progress", "gauge", [], "Requests in progress and waiting.";
+    READY, "ready", "gauge", [], "1 when the entry instance takes work, otherwise 0.";
+    VIEW_AGE, "view_age_seconds", "gauge", [], "Age of the view of the shared state.";
+    NEXT_OFFSET, "next_offset", "gauge", [], "First offset of the log that the view does not cover.";
+    LOG_REACHABLE, "log_reachable", "gauge", [], "1 when the platform's log answers, otherwise 0.";
+    HOLDS, "holds", "gauge", [], "Commands in force as holds.";
+    EVENTS, "events_total", "counter", ["event"], "Log events by number, suppressed ones included.";
+    CONTROL_BYTES, "control_bytes_total", "counter", ["with", "direction"], "Bytes exchanged with the platform and with other entry instances.";
+}
+
+/// The other end of control traffic.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum With {
+    Platform,
+    Peer,
+}
+
+/// Direction of control traffic.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Direction {
+    Sent,
+    Received,
+}
+
+/// Values of a label that have a series of their own.
+struct Bounded {
+    max: usize,
+    values: Mutex<HashSet<String>>,
+}
+
+impl Bounded {
+    fn new(max: usize) -> Bounded {
+        Bounded { max, values: Mutex::new(HashSet::new()) }
+    }
+
+    /// The value itself while there is room for it, otherwise `OTHER`.
+    fn label<'a>(&self, value: &'a str) -> &'a str {
+        let mut values = self.values.lock();
+        if values.contains(value) {
+            return value;
+        }
+        if values.len() >= self.max {
+            return OTHER;
+        }
+        values.insert(value.to_string());
+        value
+    }
+}
+
+/// Metrics of one process.
+pub struct Metrics {
+    registry: Registry,
+    teams: Bounded,
+    services: Bounded,
+    pools: Bounded,
+    answers: IntCounterVec,
+    duration: HistogramVec,
+    wait: HistogramVec,
+    retries: IntCounterVec,
+    waiting: IntGaugeVec,
+    units_held: IntGaugeVec,
+    units_used: IntGaugeVec,
+    usable: IntGaugeVec,
+    set_aside: IntGaugeVec,
+    in_progress: IntGaugeVec,
+    ready: IntGaugeVec,
+    view_age: GaugeVec,
+    next_offset: IntGaugeVec,
+    log_reachable: IntGaugeVec,
+    holds: IntGaugeVec,
+    events: IntCounterVec,
+    control_bytes: IntCounterVec,
+}
+
+impl Metrics {
+    /// Metrics without a value yet. Fails only if two metrics of the list have one name.
+    pub fn new() -> Result<Metrics, prometheus::Error> {
+        let registry = Registry::new();
+        let r = &registry;
+        Ok(Metrics {
+            answers: counter(r, &ANSWERS)?,
+            duration: histogram(r, &DURATION)?,
+            wait: histogram(r, &WAIT)?,
+            retries: counter(r, &RETRIES)?,
+            waiting: gauge(r, &WAITING)?,
+            units_held: gauge(r, &UNITS_HELD)?,
+            units_used: gauge(r, &UNITS_USED)?,
+            usable: gauge(r, &USABLE)?,
+            set_aside: gauge(r, &SET_ASIDE)?,
+            in_progress: gauge(r, &IN_PROGRESS)?,
+            ready: gauge(r, &READY)?,
+            view_age: float_gauge(r, &VIEW_AGE)?,
+            next_offset: gauge(r, &NEXT_OFFSET)?,
+            log_reachable: gauge(r, &LOG_REACHABLE)?,
+            holds: gauge(r, &HOLDS)?,
+            events: counter(r, &EVENTS)?,
+            control_bytes: counter(r, &CONTROL_BYTES)?,
+            teams: Bounded::new(MAX_TEAMS),
+            services: Bounded::new(MAX_SERVICES),
+            pools: Bounded::new(MAX_SERVICES),
+            registry,
+        })
+    }
+
+    /// Counts an answer. `kind` is `None` when the work ended well.
+    pub fn answer(&self, team: &str, class: Class, kind: Option<Kind>, took: Duration) {
+        let team = self.teams.label(team);
+        let class = class_word(class);
+        let kind = kind.map_or("ok", |kind| kind.answer().name);
+        self.answers.with_label_values(&[team, class, kind]).inc();
+        self.duration.with_label_values(&[team, class]).observe(took.as_secs_f64());
+    }
+
+    /// Counts a start at an upstream.
+    pub fn start(&self, team: &str, class: Class, waited: Duration) {
+        let team = self.teams.label(team);
+        self.wait.with_label_values(&[team, class_word(class)]).observe(waited.as_secs_f64());
+    }
+
+    /// Counts a retry.
+    pub fn retry(&self, service: &str) {
+        self.retries.with_label_values(&[self.services.label(service)]).inc();
+    }
+
+    /// Sets what waits of a team. Teams beyond the bound share one value, the last one set.
+    pub fn set_waiting(&self, team: &str, waiting: u32) {
+        self.waiting.with_label_values(&[self.teams.label(team)]).set(waiting.into());
+    }
+
+    /// Sets the units of a team.
+    pub fn set_units(&self, team: &str, held: u32, used: u32) {
+        let team = self.teams.label(team);
+        self.units_held.with_label_values(&[team]).set(held.into());
+        self.units_used.with_label_values(&[team]).set(used.into());
+    }
+
+    /// Sets the upstreams of a pool.
+    pub fn set_upstreams(&self, pool: &str, usable: u32, set_aside: u32) {
+        let pool = self.pools.label(pool);
+        self.usable.with_label_values(&[pool]).set(usable.into());
+        self.set_aside.with_label_values(&[pool]).set(set_aside.into());
+    }
+
+    /// Sets the requests in progress and waiting.
+    pub fn set_in_progress(&self, count: u32) {
+        set(&self.in_progress, count.into());
+    }
+
+    /// Sets whether the entry instance takes work.
+    pub fn set_ready(&self, ready: bool) {
+        set(&self.ready, ready.into());
+    }
+
+    /// Sets the age of the view and how far it goes.
+    pub fn set_view(&self, age: Duration, next: u64) {
+        self.view_age.with_label_values::<&str>(&[]).set(age.as_secs_f64());
+        set(&self.next_offset, i64::try_from(next).unwrap_or(i64::MAX));
+    }
+
+    /// Sets whether the platform's log answers.
+    pub fn set_log_reachable(&self, reachable: bool) {
+        set(&self.log_reachable, reachable.into());
+    }
+
+    /// Sets the number of holds.
+    pub fn set_holds(&self, count: u32) {
+        set(&self.holds, count.into());
+    }
+
+    /// Counts a log event.
+    pub fn event(&self, event: Event) {
+        self.events.with_label_values(&[event.entry().code.to_string()]).inc();
+    }
+
+    /// Counts control traffic in bytes.
+    pub fn control(&self, with: With, direction: Direction, bytes: u64) {
+        let with = match with {
+            With::Platform => "platform",
+            With::Peer => "peer",
+        };
+        let direction = match direction {
+            Direction::Sent => "sent",
+            Direction::Received => "received",
+        };
+        self.control_bytes.with_label_values(&[with, direction]).inc_by(bytes);
+    }
+
+    /// All metrics that have a value, as text.
+    pub fn text(&self) -> Result<String, prometheus::Error> {
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+}
+
+fn set(gauge: &IntGaugeVec, value: i64) {
+    gauge.with_label_values::<&str>(&[]).set(value);
+}
+
+fn counter(registry: &Registry, d: &Described) -> Result<IntCounterVec, prometheus::Error> {
+    let metric = IntCounterVec::new(Opts::new(d.name, d.help), d.labels)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn gauge(registry: &Registry, d: &Described) -> Result<IntGaugeVec, prometheus::Error> {
+    let metric = IntGaugeVec::new(Opts::new(d.name, d.help), d.labels)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn float_gauge(registry: &Registry, d: &Described) -> Result<GaugeVec, prometheus::Error> {
+    let metric = GaugeVec::new(Opts::new(d.name, d.help), d.labels)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn histogram(registry: &Registry, d: &Described) -> Result<HistogramVec, prometheus::Error> {
+    let opts = HistogramOpts::new(d.name, d.help).buckets(TIME_BUCKETS.to_vec());
+    let metric = HistogramVec::new(opts, d.labels)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
--- /dev/null
+++ b/tests/metrics.rs
@@ -0,0 +1,57 @@
+//! Metrics as scraped. Guards against series without a bound and metrics that are not registered.
+
+use jacinthhook::event::Event;
+use jacinthhook::kind::Kind;
+use jacinthhook::metrics::{ALL, Direction, MAX_TEAMS, Metrics, OTHER, With};
+use jacinthhook::record::Class;
+use std::time::Duration;
+
+#[test]
+fn text_has_every_metric() {
+    let metrics = Metrics::new().unwrap();
+    metrics.answer("huts", Class::Urgent, Some(Kind::QueueFull), Duration::from_millis(3));
+    metrics.start("huts", Class::Urgent, Duration::from_millis(2));
+    metrics.retry("loans");
+    metrics.set_waiting("huts", 4);
+    metrics.set_units("huts", 9, 8);
+    metrics.set_upstreams("loans", 7, 1);
+    metrics.set_in_progress(3);
+    metrics.set_ready(true);
+    metrics.set_view(Duration::from_millis(1_500), 77);
+    metrics.set_log_reachable(false);
+    metrics.set_holds(2);
+    metrics.event(Event::ZoneOut);
+    metrics.control(With::Platform, Direction::Sent, 100);
+    let text = metrics.text().unwrap();
+    for metric in ALL {
+        let line = format!("# TYPE {} {}", metric.name, metric.kind);
+        assert!(text.lines().any(|found| found == line), "{line} is missing in {text}");
+    }
+    let expected = [
+        "jacinthhook_answers_total{class=\"urgent\",kind=\"queue_full\",team=\"huts\"} 1",
+        "jacinthhook_request_seconds_bucket{class=\"urgent\",team=\"huts\",le=\"0.005\"} 1",
+        "jacinthhook_request_seconds_bucket{class=\"urgent\",team=\"huts\",le=\"0.0025\"} 0",
+        "jacinthhook_units_held{team=\"huts\"} 9",
+        "jacinthhook_units_used{team=\"huts\"} 8",
+        "jacinthhook_view_age_seconds 1.5",
+        "jacinthhook_events_total{event=\"404\"} 1",
+        "jacinthhook_control_bytes_total{direction=\"sent\",with=\"platform\"} 100",
+    ];
+    for line in expected {
+        assert!(text.lines().any(|found| found == line), "{line} is missing in {text}");
+    }
+}
+
+#[test]
+fn teams_beyond_the_bound_count_as_other() {
+    let metrics = Metrics::new().unwrap();
+    for i in 0..MAX_TEAMS + 50 {
+        metrics.answer(&format!("t{i}"), Class::Planned, None, Duration::ZERO);
+    }
+    let text = metrics.text().unwrap();
+    let series = text.lines().filter(|line| line.starts_with("jacinthhook_answers_total"));
+    assert_eq!(series.count(), MAX_TEAMS + 1);
+    let other =
+        format!("jacinthhook_answers_total{{class=\"planned\",kind=\"ok\",team=\"{OTHER}\"}} 50");
+    assert!(text.lines().any(|line| line == other), "{text}");
+}
