--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -3,6 +3,7 @@
 use jacinthhook::catalogue;
 use jacinthhook::event::Event;
 use jacinthhook::metrics;
+use jacinthhook::settings;
 use std::collections::HashSet;
 use std::path::Path;
 
@@ -42,3 +43,75 @@
     let names: HashSet<&str> = metrics::ALL.iter().map(|metric| metric.name).collect();
     assert_eq!(names.len(), metrics::ALL.len());
 }
+
+/// Pages for operators and all words in them.
+fn operator_pages() -> Vec<(String, String)> {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/operators");
+    let pages = std::fs::read_dir(dir).expect("pages").map(|entry| {
+        let path = entry.expect("an entry").path();
+        let text = std::fs::read_to_string(&path).expect("a page");
+        (path.display().to_string(), text)
+    });
+    pages.collect()
+}
+
+/// Guards against a page that sends operators to an event or metric that does not exist.
+#[test]
+fn operator_pages_name_existing_events_and_metrics() {
+    let codes: HashSet<u16> = Event::ALL.iter().map(|event| event.entry().code).collect();
+    let names: HashSet<&str> = metrics::ALL.iter().map(|metric| metric.name).collect();
+    for (page, text) in operator_pages() {
+        let words: Vec<&str> = text.split(|c: char| !c.is_alphanumeric() && c != '_').collect();
+        let named = |word: &&&str| word.starts_with("jacinthhook_");
+        let unknown: Vec<&&str> =
+            words.iter().filter(named).filter(|w| !names.contains(**w)).collect();
+        assert!(unknown.is_empty(), "{page} names {unknown:?}");
+        // Numbers of three digits in these pages are events or part of a longer number.
+        let numbers = words.windows(2).filter(|pair| pair[0].starts_with("event"));
+        for code in numbers.filter_map(|pair| pair[1].parse::<u16>().ok()) {
+            assert!(codes.contains(&code), "{page} names event {code}");
+        }
+    }
+}
+
+/// Every event that sends operators to a page sends them to one that exists.
+#[test]
+fn events_name_existing_pages() {
+    for event in Event::ALL {
+        let action = event.entry().action;
+        let Some(page) = action.split(' ').find(|word| word.starts_with("docs/")) else { continue };
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(page.trim_end_matches('.'));
+        assert!(path.exists(), "{event:?} names {page}");
+    }
+}
+
+/// Guards against keys that the pages leave out, and keys in the pages that the parser does not know.
+#[test]
+fn settings_and_declarations_pages_have_every_key() {
+    let known = |file: &str, section: &str| {
+        let text = format!("[{section}]\nno_such_key = 1\n");
+        let mistakes = match file {
+            "settings.md" => settings::read_settings(file, &text).expect_err("a mistake"),
+            _ => settings::check_declarations(file, &text).expect_err("a mistake"),
+        };
+        let unknown = mistakes.iter().find(|m| m.mistake.key.as_deref() == Some("no_such_key"));
+        let allowed = &unknown.expect("the unknown key").mistake.allowed;
+        let keys = allowed.trim_start_matches("keys ").split(", ").map(str::to_string);
+        keys.collect::<HashSet<String>>()
+    };
+    let pages = [
+        ("settings.md", ["entry", "limits", "log"].as_slice()),
+        ("declarations.md", ["zone x", "team x", "pool x", "profile x", "service x"].as_slice()),
+    ];
+    for (page, sections) in pages {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs").join(page);
+        let text = std::fs::read_to_string(path).expect("a page");
+        let parts: Vec<&str> = text.split("\n## ").skip(1).collect();
+        assert_eq!(parts.len(), sections.len());
+        for (part, section) in parts.iter().zip(sections) {
+            let rows = part.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
+            let rows: HashSet<String> = rows.map(str::to_string).collect();
+            assert_eq!(rows, known(page, section), "[{section}] in docs/{page}");
+        }
+    }
+}
