Take over stop signals before a stand-in names its address

Cause: a SIGTERM between the first line of output and the signal handler ended a stand-in without leaving the list, so it stayed listed. Ruled out: a handler per wait, which leaves the same window.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod standin_platform;
 mod standin_tasks;
 pub mod standin_upstream;
+pub mod stop_signal;
--- a/src/standin_command.rs
+++ b/src/standin_command.rs
@@ -6,10 +6,10 @@
 use crate::protocol::Listed;
 use crate::standin_platform::{PlatformOptions, PlatformStandin};
 use crate::standin_upstream::{UpstreamOptions, UpstreamStandin};
+use crate::stop_signal::StopSignal;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Time for the platform stand-in to answer a registration.
 const REGISTER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -39,12 +39,13 @@
 
 /// Runs a platform stand-in; the first line names its address.
 pub async fn platform(run: PlatformRun, out: &mut dyn Write) -> Result<Report, Failure> {
+    let mut stop = StopSignal::new().map_err(process)?;
     let options =
         PlatformOptions::new(run.addr).with_retention(run.retention).with_list_lag(run.list_lag);
     let mut standin = PlatformStandin::start(options).await.map_err(process)?;
     announce(out, &format!("platform stand-in on {}", standin.addr()))?;
     tokio::select! {
-        stopped = stop_signal() => stopped?,
+        _ = stop.next() => {}
         () = standin.ended() => {}
     }
     standin.stop().await;
@@ -53,6 +54,7 @@
 
 /// Runs an upstream stand-in and registers it; the first line names its address.
 pub async fn upstream(run: UpstreamRun, out: &mut dyn Write) -> Result<Report, Failure> {
+    let mut stop = StopSignal::new().map_err(process)?;
     let options =
         UpstreamOptions::new(run.id.clone(), run.addr).with_size(run.slots, run.connections);
     let mut standin = UpstreamStandin::start(options).await.map_err(process)?;
@@ -60,7 +62,7 @@
     list.add(&standin.listed(&run.pool, &run.zone, &run.rack)).await?;
     announce(out, &format!("upstream stand-in {} on {}", run.id, standin.addr()))?;
     tokio::select! {
-        stopped = stop_signal() => stopped?,
+        _ = stop.next() => {}
         () = standin.ended() => {}
     }
     list.remove().await?;
@@ -92,17 +94,6 @@
     }
 }
 
-/// Returns at the first SIGTERM or SIGINT.
-async fn stop_signal() -> Result<(), Failure> {
-    let mut term = signal(SignalKind::terminate()).map_err(process)?;
-    let mut int = signal(SignalKind::interrupt()).map_err(process)?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
-    Ok(())
-}
-
 fn announce(out: &mut dyn Write, text: &str) -> Result<(), Failure> {
     writeln!(out, "{text}").and_then(|()| out.flush()).map_err(process)
 }
