Add the fold of the shared log

Cause: entry instances must agree on limits, keys, pools and jobs without an election or a store of our own. Ruled out: validity checks at the writer, since two writers race; a reserve that lapses with time, since an outage of the log would stop every zone. Change: State::apply with all rules of validity; grants never go below the lesser of what a holder holds and wants, because the holder may use that much until it reads the record. Before and after: tests/state_fuzz.rs, 2,000 sequences of up to 80 batches, seed 1, passes. Conclusion: the fold keeps limits, budgets, one pool, tombstones and single endings against writers that follow no rule.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod kind;
 pub mod protocol;
 pub mod record;
+pub mod state;
--- a/src/record.rs
+++ b/src/record.rs
@@ -50,8 +50,10 @@
 /// Units of one team that a holder asks for.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Want {
-    /// Units wanted in all; the fold clamps them.
+    /// Units wanted in all; the fold clamps them, never below the lesser of this and the units held.
     pub units: u32,
+    /// Part of `units` that is to outlast the lease; clamped in the same way.
+    pub reserve: u32,
     /// Requests waiting at this entry instance when the record was made.
     pub waiting: u32,
 }
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,383 @@
+//! The fold of the shared log: every entry instance applies the same batches in offset order and
+//! gets the same state. All rules of validity are here.
+
+use crate::config::{Config, Mistake, Section, Sections};
+use crate::ids::*;
+use crate::record::*;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use std::collections::VecDeque;
+
+mod budget;
+mod claims;
+mod grants;
+mod jobs;
+
+pub use claims::Claims;
+pub use grants::{Grant, Holder};
+pub use jobs::{Job, JobState};
+
+/// Operator commands whose repeat is recognised.
+const MAX_OPS: usize = 10_000;
+/// Incarnations whose batch sequence is remembered.
+const MAX_WRITERS: usize = 10_000;
+
+/// A key that operators granted.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Key {
+    /// Team that the key stands for.
+    pub team: TeamId,
+    /// Hex SHA-256 of the secret part.
+    pub hash: String,
+    /// Set once and never cleared, so that no later record brings the key back.
+    pub withdrawn_at: Option<Offset>,
+}
+
+/// An upstream instance.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Instance {
+    /// The one pool that it is in; changes only by `MoveEnd`.
+    pub pool: PoolId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Rack within the zone.
+    pub rack: RackId,
+    /// Pool that it is about to enter, and the offset of the `MoveStart`.
+    pub moving: Option<(PoolId, Offset)>,
+    /// Reason and offset of the `DrainStart` in force.
+    pub draining: Option<(DrainReason, Offset)>,
+    /// Offset at which the platform's list showed it as gone.
+    pub gone_at: Option<Offset>,
+    /// Offset of the end of its last maintenance.
+    pub maintained_at: Option<Offset>,
+}
+
+/// What became of a record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It changed the state, or was valid without a need to.
+    Applied,
+    /// The same batch, command or job came before.
+    Repeated,
+    /// It was not valid at its offset and changed nothing.
+    Rejected(Reject),
+}
+
+/// Why a record is not valid at its offset.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum Reject {
+    #[snafu(display("section {section:?} was changed by another command"))]
+    BaseChanged { section: String },
+    #[snafu(display("{message}"))]
+    Mistakes { message: String },
+    #[snafu(display("key {key:?} was withdrawn and cannot be granted again"))]
+    KeyWithdrawn { key: KeyId },
+    #[snafu(display("key {key:?} exists with another team or secret"))]
+    KeyTaken { key: KeyId },
+    #[snafu(display("no {what} {name:?}"))]
+    Missing { what: &'static str, name: String },
+    #[snafu(display("{name:?} is not out since offset {undoes}"))]
+    NotOut { name: String, undoes: Offset },
+    #[snafu(display("{instance:?} is in another pool or already moves"))]
+    WrongPool { instance: InstanceId },
+    #[snafu(display("{instance:?} does not move or drain"))]
+    NotUnderWay { instance: InstanceId },
+    #[snafu(display("the availability budget of {domain} is used up: {down} of {allowed} down"))]
+    Budget { domain: String, down: u32, allowed: u32 },
+    #[snafu(display("the writer's lease was expired or never granted"))]
+    NotLive,
+    #[snafu(display("the holder renewed or is not known as gone"))]
+    HolderNotLapsed,
+    #[snafu(display("team {team:?} is at its upper limit of {limit}"))]
+    AtLimit { team: TeamId, limit: u32 },
+    #[snafu(display("job {job:?} is in another state, attempt or hand"))]
+    JobElsewhere { job: JobId },
+    #[snafu(display("the backlog of jobs is full"))]
+    BacklogFull,
+    #[snafu(display("{instance:?} is out, drains, moves or is gone"))]
+    InstanceClosed { instance: InstanceId },
+}
+
+/// The shared state at one offset.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct State {
+    next: Offset,
+    /// Parsed form of `sections`; rebuilt after decoding.
+    #[serde(skip)]
+    pub config: Config,
+    /// Declarations by `KIND NAME`.
+    pub sections: Sections,
+    /// Keys, withdrawn ones included.
+    pub keys: IndexMap<KeyId, Key>,
+    /// Availability zones out of service and the offset of the `ZoneOut`.
+    pub zones_out: IndexMap<ZoneId, Offset>,
+    /// Instances out of service and the offset of the `InstanceOut`.
+    pub instances_out: IndexMap<InstanceId, Offset>,
+    /// Upstream instances.
+    pub instances: IndexMap<InstanceId, Instance>,
+    /// Entry instances that hold units or may still hold some, by incarnation.
+    pub holders: IndexMap<Incarnation, Holder>,
+    /// Jobs that wait, run, or ended lately.
+    pub jobs: IndexMap<JobId, Job>,
+    /// Callers' own request ids that were used.
+    pub claims: Claims,
+    /// Totals over `jobs`, kept so that no rule walks through all of them.
+    job_totals: jobs::Totals,
+    /// Last batch sequence by incarnation; oldest first.
+    writers: IndexMap<Incarnation, u64>,
+    ops: IndexMap<OpId, Offset>,
+    op_order: VecDeque<OpId>,
+}
+
+/// What a record is applied under.
+#[derive(Clone, Copy)]
+struct Cx<'a> {
+    offset: Offset,
+    writer: &'a EntryId,
+    incarnation: Incarnation,
+}
+
+type Applied = Result<Verdict, Reject>;
+
+impl State {
+    /// The state before offset 0.
+    pub fn new() -> State {
+        State::default()
+    }
+
+    /// First offset that is not folded.
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Moves past an entry that does not decode; such an entry changes nothing.
+    pub fn skip(&mut self, offset: Offset) {
+        self.next = offset + 1;
+    }
+
+    /// Applies the batch at `offset`, one verdict per record. Offsets must rise.
+    pub fn apply(&mut self, offset: Offset, batch: &Batch) -> Vec<Verdict> {
+        debug_assert!(offset >= self.next, "entry {offset} folded twice");
+        self.next = offset + 1;
+        if !self.advance_writer(batch) {
+            return batch.records.iter().map(|_| Verdict::Repeated).collect();
+        }
+        let cx = Cx { offset, writer: &batch.writer, incarnation: batch.incarnation };
+        let apply = |record| self.apply_record(cx, record).unwrap_or_else(Verdict::Rejected);
+        batch.records.iter().map(apply).collect()
+    }
+
+    /// Parses the declarations again after decoding a snapshot.
+    pub fn rebuild_config(&mut self) -> Result<(), Reject> {
+        let whole = |(name, section): (&String, &Section)| SectionChange {
+            section: name.clone(),
+            base: None,
+            body: Some(section.values.clone()),
+        };
+        let changes: Vec<SectionChange> = self.sections.iter().map(whole).collect();
+        let mut config = Config::new();
+        config.change(&changes).map_err(mistakes)?;
+        self.config = config;
+        Ok(())
+    }
+
+    /// Checksum of the whole state; equal on all instances at equal offsets.
+    pub fn digest(&self) -> u32 {
+        crc32fast::hash(&serde_json::to_vec(self).unwrap_or_default())
+    }
+
+    /// Whether the batch is new: its sequence is above the last one of its incarnation.
+    fn advance_writer(&mut self, batch: &Batch) -> bool {
+        if self.writers.get(&batch.incarnation).is_some_and(|last| batch.seq <= *last) {
+            return false;
+        }
+        self.writers.insert(batch.incarnation, batch.seq);
+        if self.writers.len() > MAX_WRITERS {
+            self.forget_writer();
+        }
+        true
+    }
+
+    /// Drops the oldest incarnation that holds nothing.
+    fn forget_writer(&mut self) {
+        let idle = |incarnation: &Incarnation| !self.holders.contains_key(incarnation);
+        if let Some(oldest) = self.writers.keys().copied().find(|i| idle(i)) {
+            self.writers.shift_remove(&oldest);
+        }
+    }
+
+    fn apply_record(&mut self, cx: Cx, record: &Record) -> Applied {
+        match record {
+            Record::Renew { zone, http_addr, peer_addr, seen, want, departing } => {
+                let addresses = grants::Addresses {
+                    zone: zone.clone(),
+                    http_addr: http_addr.clone(),
+                    peer_addr: peer_addr.clone(),
+                };
+                self.renew(cx, addresses, *seen, want, *departing)
+            }
+            Record::Expire { holder: _, holder_incarnation, renewed_at, level } => {
+                self.expire(*holder_incarnation, *renewed_at, *level)
+            }
+            Record::Publish { op, changes } => {
+                self.once(cx, op, |state| state.publish(cx, changes))
+            }
+            Record::KeyGrant { op, key, team, hash } => {
+                self.once(cx, op, |state| state.grant_key(key, team, hash))
+            }
+            Record::KeyWithdraw { op, key } => {
+                self.once(cx, op, |state| state.withdraw_key(cx, key))
+            }
+            Record::ZoneOut { op, zone } => self.once(cx, op, |state| state.zone_out(cx, zone)),
+            Record::ZoneBack { op, zone, undoes } => {
+                self.once(cx, op, |state| take_back(&mut state.zones_out, zone, *undoes))
+            }
+            Record::InstanceOut { op, instance } => {
+                self.once(cx, op, |state| state.instance_out(cx, instance))
+            }
+            Record::InstanceBack { op, instance, undoes } => {
+                self.once(cx, op, |state| take_back(&mut state.instances_out, instance, *undoes))
+            }
+            Record::InstanceSeen { instance, pool, zone, rack } => {
+                self.instance_seen(instance, pool, zone, rack)
+            }
+            Record::InstanceGone { instance } => self.instance_gone(cx, instance),
+            Record::MoveStart { instance, from, to } => self.move_start(cx, instance, from, to),
+            Record::MoveEnd { instance } => self.move_end(instance, true),
+            Record::MoveCancel { instance } => self.move_end(instance, false),
+            Record::DrainStart { instance, reason } => self.drain_start(cx, instance, *reason),
+            Record::DrainEnd { instance, done } => self.drain_end(cx, instance, *done),
+            Record::Claim { ids } => self.claim(cx, ids),
+            Record::JobSubmit { spec } => self.job_submit(cx, spec),
+            Record::JobClaim { job, attempt, upstream } => {
+                self.job_claim(cx, job, *attempt, upstream)
+            }
+            Record::JobAdopt { job, attempt } => self.job_adopt(cx, job, *attempt),
+            Record::JobRelease { job, attempt } => self.job_release(cx, job, *attempt),
+            Record::JobEnd { job, attempt, ending } => self.job_end(cx, job, *attempt, ending),
+            Record::JobCancel { op, job, team } => {
+                self.once(cx, op, |state| state.job_cancel(cx, job, team))
+            }
+            Record::SnapshotPart { .. } => Ok(Verdict::Applied),
+        }
+    }
+
+    /// Runs a command unless its id was applied before. A rejected command leaves its id free.
+    fn once(&mut self, cx: Cx, op: &OpId, command: impl FnOnce(&mut State) -> Applied) -> Applied {
+        if self.ops.contains_key(op) {
+            return Ok(Verdict::Repeated);
+        }
+        let verdict = command(self)?;
+        self.ops.insert(op.clone(), cx.offset);
+        self.op_order.push_back(op.clone());
+        if self.op_order.len() > MAX_OPS
+            && let Some(oldest) = self.op_order.pop_front()
+        {
+            self.ops.swap_remove(&oldest);
+        }
+        Ok(verdict)
+    }
+
+    /// Offset at which an operator's command was applied.
+    pub fn op_offset(&self, op: &OpId) -> Option<Offset> {
+        self.ops.get(op).copied()
+    }
+
+    fn publish(&mut self, cx: Cx, changes: &[SectionChange]) -> Applied {
+        for change in changes {
+            let current = self.sections.get(&change.section).map(|section| section.version);
+            if current != change.base {
+                return Err(Reject::BaseChanged { section: change.section.clone() });
+            }
+        }
+        self.config.change(changes).map_err(mistakes)?;
+        for change in changes {
+            match &change.body {
+                Some(values) => {
+                    let section = Section { version: cx.offset, values: values.clone() };
+                    self.sections.insert(change.section.clone(), section);
+                }
+                None => {
+                    self.sections.shift_remove(&change.section);
+                }
+            }
+        }
+        Ok(Verdict::Applied)
+    }
+
+    fn grant_key(&mut self, key: &KeyId, team: &TeamId, hash: &str) -> Applied {
+        if !self.config.teams.contains_key(team) {
+            return Err(missing("team", team));
+        }
+        match self.keys.get(key) {
+            Some(known) if known.withdrawn_at.is_some() => {
+                Err(Reject::KeyWithdrawn { key: key.clone() })
+            }
+            Some(known) if known.team == *team && known.hash == hash => Ok(Verdict::Repeated),
+            Some(_) => Err(Reject::KeyTaken { key: key.clone() }),
+            None => {
+                let granted =
+                    Key { team: team.clone(), hash: hash.to_string(), withdrawn_at: None };
+                self.keys.insert(key.clone(), granted);
+                Ok(Verdict::Applied)
+            }
+        }
+    }
+
+    fn withdraw_key(&mut self, cx: Cx, key: &KeyId) -> Applied {
+        let known = self.keys.get_mut(key).ok_or_else(|| missing("key", key))?;
+        known.withdrawn_at.get_or_insert(cx.offset);
+        Ok(Verdict::Applied)
+    }
+
+    fn zone_out(&mut self, cx: Cx, zone: &ZoneId) -> Applied {
+        if !self.config.zones.contains_key(zone) {
+            return Err(missing("zone", zone));
+        }
+        // A later command takes the zone out anew, so that only its own undo brings the zone back.
+        self.zones_out.insert(zone.clone(), cx.offset);
+        Ok(Verdict::Applied)
+    }
+
+    fn instance_out(&mut self, cx: Cx, instance: &InstanceId) -> Applied {
+        if !self.instances.contains_key(instance) {
+            return Err(missing("instance", instance));
+        }
+        self.instances_out.insert(instance.clone(), cx.offset);
+        Ok(Verdict::Applied)
+    }
+
+    fn claim(&mut self, cx: Cx, ids: &[ClaimId]) -> Applied {
+        self.require_live(cx)?;
+        for id in ids {
+            self.claims.claim(*id, cx.incarnation);
+        }
+        Ok(Verdict::Applied)
+    }
+}
+
+fn take_back(
+    out: &mut IndexMap<std::sync::Arc<str>, Offset>,
+    name: &str,
+    undoes: Offset,
+) -> Applied {
+    if out.get(name) != Some(&undoes) {
+        return Err(Reject::NotOut { name: name.to_string(), undoes });
+    }
+    out.shift_remove(name);
+    Ok(Verdict::Applied)
+}
+
+fn missing(what: &'static str, name: &str) -> Reject {
+    Reject::Missing { what, name: name.to_string() }
+}
+
+fn mistakes(mistakes: Vec<Mistake>) -> Reject {
+    let line = |mistake: &Mistake| match &mistake.key {
+        Some(key) => format!("[{}] {key}: {}", mistake.section, mistake.message),
+        None => format!("[{}]: {}", mistake.section, mistake.message),
+    };
+    let lines: Vec<String> = mistakes.iter().map(line).collect();
+    Reject::Mistakes { message: lines.join("; ") }
+}
--- /dev/null
+++ b/src/state/budget.rs
@@ -0,0 +1,191 @@
+//! Instances: their one pool, moves, drains, and the availability budgets that bound them.
+
+use super::{Applied, Cx, Instance, Reject, State, Verdict, missing};
+use crate::ids::*;
+use crate::record::DrainReason;
+
+impl State {
+    /// Whether an instance gives its pool no capacity: out, draining, moving or gone.
+    pub fn is_down(&self, id: &InstanceId, instance: &Instance) -> bool {
+        instance.gone_at.is_some()
+            || instance.draining.is_some()
+            || instance.moving.is_some()
+            || self.instances_out.contains_key(id)
+            || self.zones_out.contains_key(&instance.zone)
+    }
+
+    /// Most instances of a pool that may be down: the smallest budget of the profiles whose
+    /// services use the pool; `None` for a pool without services.
+    pub fn pool_budget(&self, pool: &PoolId) -> Option<u32> {
+        let size = self.instances.values().filter(|i| i.pool == *pool).count() as u64;
+        let percents = self.config.services.values().filter(|s| s.pool == *pool);
+        let percent = percents
+            .filter_map(|s| self.config.profiles.get(&s.profile))
+            .map(|p| u64::from(p.unavailable_percent))
+            .min()?;
+        Some((size * percent / 100) as u32)
+    }
+
+    /// Instances of a pool that are down, for any reason.
+    pub fn pool_down(&self, pool: &PoolId) -> u32 {
+        let down = |(id, i): &(&InstanceId, &Instance)| i.pool == *pool && self.is_down(id, i);
+        self.instances.iter().filter(down).count() as u32
+    }
+
+    /// A pool may lose one more of its instances as planned work.
+    fn require_budget(&self, instance: &Instance) -> Result<(), Reject> {
+        if let Some(allowed) = self.pool_budget(&instance.pool) {
+            let down = self.pool_down(&instance.pool);
+            if down >= allowed {
+                return Err(Reject::Budget {
+                    domain: format!("pool {}", instance.pool),
+                    down,
+                    allowed,
+                });
+            }
+        }
+        self.require_rack_budget(instance)
+    }
+
+    fn require_rack_budget(&self, instance: &Instance) -> Result<(), Reject> {
+        let services = self.config.services.values().filter(|s| s.pool == instance.pool);
+        let allowed = services
+            .filter_map(|s| self.config.profiles.get(&s.profile))
+            .map(|p| p.unavailable_per_rack)
+            .min();
+        let Some(allowed) = allowed else { return Ok(()) };
+        let same_rack = |i: &&Instance| i.zone == instance.zone && i.rack == instance.rack;
+        let planned = |i: &&Instance| i.draining.is_some() || i.moving.is_some();
+        let down = self.instances.values().filter(same_rack).filter(planned).count() as u32;
+        if down >= allowed {
+            return Err(Reject::Budget {
+                domain: format!("rack {}", instance.rack),
+                down,
+                allowed,
+            });
+        }
+        Ok(())
+    }
+
+    /// An instance may be given new work.
+    pub(super) fn require_open(&self, id: &InstanceId) -> Result<(), Reject> {
+        let instance = self.instances.get(id).ok_or_else(|| missing("instance", id))?;
+        match self.is_down(id, instance) {
+            true => Err(Reject::InstanceClosed { instance: id.clone() }),
+            false => Ok(()),
+        }
+    }
+
+    pub(super) fn instance_seen(
+        &mut self,
+        id: &InstanceId,
+        pool: &PoolId,
+        zone: &ZoneId,
+        rack: &RackId,
+    ) -> Applied {
+        if let Some(known) = self.instances.get_mut(id) {
+            known.gone_at = None;
+            known.zone = zone.clone();
+            known.rack = rack.clone();
+            return Ok(Verdict::Applied);
+        }
+        self.replace_gone(pool);
+        let instance = Instance {
+            pool: pool.clone(),
+            zone: zone.clone(),
+            rack: rack.clone(),
+            moving: None,
+            draining: None,
+            gone_at: None,
+            maintained_at: None,
+        };
+        self.instances.insert(id.clone(), instance);
+        Ok(Verdict::Applied)
+    }
+
+    /// A gone instance counts as down until another one takes its place in the pool.
+    fn replace_gone(&mut self, pool: &PoolId) {
+        let gone = |i: &Instance| i.pool == *pool && i.gone_at.is_some();
+        let replaced = self.instances.iter().find(|(_, i)| gone(i)).map(|(id, _)| id.clone());
+        if let Some(id) = replaced {
+            self.instances.shift_remove(&id);
+            self.instances_out.shift_remove(&id);
+        }
+    }
+
+    pub(super) fn instance_gone(&mut self, cx: Cx, id: &InstanceId) -> Applied {
+        self.mark_holder_gone(id);
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.gone_at.get_or_insert(cx.offset);
+        }
+        Ok(Verdict::Applied)
+    }
+
+    pub(super) fn move_start(
+        &mut self,
+        cx: Cx,
+        id: &InstanceId,
+        from: &PoolId,
+        to: &PoolId,
+    ) -> Applied {
+        if !self.config.pools.contains_key(to) {
+            return Err(missing("pool", to));
+        }
+        let instance = self.instances.get(id).ok_or_else(|| missing("instance", id))?;
+        if instance.pool != *from || from == to || instance.moving.is_some() {
+            return Err(Reject::WrongPool { instance: id.clone() });
+        }
+        if self.is_down(id, instance) {
+            return Err(Reject::InstanceClosed { instance: id.clone() });
+        }
+        self.require_budget(instance)?;
+        self.require_min_instances(from)?;
+        self.instances[id].moving = Some((to.clone(), cx.offset));
+        Ok(Verdict::Applied)
+    }
+
+    fn require_min_instances(&self, pool: &PoolId) -> Result<(), Reject> {
+        let min = self.config.pools.get(pool).map_or(0, |p| p.min_instances);
+        let size = self.instances.values().filter(|i| i.pool == *pool).count() as u32;
+        let up = size - self.pool_down(pool);
+        if up > min {
+            return Ok(());
+        }
+        let allowed = size.saturating_sub(min);
+        Err(Reject::Budget { domain: format!("pool {pool}"), down: size - up, allowed })
+    }
+
+    pub(super) fn move_end(&mut self, id: &InstanceId, entered: bool) -> Applied {
+        let instance = self.instances.get_mut(id).ok_or_else(|| missing("instance", id))?;
+        let (to, _) =
+            instance.moving.take().ok_or_else(|| Reject::NotUnderWay { instance: id.clone() })?;
+        if entered {
+            instance.pool = to;
+        }
+        Ok(Verdict::Applied)
+    }
+
+    pub(super) fn drain_start(&mut self, cx: Cx, id: &InstanceId, reason: DrainReason) -> Applied {
+        let instance = self.instances.get(id).ok_or_else(|| missing("instance", id))?;
+        if instance.draining.is_some() || instance.moving.is_some() {
+            return Err(Reject::InstanceClosed { instance: id.clone() });
+        }
+        // An instance that is down already uses the budget; its maintenance costs nothing more.
+        if !self.is_down(id, instance) {
+            self.require_budget(instance)?;
+        }
+        self.instances[id].draining = Some((reason, cx.offset));
+        Ok(Verdict::Applied)
+    }
+
+    pub(super) fn drain_end(&mut self, cx: Cx, id: &InstanceId, done: bool) -> Applied {
+        let instance = self.instances.get_mut(id).ok_or_else(|| missing("instance", id))?;
+        if instance.draining.take().is_none() {
+            return Err(Reject::NotUnderWay { instance: id.clone() });
+        }
+        if done {
+            instance.maintained_at = Some(cx.offset);
+        }
+        Ok(Verdict::Applied)
+    }
+}
--- /dev/null
+++ b/src/state/grants.rs
@@ -0,0 +1,191 @@
+//! Units of the teams' upper limits, held by entry instances.
+
+use super::{Applied, Cx, Reject, State, Verdict, missing};
+use crate::ids::*;
+use crate::record::{ExpireLevel, Want};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+/// Units of one team that one holder may use.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Grant {
+    /// All units. Invariant: over all holders, with the running jobs, at most the team's limit
+    /// when they were granted.
+    pub units: u32,
+    /// Part of `units` that outlasts the lease. Invariant: at most `units`.
+    pub reserve: u32,
+    /// Requests that waited when the holder renewed.
+    pub waiting: u32,
+}
+
+/// Where an entry instance is.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Addresses {
+    pub zone: ZoneId,
+    pub http_addr: String,
+    pub peer_addr: String,
+}
+
+/// One life of an entry instance.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Holder {
+    /// Its id; several lives may share it.
+    pub id: EntryId,
+    pub addresses: Addresses,
+    /// Offset of its last `Renew`.
+    pub renewed_at: Offset,
+    /// First offset that it had not folded when it renewed.
+    pub seen: Offset,
+    /// It takes no new work.
+    pub departing: bool,
+    /// Its lease was expired since `renewed_at`; only reserves are left.
+    pub expired: bool,
+    /// The platform's list showed it as gone, or a later life of the same id renewed.
+    pub gone: bool,
+    /// Units by team.
+    pub grants: IndexMap<TeamId, Grant>,
+}
+
+impl State {
+    /// Units of a team granted to all holders, and its running jobs.
+    pub fn units_in_use(&self, team: &TeamId) -> u32 {
+        let granted: u32 = self.holders.values().map(|holder| units_of(holder, team)).sum();
+        granted + self.running_jobs(team)
+    }
+
+    /// Upper limit of a team; 0 for a team that is not declared.
+    pub fn limit(&self, team: &TeamId) -> u32 {
+        self.config.teams.get(team).map_or(0, |declared| declared.limit)
+    }
+
+    /// Units that a holder may use now. Below its grant when the limit was lowered since.
+    pub fn usable(&self, incarnation: Incarnation, team: &TeamId) -> Grant {
+        let Some(grant) = self.holders.get(&incarnation).and_then(|h| h.grants.get(team)) else {
+            return Grant::default();
+        };
+        let in_use = self.units_in_use(team);
+        let limit = self.limit(team);
+        if in_use <= limit {
+            return *grant;
+        }
+        let scaled = |units: u32| (u64::from(units) * u64::from(limit) / u64::from(in_use)) as u32;
+        Grant { units: scaled(grant.units), reserve: scaled(grant.reserve), ..*grant }
+    }
+
+    /// Whether an incarnation has a lease that nobody expired.
+    pub fn is_live(&self, incarnation: Incarnation) -> bool {
+        self.holders.get(&incarnation).is_some_and(|holder| !holder.expired)
+    }
+
+    pub(super) fn require_live(&self, cx: Cx) -> Result<(), Reject> {
+        if self.is_live(cx.incarnation) { Ok(()) } else { Err(Reject::NotLive) }
+    }
+
+    pub(super) fn renew(
+        &mut self,
+        cx: Cx,
+        addresses: Addresses,
+        seen: Offset,
+        want: &IndexMap<TeamId, Want>,
+        departing: bool,
+    ) -> Applied {
+        self.mark_earlier_lives_gone(cx);
+        let mut holder = Holder {
+            id: cx.writer.clone(),
+            addresses,
+            renewed_at: cx.offset,
+            seen,
+            departing,
+            expired: false,
+            gone: false,
+            grants: IndexMap::new(),
+        };
+        for (team, want) in want {
+            let grant = self.grant_for(cx.incarnation, team, want);
+            if grant.units > 0 || grant.waiting > 0 {
+                holder.grants.insert(team.clone(), grant);
+            }
+        }
+        self.holders.insert(cx.incarnation, holder);
+        Ok(Verdict::Applied)
+    }
+
+    /// The platform runs one process per entry id, so a new life shows that earlier ones ended.
+    fn mark_earlier_lives_gone(&mut self, cx: Cx) {
+        for (incarnation, holder) in &mut self.holders {
+            if holder.id == *cx.writer && *incarnation != cx.incarnation {
+                holder.gone = true;
+            }
+        }
+    }
+
+    /// Clamps what a holder wants to what is left. Never goes below the lesser of what it wants and
+    /// holds: until it reads this record it may use that much.
+    fn grant_for(&self, incarnation: Incarnation, team: &TeamId, want: &Want) -> Grant {
+        let held = self
+            .holders
+            .get(&incarnation)
+            .and_then(|holder| holder.grants.get(team))
+            .copied()
+            .unwrap_or_default();
+        let others = self.units_in_use(team) - held.units;
+        let left = self.limit(team).saturating_sub(others);
+        let units = want.units.min(left.max(held.units));
+        let reserve_left =
+            self.reserve_limit(team).saturating_sub(self.reserved(team) - held.reserve);
+        let reserve = want.reserve.min(reserve_left.max(held.reserve)).min(units);
+        Grant { units, reserve, waiting: want.waiting }
+    }
+
+    /// Most units of a team that all holders together may keep without a lease: the largest
+    /// `reserve_percent` of the profiles, since the limit holds across services.
+    pub fn reserve_limit(&self, team: &TeamId) -> u32 {
+        let percent = self.config.profiles.values().map(|p| p.reserve_percent).max().unwrap_or(0);
+        (u64::from(self.limit(team)) * u64::from(percent.min(100)) / 100) as u32
+    }
+
+    fn reserved(&self, team: &TeamId) -> u32 {
+        let reserve = |holder: &Holder| holder.grants.get(team).map_or(0, |g| g.reserve);
+        self.holders.values().map(reserve).sum()
+    }
+
+    pub(super) fn expire(
+        &mut self,
+        incarnation: Incarnation,
+        renewed_at: Offset,
+        level: ExpireLevel,
+    ) -> Applied {
+        let holder = self
+            .holders
+            .get_mut(&incarnation)
+            .ok_or_else(|| missing("holder", &incarnation.to_string()))?;
+        if holder.renewed_at != renewed_at {
+            return Err(Reject::HolderNotLapsed);
+        }
+        match level {
+            ExpireLevel::Borrowed => expire_borrowed(holder),
+            ExpireLevel::All if holder.gone => {
+                self.holders.shift_remove(&incarnation);
+            }
+            ExpireLevel::All => return Err(Reject::HolderNotLapsed),
+        }
+        Ok(Verdict::Applied)
+    }
+
+    pub(super) fn mark_holder_gone(&mut self, id: &EntryId) {
+        for holder in self.holders.values_mut().filter(|holder| holder.id == *id) {
+            holder.gone = true;
+        }
+    }
+}
+
+fn expire_borrowed(holder: &mut Holder) {
+    holder.expired = true;
+    for grant in holder.grants.values_mut() {
+        grant.units = grant.reserve;
+    }
+}
+
+fn units_of(holder: &Holder, team: &TeamId) -> u32 {
+    holder.grants.get(team).map_or(0, |grant| grant.units)
+}
--- /dev/null
+++ b/src/state/jobs.rs
@@ -0,0 +1,252 @@
+//! Jobs: submitted once, running in one hand at a time, ended once.
+
+use super::{Applied, Cx, Reject, State, Verdict, missing};
+use crate::ids::*;
+use crate::record::{JobEnding, JobSpec};
+use bytes::Bytes;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+
+/// Jobs of one team that wait or run.
+const MAX_OPEN_JOBS_PER_TEAM: u32 = 10_000;
+/// Payload bytes of all jobs that wait or run; keeps the state within its 32 MB.
+const MAX_PAYLOAD_BYTES: u64 = 8 * 1024 * 1024;
+/// Ended jobs whose result is kept.
+const MAX_ENDED_JOBS: usize = 10_000;
+/// Result bytes of all ended jobs that are kept.
+const MAX_RESULT_BYTES: u64 = 4 * 1024 * 1024;
+
+/// Where a job is in its life.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "state")]
+pub enum JobState {
+    /// It waits for a start.
+    Pending,
+    /// It runs, or may run, at one upstream.
+    Running {
+        /// Incarnation that looks after it.
+        holder: Incarnation,
+        /// Where it was started.
+        upstream: InstanceId,
+        /// Offset of the claim or adoption in force.
+        fence: Offset,
+    },
+    /// It ended; never changes again.
+    Ended {
+        /// How it ended.
+        ending: JobEnding,
+        /// Offset of the end.
+        at: Offset,
+    },
+}
+
+/// A job that was accepted.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Job {
+    /// What the caller declared; the payload is dropped at the end.
+    pub spec: JobSpec,
+    /// Offset of the `JobSubmit`.
+    pub submitted_at: Offset,
+    /// Starts so far.
+    pub attempt: Attempt,
+    /// The caller wants it to stop.
+    pub cancel: bool,
+    /// Where it is in its life.
+    pub state: JobState,
+}
+
+/// Sums over all jobs. Invariant: equal to a fresh count over `State::jobs`.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub(super) struct Totals {
+    open: IndexMap<TeamId, u32>,
+    running: IndexMap<TeamId, u32>,
+    payload_bytes: u64,
+    result_bytes: u64,
+    /// Ended jobs, oldest first.
+    ended: VecDeque<JobId>,
+}
+
+impl State {
+    /// Jobs of a team that run or may run.
+    pub fn running_jobs(&self, team: &TeamId) -> u32 {
+        self.job_totals.running.get(team).copied().unwrap_or(0)
+    }
+
+    /// Whether the job runs in a hand whose lease was expired or that is gone.
+    pub fn is_orphaned(&self, job: &Job) -> bool {
+        match job.state {
+            JobState::Running { holder, .. } => !self.is_live(holder),
+            JobState::Pending | JobState::Ended { .. } => false,
+        }
+    }
+
+    pub(super) fn job_submit(&mut self, cx: Cx, spec: &JobSpec) -> Applied {
+        if let Some(known) = self.jobs.get(&spec.job) {
+            return match known.spec.team == spec.team && known.spec.service == spec.service {
+                true => Ok(Verdict::Repeated),
+                false => Err(Reject::JobElsewhere { job: spec.job.clone() }),
+            };
+        }
+        if !self.config.teams.contains_key(&spec.team) {
+            return Err(missing("team", &spec.team));
+        }
+        if !self.config.services.contains_key(&spec.service) {
+            return Err(missing("service", &spec.service));
+        }
+        let bytes = self.job_totals.payload_bytes + spec.payload.len() as u64;
+        let open = self.job_totals.open.entry(spec.team.clone()).or_insert(0);
+        if *open >= MAX_OPEN_JOBS_PER_TEAM || bytes > MAX_PAYLOAD_BYTES {
+            return Err(Reject::BacklogFull);
+        }
+        *open += 1;
+        self.job_totals.payload_bytes = bytes;
+        let job = Job {
+            spec: spec.clone(),
+            submitted_at: cx.offset,
+            attempt: 0,
+            cancel: false,
+            state: JobState::Pending,
+        };
+        self.jobs.insert(spec.job.clone(), job);
+        Ok(Verdict::Applied)
+    }
+
+    pub(super) fn job_claim(
+        &mut self,
+        cx: Cx,
+        id: &JobId,
+        attempt: Attempt,
+        upstream: &InstanceId,
+    ) -> Applied {
+        self.require_live(cx)?;
+        let job = self.jobs.get(id).ok_or_else(|| missing("job", id))?;
+        if job.state != JobState::Pending || attempt != job.attempt + 1 || job.cancel {
+            return Err(Reject::JobElsewhere { job: id.clone() });
+        }
+        self.require_open(upstream)?;
+        let team = job.spec.team.clone();
+        let limit = self.limit(&team);
+        if self.units_in_use(&team) >= limit {
+            return Err(Reject::AtLimit { team, limit });
+        }
+        *self.job_totals.running.entry(team).or_insert(0) += 1;
+        let job = &mut self.jobs[id];
+        job.attempt = attempt;
+        job.state = JobState::Running {
+            holder: cx.incarnation,
+            upstream: upstream.clone(),
+            fence: cx.offset,
+        };
+        Ok(Verdict::Applied)
+    }
+
+    pub(super) fn job_adopt(&mut self, cx: Cx, id: &JobId, attempt: Attempt) -> Applied {
+        self.require_live(cx)?;
+        let job = self.jobs.get(id).ok_or_else(|| missing("job", id))?;
+        let orphaned = self.is_orphaned(job);
+        let job = &mut self.jobs[id];
+        match &mut job.state {
+            JobState::Running { holder, fence, .. } if orphaned && attempt == job.attempt => {
+                *holder = cx.incarnation;
+                *fence = cx.offset;
+                Ok(Verdict::Applied)
+            }
+            _ => Err(Reject::JobElsewhere { job: id.clone() }),
+        }
+    }
+
+    pub(super) fn job_release(&mut self, cx: Cx, id: &JobId, attempt: Attempt) -> Applied {
+        self.require_hand(cx, id, attempt)?;
+        let job = &mut self.jobs[id];
+        job.state = JobState::Pending;
+        let cancelled = job.cancel;
+        let team = job.spec.team.clone();
+        self.drop_running(&team);
+        if cancelled {
+            self.end_job(cx, id, JobEnding::Cancelled);
+        }
+        Ok(Verdict::Applied)
+    }
+
+    pub(super) fn job_end(
+        &mut self,
+        cx: Cx,
+        id: &JobId,
+        attempt: Attempt,
+        ending: &JobEnding,
+    ) -> Applied {
+        self.require_hand(cx, id, attempt)?;
+        let team = self.jobs[id].spec.team.clone();
+        self.drop_running(&team);
+        self.end_job(cx, id, ending.clone());
+        Ok(Verdict::Applied)
+    }
+
+    pub(super) fn job_cancel(&mut self, cx: Cx, id: &JobId, team: &TeamId) -> Applied {
+        let job = self.jobs.get_mut(id).ok_or_else(|| missing("job", id))?;
+        if job.spec.team != *team {
+            return Err(missing("job", id));
+        }
+        match job.state {
+            JobState::Pending => self.end_job(cx, id, JobEnding::Cancelled),
+            JobState::Running { .. } => job.cancel = true,
+            JobState::Ended { .. } => return Ok(Verdict::Repeated),
+        }
+        Ok(Verdict::Applied)
+    }
+
+    /// Only the hand that the log names may speak for a running job.
+    fn require_hand(&self, cx: Cx, id: &JobId, attempt: Attempt) -> Result<(), Reject> {
+        let job = self.jobs.get(id).ok_or_else(|| missing("job", id))?;
+        match job.state {
+            JobState::Running { holder, .. }
+                if holder == cx.incarnation && attempt == job.attempt =>
+            {
+                Ok(())
+            }
+            _ => Err(Reject::JobElsewhere { job: id.clone() }),
+        }
+    }
+
+    fn drop_running(&mut self, team: &TeamId) {
+        if let Some(running) = self.job_totals.running.get_mut(team) {
+            *running = running.saturating_sub(1);
+        }
+    }
+
+    fn end_job(&mut self, cx: Cx, id: &JobId, ending: JobEnding) {
+        let job = &mut self.jobs[id];
+        let totals = &mut self.job_totals;
+        totals.payload_bytes -= job.spec.payload.len() as u64;
+        totals.result_bytes += result_len(&ending);
+        if let Some(open) = totals.open.get_mut(&job.spec.team) {
+            *open = open.saturating_sub(1);
+        }
+        totals.ended.push_back(id.clone());
+        job.spec.payload = Bytes::new();
+        job.state = JobState::Ended { ending, at: cx.offset };
+        self.forget_ended();
+    }
+
+    fn forget_ended(&mut self) {
+        while self.job_totals.ended.len() > MAX_ENDED_JOBS
+            || self.job_totals.result_bytes > MAX_RESULT_BYTES
+        {
+            let Some(oldest) = self.job_totals.ended.pop_front() else { return };
+            if let Some(job) = self.jobs.swap_remove(&oldest)
+                && let JobState::Ended { ending, .. } = &job.state
+            {
+                self.job_totals.result_bytes -= result_len(ending);
+            }
+        }
+    }
+}
+
+fn result_len(ending: &JobEnding) -> u64 {
+    match ending {
+        JobEnding::Done(result) => result.len() as u64,
+        JobEnding::Failed(message) | JobEnding::CannotRun(message) => message.len() as u64,
+        JobEnding::Cancelled | JobEnding::Unknown => 0,
+    }
+}
--- /dev/null
+++ b/tests/state_fuzz.rs
@@ -0,0 +1,333 @@
+//! The fold under arbitrary batches from racing writers, judged after every record.
+//!
+//! Guards against a record that breaks an invariant although the writers follow no rule at all.
+
+use indexmap::IndexMap;
+use jacinthhook::ids::*;
+use jacinthhook::record::*;
+use jacinthhook::state::{JobState, State, Verdict};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::HashMap;
+
+const TEAMS: [&str; 2] = ["huts", "counter"];
+const LIMITS: [u32; 2] = [7, 12];
+const INSTANCES: usize = 10;
+const POOLS: [&str; 3] = ["loans", "returns", "administration"];
+/// Longest sequence of batches.
+const STEPS: usize = 80;
+/// Sequences in a run.
+const CASES: u64 = 2_000;
+/// Start of the random numbers.
+const SEED: u64 = 1;
+/// Share of a pool that may be down, in percent.
+const UNAVAILABLE_PERCENT: u32 = 30;
+
+fn section(name: &str, values: &[(&str, &str)]) -> SectionChange {
+    let values = values.iter().map(|(k, v)| (k.to_string(), v.to_string())).collect();
+    SectionChange { section: name.to_string(), base: None, body: Some(values) }
+}
+
+fn declarations() -> Record {
+    let percent = UNAVAILABLE_PERCENT.to_string();
+    let mut changes = vec![
+        section("zone hobart", &[("region", "south")]),
+        section("zone launceston", &[("region", "north")]),
+        section("profile guarded", &[("unavailable_percent", &percent), ("reserve_percent", "50")]),
+    ];
+    for (team, limit) in TEAMS.iter().zip(LIMITS) {
+        let limit = limit.to_string();
+        changes.push(section(&format!("team {team}"), &[("share", "1"), ("limit", &limit)]));
+    }
+    for pool in POOLS {
+        changes.push(section(&format!("pool {pool}"), &[]));
+    }
+    for service in ["loans", "returns"] {
+        let values = [("profile", "guarded"), ("pool", service)];
+        changes.push(section(&format!("service {service}"), &values));
+    }
+    Record::Publish { op: "declarations".into(), changes }
+}
+
+/// A record, or a batch repeated as after a lost append answer.
+#[derive(Clone, Debug)]
+enum Step {
+    Append { writer: u8, record: Box<Record> },
+    Repeat,
+}
+
+fn pick<T: Clone>(g: &mut Gen, items: &[T]) -> T {
+    g.choose(items).expect("items are given").clone()
+}
+
+fn instance(g: &mut Gen) -> InstanceId {
+    format!("runner-{}", usize::arbitrary(g) % INSTANCES).into()
+}
+
+fn job(g: &mut Gen) -> JobId {
+    format!("job-{}", u8::arbitrary(g) % 6).into()
+}
+
+fn small(g: &mut Gen) -> u32 {
+    u32::arbitrary(g) % 16
+}
+
+fn offset(g: &mut Gen) -> Offset {
+    u64::from(u8::arbitrary(g) % 64)
+}
+
+fn renew(g: &mut Gen) -> Record {
+    let mut want = IndexMap::new();
+    for team in TEAMS {
+        want.insert(team.into(), Want { units: small(g), reserve: small(g), waiting: small(g) });
+    }
+    Record::Renew {
+        zone: "hobart".into(),
+        http_addr: String::new(),
+        peer_addr: String::new(),
+        seen: 0,
+        want,
+        departing: bool::arbitrary(g),
+    }
+}
+
+fn spec(g: &mut Gen) -> JobSpec {
+    JobSpec {
+        job: job(g),
+        team: pick(g, &TEAMS).into(),
+        service: "loans".into(),
+        class: Class::Planned,
+        idempotent: bool::arbitrary(g),
+        declared_ms: 10,
+        deadline_ms: 0,
+        payload: vec![1; small(g) as usize].into(),
+    }
+}
+
+fn ending(g: &mut Gen) -> JobEnding {
+    match u8::arbitrary(g) % 3 {
+        0 => JobEnding::Done(vec![2; small(g) as usize].into()),
+        1 => JobEnding::Failed("exit 1".to_string()),
+        _ => JobEnding::Unknown,
+    }
+}
+
+fn record(g: &mut Gen) -> Record {
+    let op: OpId = format!("op-{}", u16::arbitrary(g)).into();
+    let attempt = 1 + u32::arbitrary(g) % 3;
+    match u8::arbitrary(g) % 25 {
+        24 => seen(usize::arbitrary(g) % INSTANCES, pick(g, &POOLS)),
+        0..=3 => renew(g),
+        4 => Record::Expire {
+            holder: "any".into(),
+            holder_incarnation: u64::arbitrary(g) % 4,
+            renewed_at: offset(g),
+            level: pick(g, &[ExpireLevel::Borrowed, ExpireLevel::All]),
+        },
+        5 => {
+            let key = pick(g, &["k1", "k2"]).into();
+            Record::KeyGrant { op, key, team: pick(g, &TEAMS).into(), hash: "00".to_string() }
+        }
+        6 => Record::KeyWithdraw { op, key: pick(g, &["k1", "k2"]).into() },
+        7 => Record::ZoneOut { op, zone: pick(g, &["hobart", "launceston"]).into() },
+        8 => Record::ZoneBack { op, zone: "hobart".into(), undoes: offset(g) },
+        9 => Record::InstanceOut { op, instance: instance(g) },
+        10 => Record::InstanceBack { op, instance: instance(g), undoes: offset(g) },
+        11 => Record::InstanceGone { instance: instance(g) },
+        12 | 13 => Record::MoveStart {
+            instance: instance(g),
+            from: pick(g, &POOLS).into(),
+            to: pick(g, &POOLS).into(),
+        },
+        14 => Record::MoveEnd { instance: instance(g) },
+        15 => Record::DrainStart { instance: instance(g), reason: DrainReason::Maintenance },
+        16 => Record::DrainEnd { instance: instance(g), done: bool::arbitrary(g) },
+        17 => Record::Claim { ids: vec![ClaimId::from(u8::arbitrary(g) % 4)] },
+        18 | 19 => Record::JobSubmit { spec: spec(g) },
+        20 | 21 => Record::JobClaim { job: job(g), attempt, upstream: instance(g) },
+        22 => Record::JobAdopt { job: job(g), attempt },
+        _ => match bool::arbitrary(g) {
+            true => Record::JobEnd { job: job(g), attempt, ending: ending(g) },
+            false => Record::JobRelease { job: job(g), attempt },
+        },
+    }
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        match u8::arbitrary(g) % 8 {
+            0 => Step::Repeat,
+            _ => Step::Append { writer: u8::arbitrary(g) % 4, record: Box::new(record(g)) },
+        }
+    }
+}
+
+/// What must never change back, remembered by the oracle.
+#[derive(Default)]
+struct Oracle {
+    withdrawn: Vec<KeyId>,
+    endings: HashMap<JobId, JobEnding>,
+    claims: HashMap<ClaimId, Incarnation>,
+}
+
+impl Oracle {
+    fn judge(&mut self, before: &State, state: &State, batch: &Batch, verdict: &Verdict) {
+        let record = &batch.records[0];
+        judge_hand(before, batch, verdict);
+        self.judge_limits(state);
+        self.judge_keys(state);
+        self.judge_jobs(state);
+        self.judge_claims(state);
+        judge_budget(before, state, record, verdict);
+        judge_pools(before, state, record);
+        if matches!(verdict, Verdict::Rejected(_)) {
+            assert_eq!(
+                comparable(before),
+                comparable(state),
+                "a rejected record changed the state"
+            );
+        }
+    }
+
+    fn judge_limits(&self, state: &State) {
+        for (team, limit) in TEAMS.iter().zip(LIMITS) {
+            let team: TeamId = (*team).into();
+            let running =
+                |j: &&jacinthhook::state::Job| matches!(j.state, JobState::Running { .. });
+            let jobs = state.jobs.values().filter(|j| j.spec.team == team).filter(running).count();
+            let grants = state.holders.values().filter_map(|h| h.grants.get(&team));
+            let granted: u32 = grants.map(|g| g.units).sum();
+            assert!(granted + jobs as u32 <= limit, "{team}: {granted} units and {jobs} jobs");
+        }
+    }
+
+    fn judge_keys(&mut self, state: &State) {
+        for (id, key) in &state.keys {
+            if key.withdrawn_at.is_some() && !self.withdrawn.contains(id) {
+                self.withdrawn.push(id.clone());
+            }
+        }
+        for id in &self.withdrawn {
+            assert!(state.keys[id].withdrawn_at.is_some(), "key {id} came back");
+        }
+    }
+
+    fn judge_jobs(&mut self, state: &State) {
+        for (id, job) in &state.jobs {
+            if let JobState::Ended { ending, .. } = &job.state {
+                let first = self.endings.entry(id.clone()).or_insert_with(|| ending.clone());
+                assert_eq!(first, ending, "job {id} ended twice");
+            } else {
+                assert!(!self.endings.contains_key(id), "job {id} ended and came back");
+            }
+        }
+    }
+
+    fn judge_claims(&mut self, state: &State) {
+        for id in 0..4 {
+            if let Some(winner) = state.claims.winner(id) {
+                assert_eq!(*self.claims.entry(id).or_insert(winner), winner, "claim {id} changed");
+            }
+        }
+    }
+}
+
+/// Planned work never brings a pool beyond its budget; only unplanned loss does.
+fn judge_budget(before: &State, state: &State, record: &Record, verdict: &Verdict) {
+    let (Record::DrainStart { instance, .. } | Record::MoveStart { instance, .. }) = record else {
+        return;
+    };
+    let (Verdict::Applied, Some(was)) = (verdict, before.instances.get(instance)) else { return };
+    let pool = &was.pool;
+    let down = state.pool_down(pool);
+    let size = state.instances.values().filter(|i| i.pool == *pool).count() as u32;
+    if **pool != *"administration" && down > before.pool_down(pool) {
+        assert!(down * 100 <= size * UNAVAILABLE_PERCENT, "{down} of {size} down in {pool}");
+    }
+}
+
+/// Only the holder that the log names ends or releases a running job, and only its last attempt.
+fn judge_hand(before: &State, batch: &Batch, verdict: &Verdict) {
+    let (Record::JobEnd { job, attempt, .. } | Record::JobRelease { job, attempt }) =
+        &batch.records[0]
+    else {
+        return;
+    };
+    if *verdict == Verdict::Applied {
+        let was = &before.jobs[job];
+        let JobState::Running { holder, .. } = was.state else {
+            panic!("job {job} ended while it did not run");
+        };
+        assert_eq!((holder, was.attempt), (batch.incarnation, *attempt), "job {job}");
+    }
+}
+
+fn judge_pools(before: &State, state: &State, record: &Record) {
+    for (id, instance) in &state.instances {
+        if let Some(was) = before.instances.get(id)
+            && was.pool != instance.pool
+        {
+            assert!(matches!(record, Record::MoveEnd { .. }), "{id} moved by {record:?}");
+            assert_eq!(was.moving.as_ref().map(|(to, _)| to), Some(&instance.pool));
+        }
+    }
+}
+
+/// The state without what every batch advances.
+fn comparable(state: &State) -> serde_json::Value {
+    let mut value = serde_json::to_value(state).expect("a state is serializable");
+    let fields = value.as_object_mut().expect("a state is an object");
+    fields.remove("next");
+    fields.remove("writers");
+    value
+}
+
+fn seen(i: usize, pool: &str) -> Record {
+    Record::InstanceSeen {
+        instance: format!("runner-{i}").into(),
+        pool: pool.into(),
+        zone: ["hobart", "launceston"][i % 2].into(),
+        rack: format!("rack-{}", i / 2).into(),
+    }
+}
+
+fn run(steps: Vec<Step>) -> bool {
+    let mut state = State::new();
+    let mut oracle = Oracle::default();
+    let mut records = vec![declarations()];
+    records.extend((0..INSTANCES).map(|i| seen(i, POOLS[i % 2])));
+    let first = Batch { writer: "entry-0".into(), incarnation: 0, seq: 1, records };
+    let verdicts = state.apply(0, &first);
+    assert!(verdicts.iter().all(|v| *v == Verdict::Applied), "{verdicts:?}");
+    let mut seqs: HashMap<u64, u64> = HashMap::from([(0, 1)]);
+    let mut last = first;
+    for step in steps {
+        let before = state.clone();
+        if let Step::Append { writer, record } = step {
+            let incarnation = u64::from(writer);
+            let seq = seqs.entry(incarnation).or_insert(0);
+            *seq += 1;
+            last = Batch {
+                writer: format!("entry-{}", writer % 3).into(),
+                incarnation,
+                seq: *seq,
+                records: vec![*record],
+            };
+            let verdicts = state.apply(state.next(), &last);
+            oracle.judge(&before, &state, &last, &verdicts[0]);
+        } else {
+            let verdicts = state.apply(state.next(), &last);
+            assert!(verdicts.iter().all(|v| *v == Verdict::Repeated), "{verdicts:?}");
+            assert_eq!(comparable(&before), comparable(&state), "a repeat changed the state");
+        }
+    }
+    let bytes = serde_json::to_vec(&state).expect("a state is serializable");
+    let mut copy: State = serde_json::from_slice(&bytes).expect("an encoded state decodes");
+    copy.rebuild_config().expect("accepted declarations have no mistakes");
+    copy.config == state.config && copy.digest() == state.digest()
+}
+
+#[test]
+fn apply_arbitrary_batches() {
+    let rng = Gen::from_size_and_seed(STEPS, SEED);
+    QuickCheck::new().tests(CASES).rng(rng).quickcheck(run as fn(Vec<Step>) -> bool);
+}
