Add clients of platform and upstreams

Cause: the server needs to know exactly how far a call got: a lost append answer, an attempt that may have run, and an answer that belongs to another call must never pass as something better. Ruled out: reqwest's own retries, redirects and proxy settings, all of which would send a request again or elsewhere; one client per process, since a generation that went silent could not be retired. An outer path check on the raw text: '/x/../tasks/a' and '/%74asks/a' reach task calls, so the check runs on the resolved and decoded first segment. Conclusion: ready for the server; the wait for an answer's head includes the connect.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,11 +3,15 @@
 
 pub mod config;
 pub mod connection;
+pub mod health;
 pub mod ids;
 pub mod kind;
+pub mod platform;
 pub mod protocol;
 pub mod record;
 pub mod standin;
 pub mod standin_platform;
 mod standin_tasks;
 pub mod standin_upstream;
+pub mod transport;
+pub mod upstream;
--- a/src/standin_platform.rs
+++ b/src/standin_platform.rs
@@ -21,7 +21,7 @@
 /// Most entries in one answer to a read.
 pub const MAX_READ_ENTRIES: usize = 1_000;
 /// Most bytes of entries in one answer to a read; one entry is always sent.
-pub const MAX_READ_LEN: usize = 4 * 1024 * 1024;
+pub const MAX_READ_LEN: usize = 1024 * 1024;
 /// Largest registration in bytes.
 const MAX_LISTED_LEN: u64 = 16 * 1024;
 
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,49 @@
+//! Stand-ins and clients that the tests on real sockets share.
+#![allow(dead_code)] // Each test program uses a part.
+
+use jacinthhook::platform::Platform;
+use jacinthhook::standin_platform::{PlatformOptions, PlatformStandin};
+use jacinthhook::standin_upstream::{UpstreamOptions, UpstreamStandin};
+use jacinthhook::transport::TransportOptions;
+use jacinthhook::upstream::{Target, Upstreams};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Port 0 of the loopback interface: the system picks a free port.
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// An address on which nothing listens.
+pub fn closed_port() -> String {
+    let listener = std::net::TcpListener::bind(any_port()).expect("a free port");
+    listener.local_addr().expect("an address").to_string()
+}
+
+/// Long enough for a busy machine.
+pub fn options() -> TransportOptions {
+    TransportOptions { call_timeout: Duration::from_secs(20), ..TransportOptions::default() }
+}
+
+/// For calls that are to time out.
+pub fn impatient() -> TransportOptions {
+    TransportOptions { call_timeout: Duration::from_millis(500), ..TransportOptions::default() }
+}
+
+pub async fn platform() -> (PlatformStandin, Platform) {
+    let standin = PlatformStandin::start(PlatformOptions::new(any_port())).await;
+    let standin = standin.expect("platform starts");
+    let client = Platform::new(&standin.addr().to_string(), options()).expect("a client");
+    (standin, client)
+}
+
+pub async fn upstream() -> (UpstreamStandin, Upstreams, Target) {
+    upstream_with(UpstreamOptions::new("u1", any_port())).await
+}
+
+pub async fn upstream_with(wanted: UpstreamOptions) -> (UpstreamStandin, Upstreams, Target) {
+    let standin = UpstreamStandin::start(wanted).await.expect("upstream starts");
+    let client = Upstreams::new(options()).expect("a client");
+    let addr = standin.addr().to_string();
+    (standin, client, Target { id: "u1".into(), addr, generation: 0 })
+}
--- /dev/null
+++ b/tests/upstream.rs
@@ -0,0 +1,357 @@
+//! Client of upstreams against the stand-in. Guards against a report that an attempt got less far
+//! than it did, an answer that reaches the wrong caller, and tasks that run twice.
+
+mod common;
+
+use bytes::Bytes;
+use common::{any_port, closed_port, upstream, upstream_with};
+use jacinthhook::health::AttemptEnd;
+use jacinthhook::protocol::{TaskRenew, TaskStart, TaskState, TaskThrottle};
+use jacinthhook::standin::Faults;
+use jacinthhook::standin_upstream::{UpstreamOptions, UpstreamStandin};
+use jacinthhook::upstream::*;
+use reqwest::Method;
+use reqwest::header::{HeaderMap, HeaderValue};
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+const IDLE: Duration = Duration::from_secs(5);
+
+fn request(method: Method, path: &str, body: impl Into<Bytes>) -> AttemptRequest {
+    AttemptRequest {
+        method,
+        path: path.to_string(),
+        headers: HeaderMap::new(),
+        body: RequestBody::Full(body.into()),
+        start_by_ms: None,
+        deadline_ms: None,
+        timeout: Duration::from_secs(5),
+    }
+}
+
+fn get(path: &str) -> AttemptRequest {
+    request(Method::GET, path, "")
+}
+
+async fn whole(answer: &mut AttemptAnswer) -> Result<Vec<u8>, AttemptEnd> {
+    let mut body = Vec::new();
+    while let Some(piece) = answer.piece(IDLE).await? {
+        body.extend_from_slice(&piece);
+    }
+    Ok(body)
+}
+
+fn set(standin: &UpstreamStandin, faults: Faults) {
+    standin.switches.set(faults);
+}
+
+fn task(fence: u64, payload: &str) -> TaskStart {
+    TaskStart {
+        fence,
+        start_by_ms: u64::MAX,
+        lease_ms: 60_000,
+        declared_ms: 60_000,
+        payload: Bytes::from(payload.to_string()),
+    }
+}
+
+#[tokio::test]
+async fn attempt_passes_everything() {
+    let (_standin, client, target) = upstream().await;
+    let sent = request(Method::PATCH, "/loan/7?x=%20y", "cleats");
+    let mut answer = client.attempt(&target, sent).await.unwrap();
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.headers["standin-method"], "PATCH");
+    assert_eq!(answer.headers["standin-path"], "/loan/7?x=%20y");
+    assert_eq!(answer.length, Some(6));
+    assert!(answer.signs.load.is_some());
+    assert_eq!(whole(&mut answer).await.unwrap(), b"cleats");
+}
+
+#[tokio::test]
+async fn attempt_streams_the_body() {
+    let (_standin, client, target) = upstream().await;
+    for length in [None, Some(640_000)] {
+        let (tx, pieces) = mpsc::channel(1);
+        let mut sent = request(Method::POST, "/x", "");
+        sent.body = RequestBody::Stream { pieces, length };
+        tokio::spawn(async move {
+            for i in 0..10_u8 {
+                tx.send(Ok(Bytes::from(vec![i; 64_000]))).await.unwrap();
+            }
+        });
+        let mut answer = client.attempt(&target, sent).await.unwrap();
+        let body = whole(&mut answer).await.unwrap();
+        assert_eq!(body.len(), 640_000);
+        assert!(body.chunks(64_000).enumerate().all(|(i, c)| c == [i as u8; 64_000]));
+    }
+}
+
+#[tokio::test]
+async fn attempt_connect_refused() {
+    let (_standin, client, mut target) = upstream().await;
+    target.addr = closed_port();
+    let failure = client.attempt(&target, get("/x")).await.unwrap_err();
+    assert_eq!(failure.end, AttemptEnd::ConnectFailed);
+}
+
+#[tokio::test]
+async fn attempt_lost_answer_ran() {
+    let (standin, client, target) = upstream().await;
+    client.attempt(&target, get("/x")).await.unwrap();
+    set(&standin, Faults { lose_answers: 1, ..Faults::default() });
+    let sent = request(Method::POST, "/x?tag=t", "");
+    let failure = client.attempt(&target, sent).await.unwrap_err();
+    assert_eq!((failure.end, failure.fault), (AttemptEnd::LostBeforeHead, Fault::Upstream));
+    assert_eq!(standin.runs()["t"], 1);
+}
+
+#[tokio::test]
+async fn attempt_draining_is_not_run() {
+    let (standin, client, target) = upstream().await;
+    standin.set_draining(true);
+    let failure = client.attempt(&target, get("/x?tag=t")).await.unwrap_err();
+    assert_eq!(failure.end, AttemptEnd::NotRun);
+    assert!(failure.signs.draining);
+    assert!(standin.runs().is_empty());
+}
+
+#[tokio::test]
+async fn attempt_beyond_connections_is_not_run() {
+    let options = UpstreamOptions::new("u1", any_port()).with_size(1, 1);
+    let (_standin, client, target) = upstream_with(options).await;
+    let open = client.attempt(&target, get("/x?chunks=2&chunk_delay_ms=60000")).await;
+    let failure = client.attempt(&target, get("/x")).await.unwrap_err();
+    assert_eq!(failure.end, AttemptEnd::NotRun);
+    drop(open);
+}
+
+#[tokio::test]
+async fn attempt_failed_answer() {
+    let (standin, client, target) = upstream().await;
+    set(&standin, Faults { fail: true, ..Faults::default() });
+    let answer = client.attempt(&target, get("/x")).await.unwrap();
+    assert_eq!(answer.end(), AttemptEnd::Answered { failed: true });
+}
+
+#[tokio::test]
+async fn attempt_times_out() {
+    let (_standin, client, target) = upstream().await;
+    let mut sent = get("/x?delay_ms=60000");
+    sent.timeout = Duration::from_millis(50);
+    assert_eq!(client.attempt(&target, sent).await.unwrap_err().end, AttemptEnd::TimedOut);
+}
+
+#[tokio::test]
+async fn attempt_cut_body_is_lost() {
+    let (_standin, client, target) = upstream().await;
+    for query in ["size=100000&cut_after=30000", "chunks=9&chunk_size=1000&cut_after=3000"] {
+        let path = format!("/x?{query}");
+        let mut answer = client.attempt(&target, get(&path)).await.unwrap();
+        assert_eq!(whole(&mut answer).await, Err(AttemptEnd::LostInBody), "{query}");
+    }
+}
+
+#[tokio::test]
+async fn attempt_stalled_body_is_lost() {
+    let (_standin, client, target) = upstream().await;
+    let path = "/x?chunks=9&chunk_delay_ms=60000";
+    let mut answer = client.attempt(&target, get(path)).await.unwrap();
+    let piece = answer.piece(Duration::from_millis(50)).await;
+    assert_eq!(piece, Err(AttemptEnd::LostInBody));
+}
+
+#[tokio::test]
+async fn attempt_caller_gone_is_not_blamed() {
+    let (_standin, client, target) = upstream().await;
+    let (tx, pieces) = mpsc::channel(2);
+    let mut sent = request(Method::POST, "/x", "");
+    sent.body = RequestBody::Stream { pieces, length: None };
+    tx.send(Ok(Bytes::from("half"))).await.unwrap();
+    tx.send(Err(io::Error::other("caller left"))).await.unwrap();
+    let failure = client.attempt(&target, sent).await.unwrap_err();
+    assert_eq!(failure.fault, Fault::CallerGone);
+}
+
+#[tokio::test]
+async fn attempt_crossed_answers_reach_nobody() {
+    let (standin, client, target) = upstream().await;
+    let client = Arc::new(client);
+    set(&standin, Faults { crossed_answers: 10, ..Faults::default() });
+    let calls = (0..40).map(|i| {
+        let (client, target) = (client.clone(), target.clone());
+        tokio::spawn(async move {
+            let own = format!("body {i}");
+            let sent = request(Method::POST, "/x", own.clone());
+            match client.attempt(&target, sent).await {
+                Ok(mut answer) => {
+                    assert_eq!(whole(&mut answer).await.unwrap(), own.as_bytes());
+                    0
+                }
+                Err(failure) => {
+                    assert_eq!(failure.end, AttemptEnd::LostBeforeHead);
+                    assert_eq!(failure.fault, Fault::Crossed);
+                    1
+                }
+            }
+        })
+    });
+    let crossed: i32 = futures::future::join_all(calls).await.into_iter().map(|c| c.unwrap()).sum();
+    assert_eq!(crossed, 10);
+}
+
+#[tokio::test]
+async fn attempt_silent_generation_is_retired() {
+    let (standin, client, mut target) = upstream().await;
+    client.attempt(&target, get("/x")).await.unwrap();
+    set(&standin, Faults { silence_open: true, ..Faults::default() });
+    let mut sent = get("/x");
+    sent.timeout = Duration::from_millis(100);
+    assert_eq!(client.attempt(&target, sent).await.unwrap_err().end, AttemptEnd::TimedOut);
+    client.probe(&target.addr).await.unwrap();
+    target.generation += 1;
+    assert_eq!(client.attempt(&target, get("/x")).await.unwrap().status, 200);
+}
+
+#[tokio::test]
+async fn attempt_reserved_paths() {
+    let (standin, client, target) = upstream().await;
+    let paths =
+        ["/tasks/a", "//tasks/a", "/%74asks/a", "/x/../tasks/a", "/x/%2e%2e/TASKS", "/faults"];
+    for path in paths {
+        let failure = client.attempt(&target, request(Method::PUT, path, "{}")).await.unwrap_err();
+        assert_eq!(failure.fault, Fault::Reserved, "{path}");
+    }
+    assert!(standin.runs().is_empty());
+}
+
+#[test]
+fn passed_on_drops_connection_and_own_headers() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("connection", "keep-alive, X-Hop"),
+        ("x-hop", "1"),
+        ("te", "trailers"),
+        ("jacinthhook-key", "secret"),
+        ("x-kept", "1"),
+    ] {
+        headers.insert(name, HeaderValue::from_static(value));
+    }
+    let names: Vec<_> = passed_on(&headers).keys().map(|n| n.to_string()).collect();
+    assert_eq!(names, ["x-kept"]);
+}
+
+#[test]
+fn clock_limit_is_never_too_late() {
+    let clock = UpstreamClock { at: Duration::from_secs(10), clock_ms: 5_000 };
+    assert_eq!(clock.limit(Duration::from_secs(10)), 5_000);
+    assert_eq!(clock.limit(Duration::from_secs(12)), 6_900);
+    assert_eq!(clock.limit(Duration::from_secs(9)), 3_950);
+    assert_eq!(clock.limit(Duration::ZERO), 0);
+}
+
+#[tokio::test]
+async fn probe_reports_clock_and_load() {
+    let options = UpstreamOptions::new("u1", any_port());
+    let options = options.with_clock_origin(Duration::from_secs(1_000));
+    let (_standin, client, target) = upstream_with(options).await;
+    client.start_task(&target, "t", &task(1, "")).await.unwrap();
+    let probed = client.probe(&target.addr).await.unwrap();
+    assert!(probed.status.clock_ms >= 1_000_000);
+    assert_eq!((probed.status.running, probed.status.slots), (1, 8));
+}
+
+#[tokio::test]
+async fn start_task_runs_once() {
+    let (standin, client, target) = upstream().await;
+    let client = Arc::new(client);
+    let starts = (0..20).map(|_| {
+        let (client, target) = (client.clone(), target.clone());
+        tokio::spawn(async move { client.start_task(&target, "t", &task(5, "")).await })
+    });
+    let answers = futures::future::join_all(starts).await;
+    let started = answers.into_iter().filter(|a| matches!(a, Ok(Ok(StartedTask::Started)))).count();
+    assert_eq!(started, 1);
+    assert_eq!(standin.runs()["t"], 1);
+    assert_eq!(standin.running(), 1);
+}
+
+#[tokio::test]
+async fn start_task_refusals() {
+    let options = UpstreamOptions::new("u1", any_port()).with_size(1, 64);
+    let (standin, client, target) =
+        upstream_with(options.with_clock_origin(Duration::from_secs(9))).await;
+    let late = TaskStart { start_by_ms: 8_999, ..task(1, "") };
+    assert_eq!(refused(client.start_task(&target, "late", &late).await), "late");
+    client.start_task(&target, "t", &task(5, "")).await.unwrap();
+    assert_eq!(refused(client.start_task(&target, "u", &task(5, "")).await), "busy");
+    assert_eq!(refused(client.start_task(&target, "t", &task(4, "")).await), "fence");
+    assert_eq!(refused(client.stop_task(&target, "t", 4).await), "fence");
+    standin.set_draining(true);
+    assert_eq!(refused(client.start_task(&target, "u", &task(5, "")).await), "draining");
+    assert_eq!(standin.runs().len(), 1);
+}
+
+fn refused<T: std::fmt::Debug>(answer: Result<T, TaskError>) -> String {
+    match answer {
+        Err(TaskError::Refused { why, .. }) => why,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+#[tokio::test]
+async fn start_task_lost_answer_is_not_denied() {
+    let (standin, client, target) = upstream().await;
+    set(&standin, Faults { lose_answers: 1, ..Faults::default() });
+    let lost = client.start_task(&target, "t", &task(1, "")).await.unwrap_err();
+    assert!(!lost.had_no_effect(), "{lost}");
+    let again = client.start_task(&target, "t", &task(1, "")).await.unwrap();
+    assert_eq!(again, StartedTask::Known(TaskState::Running { fence: 1 }));
+    assert_eq!(standin.runs()["t"], 1);
+}
+
+#[tokio::test]
+async fn task_ends_with_its_result() {
+    let (_standin, client, target) = upstream().await;
+    let start = task(1, "{\"run_ms\":0}");
+    client.start_task(&target, "t", &start).await.unwrap();
+    let state = client.task(&target, "t").await.unwrap();
+    assert_eq!(state, TaskState::Done { result: start.payload });
+    assert_eq!(client.task(&target, "other").await, Err(TaskError::NoSuchTask));
+}
+
+#[tokio::test]
+async fn task_lease_lapses() {
+    let (standin, client, target) = upstream().await;
+    let start = TaskStart { lease_ms: 0, ..task(1, "") };
+    client.start_task(&target, "t", &start).await.unwrap();
+    assert_eq!(client.task(&target, "t").await.unwrap(), TaskState::Stopped);
+    let renew = TaskRenew { fence: 2, lease_ms: 60_000 };
+    assert_eq!(client.renew_task(&target, "t", &renew).await.unwrap(), TaskState::Stopped);
+    let again = client.start_task(&target, "t", &task(3, "")).await.unwrap();
+    assert_eq!(again, StartedTask::Started);
+    assert_eq!(standin.runs()["t"], 2);
+}
+
+#[tokio::test]
+async fn task_renew_raises_the_fence() {
+    let (_standin, client, target) = upstream().await;
+    client.start_task(&target, "t", &task(1, "")).await.unwrap();
+    let renew = TaskRenew { fence: 7, lease_ms: 60_000 };
+    let state = client.renew_task(&target, "t", &renew).await.unwrap();
+    assert_eq!(state, TaskState::Running { fence: 7 });
+    let old = TaskRenew { fence: 6, lease_ms: 60_000 };
+    assert_eq!(refused(client.renew_task(&target, "t", &old).await), "fence");
+}
+
+#[tokio::test]
+async fn task_throttle_checkpoint_and_stop() {
+    let (_standin, client, target) = upstream().await;
+    client.start_task(&target, "t", &task(1, "{\"done_ms\":500}")).await.unwrap();
+    let throttle = TaskThrottle { fence: 1, percent: 1 };
+    client.throttle_task(&target, "t", &throttle).await.unwrap();
+    assert!(client.checkpoint_task(&target, "t", 1).await.unwrap().done_ms >= 500);
+    assert_eq!(client.stop_task(&target, "t", 1).await.unwrap(), TaskState::Stopped);
+}
