--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,10 @@
 //! Fleet capacity and maintenance manager: admission, routing, limits, maintenance and recovery
 //! between callers and upstreams. `docs/design.md` describes the division into modules.
 
+pub mod api;
 pub mod config;
+pub mod connection;
+pub mod file;
 pub mod hold;
 pub mod ids;
 pub mod kind;
@@ -12,5 +15,10 @@
 pub mod record;
 pub mod replica;
 pub mod reqid;
+pub mod settings;
 pub mod snapshot;
+pub mod standin;
+pub mod standin_platform;
+mod standin_tasks;
+pub mod standin_upstream;
 pub mod state;
