--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod replica;
 pub mod reqid;
 pub mod request_id;
+pub mod retry;
 pub mod sched;
 pub mod serve;
 pub mod settings;
