Close races of restarts, moves and job claims in the fold

Cause: a delayed first Renew of an ended life marked the new life as gone, so that its reserve could be granted twice; a MoveEnd was valid before instances that still send by the old view had read the MoveStart; a JobClaim did not check the pool of the upstream; after a lowered max_deadline an ended instance's reserve was freed before its longest request was over. Change: only lives whose first Renew was read count as earlier; MoveEnd waits for all holders; JobClaim checks the pool; the fold keeps the longest deadline ever published. Mutations of the node are in place for the fuzzer. Test: state_fuzz passes.

--- a/src/node.rs
+++ b/src/node.rs
@@ -57,32 +57,40 @@
 #[doc(hidden)]
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Mutation {
-    /// Upstreams that drain, move or are out still get work.
+    /// Upstreams get work of any pool.
+    IgnorePools,
+    /// Upstreams that depart, drain, move or are out still get work.
     IgnoreClosedInstances,
     /// Zones taken out still get work.
     IgnoreZonesOut,
     /// Withdrawn keys still work.
     IgnoreWithdrawnKeys,
-    /// Any key stands for the open team.
+    /// Any key stands for the first team.
     IgnoreKeys,
     /// Borrowed units are used without end.
     LeaseNeverLapses,
     /// Observers free a holder's borrowed units without waiting.
     ExpireAtOnce,
+    /// Observers never free a lapsed holder's units.
+    NeverExpire,
+    /// The answer to an append counts as the fate of its records.
+    TrustAppendAnswers,
+    /// A record that was sent already counts as withdrawn.
+    WithdrawSent,
     /// A claim counts as won once it is read, whoever was first.
     ClaimAlwaysWins,
     /// Issued ids can be used again.
     IssuedIdsReusable,
     /// A job is started without a look at who holds it.
     StartAnyJob,
-    /// An adopter takes an unknown task of a living upstream or a gone one as never started.
+    /// A job that may have run is released to run again.
     ReleaseUnknownTasks,
     /// Entries beyond the position are folded as if none were missing.
     SkipGaps,
-    /// `ZoneBack` in the queue drops holds of the zone.
-    HoldsEndEarly,
-    /// Work in hand is given up when the instance stops.
-    StopDropsWork,
+    /// Nobody writes snapshots.
+    NoSnapshots,
+    /// A stopping instance counts as having left at once.
+    LeaveAtOnce,
 }
 
 /// A call as it arrived, without its body.
@@ -170,7 +178,7 @@
         Node {
             rng: ChaCha8Rng::seed_from_u64(cfg.seed),
             now,
-            replica: Replica::new(),
+            replica: Replica::new().with_gaps_skipped(cfg.mutation == Some(Mutation::SkipGaps)),
             outbox: Outbox::new(cfg.id.clone(), cfg.incarnation),
             units: OwnUnits::new(),
             watch: Watch::new(),
@@ -300,6 +308,11 @@
     /// The answer to an append; `None` when it was lost. The fate is learned by reading.
     pub fn on_append(&mut self, now: Time, seq: u64, answer: Option<Offset>) {
         self.advance(now);
+        if let Some(offset) = answer
+            && self.mutated(Mutation::TrustAppendAnswers)
+        {
+            self.outbox.trust(seq, offset);
+        }
         self.outbox.on_append(now, seq, answer);
     }
 
@@ -325,7 +338,7 @@
     /// Takes a proposed record back; true when it was never sent and so has no effect.
     pub fn withdraw(&mut self, ticket: u64) -> bool {
         self.claiming.retain(|_, claiming| *claiming != ticket);
-        self.outbox.withdraw(ticket)
+        self.outbox.withdraw(ticket) || self.mutated(Mutation::WithdrawSent)
     }
 
     /// Own clocks are monotonic; a time before the latest one counts as the latest one.
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -81,9 +81,12 @@
             return Err(Refusal::new(Kind::NoView));
         }
         let state = self.state();
-        let Some(instance) = state.instances.get(upstream).filter(|i| i.pool == *pool) else {
+        let Some(instance) = state.instances.get(upstream) else {
             return Err(Refusal::new(Kind::NoUpstream));
         };
+        if instance.pool != *pool && !self.mutated(Mutation::IgnorePools) {
+            return Err(Refusal::new(Kind::NoUpstream));
+        }
         let zone_out =
             state.zones_out.contains_key(&instance.zone) || self.holds.has_zone(&instance.zone);
         if zone_out && !self.mutated(Mutation::IgnoreZonesOut) {
@@ -152,7 +155,7 @@
 
     /// Whether the log has the last `Renew` of a stopping instance, which gave everything back.
     pub fn has_left(&self) -> bool {
-        self.left
+        self.left || self.stopping && self.mutated(Mutation::LeaveAtOnce)
     }
 }
 
--- a/src/node/timers.rs
+++ b/src/node/timers.rs
@@ -37,6 +37,9 @@
 
     fn expire_lapsed(&mut self, now: Time) {
         let longest = self.state().longest_deadline();
+        if self.mutated(Mutation::NeverExpire) {
+            return;
+        }
         let at_once = self.mutated(Mutation::ExpireAtOnce);
         let others =
             self.replica.state().holders.iter().filter(|(id, _)| **id != self.cfg.incarnation);
@@ -67,7 +70,7 @@
         };
         let random = delay.mul_f64(self.rng.random_range(0.0..1.0));
         let due = *self.snapshot.due.get_or_insert(now + random);
-        if now < due || self.outbox.queued() > 0 {
+        if now < due || self.outbox.queued() > 0 || self.mutated(Mutation::NoSnapshots) {
             return;
         }
         self.write_snapshot();
--- a/src/outbox.rs
+++ b/src/outbox.rs
@@ -202,6 +202,16 @@
         }
     }
 
+    /// Takes an append's answer for the fate of its records, which it is not.
+    #[doc(hidden)]
+    pub fn trust(&mut self, seq: u64, offset: Offset) {
+        let sent = self.in_flight.as_ref().filter(|sent| sent.seq == seq);
+        let tickets = sent.map_or(Vec::new(), |sent| sent.tickets.clone());
+        for ticket in tickets {
+            self.set_fate(ticket, Fate::Applied(offset));
+        }
+    }
+
     /// Takes note of a folded entry; returns the batch in flight when it is the one.
     pub fn on_folded(&mut self, folded: &Folded) -> Option<InFlight> {
         let mine = folded.batch.incarnation == self.incarnation;
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -57,6 +57,8 @@
     /// Series of snapshot parts in the log, counted without their data.
     series: Collector,
     newest_snapshot: Option<Offset>,
+    /// See `with_gaps_skipped`.
+    skip_gaps: bool,
 }
 
 impl Default for Replica {
@@ -78,9 +80,17 @@
             recent_bytes: 0,
             series: Collector::new(true),
             newest_snapshot: None,
+            skip_gaps: false,
         }
     }
 
+    /// Folds on after missing entries. Only for the fuzzer, which must notice the fault.
+    #[doc(hidden)]
+    pub fn with_gaps_skipped(mut self, skip: bool) -> Replica {
+        self.skip_gaps = skip;
+        self
+    }
+
     /// The state as far as folded.
     pub fn state(&self) -> &State {
         &self.state
@@ -125,6 +135,9 @@
         }
         let mut step = Step::default();
         for entry in &answer.entries {
+            if self.skip_gaps && entry.offset > self.state.next() {
+                self.state.skip(entry.offset - 1);
+            }
             if entry.offset != self.next_offset() {
                 continue;
             }
@@ -144,7 +157,7 @@
     fn start_scan_if_trimmed(&mut self) {
         let first = self.first;
         match &mut self.mode {
-            Mode::Fold if self.state.next() < first => {
+            Mode::Fold if self.state.next() < first && !self.skip_gaps => {
                 self.mode = Mode::Scan { pos: first, parts: Collector::new(false) };
             }
             Mode::Scan { pos, .. } => *pos = first.max(*pos),
--- a/src/state.rs
+++ b/src/state.rs
@@ -98,6 +98,8 @@
     BacklogFull,
     #[snafu(display("{instance:?} is out, drains, moves or is gone"))]
     InstanceClosed { instance: InstanceId },
+    #[snafu(display("an entry instance has not read yet that {instance:?} moves"))]
+    MoveNotSeen { instance: InstanceId },
     #[snafu(display("the request id was claimed before"))]
     ClaimTaken,
     #[snafu(display("the record of {len} bytes does not fit into an entry"))]
@@ -133,6 +135,8 @@
     job_totals: jobs::Totals,
     /// Last batch sequence by incarnation; oldest first.
     writers: IndexMap<Incarnation, u64>,
+    /// Longest time that a request could ever take, in milliseconds.
+    longest_deadline_ms: u64,
     ops: IndexMap<OpId, Offset>,
     op_order: VecDeque<OpId>,
 }
@@ -213,7 +217,7 @@
 
     /// Longest time that a request may take; work of an ended entry instance is over by then.
     pub fn longest_deadline(&self) -> Duration {
-        self.config.profiles.values().map(|p| p.max_deadline).max().unwrap_or_default()
+        Duration::from_millis(self.longest_deadline_ms)
     }
 
     /// Drops the oldest incarnation that holds nothing.
@@ -309,6 +313,9 @@
             }
         }
         self.config.change(changes).map_err(mistakes)?;
+        let longest = self.config.profiles.values().map(|p| p.max_deadline).max();
+        let longest_ms = longest.unwrap_or_default().as_millis() as u64;
+        self.longest_deadline_ms = self.longest_deadline_ms.max(longest_ms);
         for change in changes {
             match &change.body {
                 Some(values) => {
--- a/src/state/budget.rs
+++ b/src/state/budget.rs
@@ -155,7 +155,17 @@
         Err(Reject::Budget { domain: format!("pool {pool}"), down: size - up, allowed })
     }
 
+    /// Every entry instance that may still send work has folded everything below `offset`. One that is
+    /// cut off counts too, for it serves on by its old view.
+    fn all_have_seen(&self, offset: Offset) -> bool {
+        self.holders.values().all(|h| h.seen > offset || h.departing && h.grants.is_empty())
+    }
+
     pub(super) fn move_end(&mut self, id: &InstanceId, entered: bool) -> Applied {
+        let started = self.instances.get(id).and_then(|i| i.moving.as_ref()).map(|(_, at)| *at);
+        if entered && started.is_some_and(|at| !self.all_have_seen(at)) {
+            return Err(Reject::MoveNotSeen { instance: id.clone() });
+        }
         let instance = self.instances.get_mut(id).ok_or_else(|| missing("instance", id))?;
         let (to, _) =
             instance.moving.take().ok_or_else(|| Reject::NotUnderWay { instance: id.clone() })?;
--- a/src/state/grants.rs
+++ b/src/state/grants.rs
@@ -32,6 +32,8 @@
     /// Its id; several lives may share it.
     pub id: EntryId,
     pub addresses: Addresses,
+    /// Offset of its first `Renew`.
+    pub first_renewed_at: Offset,
     /// Offset of its last `Renew`.
     pub renewed_at: Offset,
     /// First offset that it had not folded when it renewed.
@@ -89,10 +91,13 @@
         want: &IndexMap<TeamId, Want>,
         departing: bool,
     ) -> Applied {
-        self.mark_earlier_lives_gone(cx);
+        self.mark_earlier_lives_gone(cx, seen);
+        let known = self.holders.get(&cx.incarnation);
+        let first_renewed_at = known.map_or(cx.offset, |known| known.first_renewed_at);
         let mut holder = Holder {
             id: cx.writer.clone(),
             addresses,
+            first_renewed_at,
             renewed_at: cx.offset,
             seen,
             departing,
@@ -110,10 +115,13 @@
         Ok(Verdict::Applied)
     }
 
-    /// The platform runs one process per entry id, so a new life shows that earlier ones ended.
-    fn mark_earlier_lives_gone(&mut self, cx: Cx) {
+    /// The platform runs one process per entry id, so a new life shows that earlier ones ended. Earlier
+    /// are those whose first `Renew` this life had read: a delayed batch of an ended life may come
+    /// after the first one of a new life, and does not end that.
+    fn mark_earlier_lives_gone(&mut self, cx: Cx, seen: Offset) {
         for (incarnation, holder) in &mut self.holders {
-            if holder.id == *cx.writer && *incarnation != cx.incarnation {
+            let read = holder.first_renewed_at < seen;
+            if holder.id == *cx.writer && *incarnation != cx.incarnation && read {
                 holder.gone = true;
             }
         }
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -125,6 +125,10 @@
             return Err(Reject::JobElsewhere { job: id.clone() });
         }
         self.require_open(upstream)?;
+        let service = self.config.services.get(&job.spec.service);
+        if service.map(|s| &s.pool) != self.instances.get(upstream).map(|i| &i.pool) {
+            return Err(Reject::WrongPool { instance: upstream.clone() });
+        }
         let team = job.spec.team.clone();
         let limit = self.limit(&team);
         if self.units_in_use(&team) >= limit {
