--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,14 +1,18 @@
 //! Fleet capacity and maintenance manager: admission, routing, limits, maintenance and recovery
 //! between callers and upstreams. `docs/design.md` describes the division into modules.
 
+pub mod admin;
 pub mod answer;
 pub mod api;
 pub mod body;
 pub mod call;
+pub mod cli;
 pub mod config;
 pub mod connection;
+pub mod difference;
 pub mod dispatch;
 pub mod entry;
+pub mod exit;
 pub mod fair;
 pub mod file;
 pub mod health;
@@ -20,6 +24,7 @@
 pub mod learn;
 pub mod lease;
 pub mod node;
+pub mod operate;
 pub mod operators;
 pub mod outbox;
 pub mod peer;
@@ -32,6 +37,7 @@
 pub mod record;
 pub mod relay;
 pub mod replica;
+pub mod report;
 pub mod reqid;
 pub mod request_id;
 pub mod retry;
@@ -40,6 +46,7 @@
 pub mod settings;
 pub mod snapshot;
 pub mod standin;
+pub mod standin_command;
 pub mod standin_platform;
 mod standin_tasks;
 pub mod standin_upstream;
