--- /dev/null
+++ b/src/buffer.rs
@@ -0,0 +1,293 @@
+//! How many slots to hold above the mean load: the least that carries the bursts and the loss of
+//! one availability zone.
+//!
+//! Demand is recorded per pool. A plan is found by replaying the record as a fluid: each pool has
+//! its own slots, and a shared buffer lends to those that are short, after the time that a move
+//! takes. Bursts come in turn, so one shared buffer serves all pools; a headroom in each pool would
+//! hold the same slots once a pool.
+
+use crate::ids::*;
+use indexmap::IndexMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Length of one sample of demand.
+pub const SAMPLE: Duration = Duration::from_secs(1);
+/// Samples kept for a pool: 15 minutes.
+pub const MAX_SAMPLES: usize = 900;
+/// Samples over whose maximum the present need is taken; holds instances through a lull.
+const NEED_SAMPLES: usize = 10;
+/// Waiting work is to be worked off within this time, in seconds.
+const DRAIN_SECS: f64 = 1.0;
+/// Parts of a pool's peak, in percent, that its own slots may cover. Quantiles of the load left out
+/// everything between the quiet level and the peak, because bursts have two levels.
+const OWN_PARTS: [u32; 10] = [10, 20, 30, 40, 50, 60, 70, 80, 90, 100];
+/// Part of the samples in which a pool may exceed its allowed wait.
+const ALLOWED_MISSES: f64 = 0.01;
+
+/// Demand of one pool in one sample.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Sample {
+    /// Slot-seconds of work that arrived, per second.
+    pub offered: f64,
+    /// Slots in use.
+    pub used: u32,
+    /// Expected slot-seconds of waiting work.
+    pub waiting: f64,
+}
+
+impl Sample {
+    /// Slots that would serve the running work and drain the waiting work in time.
+    fn need(&self) -> f64 {
+        f64::from(self.used) + self.waiting / DRAIN_SECS
+    }
+}
+
+/// Recorded demand of all pools.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    pools: IndexMap<PoolId, VecDeque<Sample>>,
+}
+
+impl Demand {
+    /// No record yet.
+    pub fn new() -> Demand {
+        Demand::default()
+    }
+
+    /// Takes in one sample of each pool; call it every `SAMPLE`.
+    pub fn observe(&mut self, pool: &PoolId, sample: Sample) {
+        let samples = self.pools.entry(pool.clone()).or_default();
+        if samples.len() == MAX_SAMPLES {
+            samples.pop_front();
+        }
+        samples.push_back(sample);
+    }
+
+    /// Slots that a pool needs now: the most of the last few samples.
+    pub fn need(&self, pool: &PoolId) -> u32 {
+        let Some(samples) = self.pools.get(pool) else { return 0 };
+        let recent = samples.iter().rev().take(NEED_SAMPLES).map(Sample::need);
+        recent.fold(0.0, f64::max).ceil() as u32
+    }
+
+    /// Mean offered load of a pool in slots.
+    pub fn mean(&self, pool: &PoolId) -> f64 {
+        let Some(samples) = self.pools.get(pool) else { return 0.0 };
+        let sum: f64 = samples.iter().map(|sample| sample.offered).sum();
+        sum / samples.len().max(1) as f64
+    }
+
+    /// Samples that every pool has.
+    fn len(&self) -> usize {
+        self.pools.values().map(VecDeque::len).min().unwrap_or(0)
+    }
+
+    /// The newest offered loads, one list a pool, of equal length.
+    fn offered(&self) -> Vec<Vec<f64>> {
+        let len = self.len();
+        let newest = |samples: &VecDeque<Sample>| {
+            samples.iter().skip(samples.len() - len).map(|sample| sample.offered).collect()
+        };
+        self.pools.values().map(newest).collect()
+    }
+}
+
+/// What a buffer has to carry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Availability zones over which instances are spread evenly.
+    pub zones: u32,
+    /// Slots of one instance; whole instances are held.
+    pub instance_slots: u32,
+    /// Time from a pool being short to a lent instance serving in it.
+    pub lend_after: Duration,
+    /// Longest wait that counts as carried.
+    pub wait: Duration,
+    /// Most slots above the mean load, in percent of it; from the profiles' `buffer_percent`.
+    pub max_percent: u32,
+}
+
+/// Which requirement sets the size of the buffer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Binding {
+    /// The bursts.
+    Bursts,
+    /// The loss of one zone.
+    ZoneLoss,
+    /// The profiles' upper limit; less is carried than wanted.
+    Limit,
+}
+
+/// Slots to hold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Buffer {
+    /// Own slots of each pool.
+    pub own: IndexMap<PoolId, u32>,
+    /// Slots of the shared buffer.
+    pub shared: u32,
+    /// Mean load in slots.
+    pub mean: f64,
+    /// Slots held above the mean load: what the buffer costs all the time.
+    pub cost: f64,
+    pub binding: Binding,
+}
+
+/// The least buffer for the recorded demand; `None` while there is no record.
+pub fn least(demand: &Demand, terms: &Terms) -> Option<Buffer> {
+    let offered = demand.offered();
+    if demand.len() == 0 {
+        return None;
+    }
+    let peaks: Vec<f64> = offered.iter().map(|pool| quantile_of(pool, 100)).collect();
+    let candidates = OWN_PARTS.iter().filter_map(|part| {
+        let part = f64::from(*part) / 100.0;
+        let own: Vec<u32> = peaks.iter().map(|peak| whole(peak * part, terms)).collect();
+        let shared = least_shared(&offered, &own, terms)?;
+        Some((own.iter().sum::<u32>() + shared, own, shared))
+    });
+    let (total, own, shared) = candidates.min_by_key(|(total, _, _)| *total)?;
+    let mean: f64 = demand.pools.keys().map(|pool| demand.mean(pool)).sum();
+    let (shared, binding) = with_limits(&offered, total, shared, mean, terms);
+    let held = f64::from(own.iter().sum::<u32>() + shared);
+    let own = demand.pools.keys().cloned().zip(own).collect();
+    Some(Buffer { own, shared, mean, cost: held - mean, binding })
+}
+
+/// Adds what the loss of a zone needs, and cuts to the limit of the profiles.
+fn with_limits(
+    offered: &[Vec<f64>],
+    total: u32,
+    shared: u32,
+    mean: f64,
+    terms: &Terms,
+) -> (u32, Binding) {
+    let own = total - shared;
+    let after_loss = whole(zone_loss_need(offered, terms.zones), terms);
+    let wanted = total.max(after_loss);
+    let limit = (mean * (1.0 + f64::from(terms.max_percent) / 100.0)) as u32;
+    let binding = if wanted > limit.max(own) {
+        Binding::Limit
+    } else if after_loss > total {
+        Binding::ZoneLoss
+    } else {
+        Binding::Bursts
+    };
+    (wanted.min(limit.max(own)) - own, binding)
+}
+
+/// Slots of which the rest carries nearly all samples of the summed load when one zone is gone.
+fn zone_loss_need(offered: &[Vec<f64>], zones: u32) -> f64 {
+    if zones < 2 {
+        return 0.0;
+    }
+    let len = offered.first().map_or(0, Vec::len);
+    let sums: Vec<f64> = (0..len).map(|t| offered.iter().map(|pool| pool[t]).sum()).collect();
+    quantile_of(&sums, 99) * f64::from(zones) / f64::from(zones - 1)
+}
+
+/// The least shared buffer that carries the record; `None` when none does.
+fn least_shared(offered: &[Vec<f64>], own: &[u32], terms: &Terms) -> Option<u32> {
+    let step = terms.instance_slots.max(1);
+    let most: f64 = offered.iter().map(|pool| quantile_of(pool, 100)).sum();
+    let (mut low, mut high) = (0, (most / f64::from(step)).ceil() as u32 + 1);
+    if !carries(offered, own, high * step, terms) {
+        return None;
+    }
+    while low < high {
+        let middle = (low + high) / 2;
+        if carries(offered, own, middle * step, terms) {
+            high = middle;
+        } else {
+            low = middle + 1;
+        }
+    }
+    Some(low * step)
+}
+
+/// Whether own slots and a shared buffer keep nearly all samples within the allowed wait.
+fn carries(offered: &[Vec<f64>], own: &[u32], shared: u32, terms: &Terms) -> bool {
+    let len = offered.first().map_or(0, Vec::len);
+    let delay = (terms.lend_after.as_secs_f64() / SAMPLE.as_secs_f64()).ceil() as usize;
+    let allowed = (ALLOWED_MISSES * (len * offered.len()) as f64) as usize;
+    let mut lent = vec![0.0; own.len()];
+    let mut under_way: VecDeque<Vec<f64>> = VecDeque::from(vec![vec![0.0; own.len()]; delay]);
+    let mut backlog = vec![0.0; own.len()];
+    let mut misses = 0;
+    for t in 0..len {
+        for (pool, arrived) in under_way.pop_front().into_iter().flatten().enumerate() {
+            lent[pool] += arrived;
+        }
+        for pool in 0..own.len() {
+            let slots = f64::from(own[pool]) + lent[pool];
+            backlog[pool] = f64::max(backlog[pool] + offered[pool][t] - slots, 0.0);
+            if backlog[pool] > terms.wait.as_secs_f64() * slots {
+                misses += 1;
+                // Work beyond the allowed wait is refused; it does not burden later samples.
+                backlog[pool] = terms.wait.as_secs_f64() * slots;
+            }
+        }
+        if misses > allowed {
+            return false;
+        }
+        let load: Vec<f64> = offered.iter().map(|pool| pool[t]).collect();
+        under_way.push_back(lend(&load, &backlog, own, &mut lent, &under_way, shared, terms));
+    }
+    true
+}
+
+/// Starts moves to pools that are short: free slots first, then what other pools do not need.
+fn lend(
+    load: &[f64],
+    backlog: &[f64],
+    own: &[u32],
+    lent: &mut [f64],
+    under_way: &VecDeque<Vec<f64>>,
+    shared: u32,
+    terms: &Terms,
+) -> Vec<f64> {
+    let step = f64::from(terms.instance_slots.max(1));
+    let mut coming: Vec<f64> =
+        (0..own.len()).map(|pool| under_way.iter().map(|moves| moves[pool]).sum()).collect();
+    let mut free = f64::from(shared) - lent.iter().sum::<f64>() - coming.iter().sum::<f64>();
+    let mut starts = vec![0.0; own.len()];
+    for pool in 0..own.len() {
+        let need = load[pool] + backlog[pool] / DRAIN_SECS;
+        let mut missing = need - f64::from(own[pool]) - lent[pool] - coming[pool];
+        while missing > 0.0 {
+            if free < step && !reclaim(load, own, lent, pool, step) {
+                break;
+            }
+            free = if free >= step { free - step } else { free };
+            starts[pool] += step;
+            coming[pool] += step;
+            missing -= step;
+        }
+    }
+    starts
+}
+
+/// Takes one lent instance from a pool that does not need it.
+fn reclaim(load: &[f64], own: &[u32], lent: &mut [f64], but: usize, step: f64) -> bool {
+    let unneeded = |pool: &usize| {
+        lent[*pool] >= step && load[*pool] + step <= f64::from(own[*pool]) + lent[*pool]
+    };
+    let donor = (0..own.len()).filter(|pool| *pool != but).find(unneeded);
+    if let Some(donor) = donor {
+        lent[donor] -= step;
+    }
+    donor.is_some()
+}
+
+/// Slots rounded up to whole instances.
+fn whole(slots: f64, terms: &Terms) -> u32 {
+    let step = terms.instance_slots.max(1);
+    (slots / f64::from(step)).ceil() as u32 * step
+}
+
+fn quantile_of(values: &[f64], percent: usize) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let at = (sorted.len() * percent / 100).min(sorted.len().saturating_sub(1));
+    sorted.get(at).copied().unwrap_or(0.0)
+}
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -6,6 +6,7 @@
 
 use crate::fair::Need;
 use crate::ids::*;
+use crate::maintenance::return_part;
 use crate::protocol::{Listed, Presence};
 use indexmap::IndexMap;
 use rand::RngExt;
@@ -15,10 +16,6 @@
 
 /// A report older than this no longer shows an instance as full.
 const REPORT_TRUST: Duration = Duration::from_secs(2);
-/// Time after which an instance of a zone that came back takes its full load.
-const RETURN_RAMP: Duration = Duration::from_secs(10);
-/// Part of its slots that an instance of a zone that came back takes at once.
-const RETURN_START: f64 = 0.25;
 
 /// Load index of one zone: part of the slots in use (per mille), a random order among equals, index.
 type ByLoad = BTreeSet<(u32, u32, u32)>;
@@ -47,8 +44,7 @@
 
     fn slots_at(&self, now: Time) -> u32 {
         let Some(returned) = self.returned else { return self.total.slots };
-        let age = now.saturating_sub(returned).as_secs_f64() / RETURN_RAMP.as_secs_f64();
-        let part = (RETURN_START + (1.0 - RETURN_START) * age).min(1.0);
+        let part = return_part(now.saturating_sub(returned));
         (f64::from(self.total.slots) * part).ceil() as u32
     }
 
--- /dev/null
+++ b/src/pools.rs
@@ -0,0 +1,186 @@
+//! Which instances move between pools: the spare pool lends, and gets back only what another pool
+//! or its own minimum needs.
+//!
+//! A lent instance stays where it is until it is needed elsewhere. Returning it at once would move
+//! it twice for each burst. A pool that gave an instance away, or got one, keeps the rest for
+//! `HOLD`, which rules out moves to and fro.
+
+use crate::fleet::*;
+use crate::ids::*;
+use indexmap::IndexMap;
+use std::time::Duration;
+
+/// A pool has to be short for this long before an instance moves to it.
+pub const SHORT_FOR: Duration = Duration::from_secs(1);
+/// Time for which a pool that received an instance gives none away.
+pub const HOLD: Duration = Duration::from_secs(20);
+/// Most moves under way to one pool at once, so that an overestimated need does not empty others.
+const MAX_INCOMING: u32 = 8;
+
+/// What the planner remembers between calls.
+#[derive(Clone, Debug, Default)]
+pub struct Pools {
+    memory: IndexMap<PoolId, Memory>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Memory {
+    short_since: Option<Time>,
+    received: Option<Time>,
+}
+
+/// Slots that a pool has, and could give.
+#[derive(Clone, Debug, Default)]
+struct Standing {
+    serving: u32,
+    slots: u32,
+    /// Slots on their way to the pool.
+    incoming: u32,
+}
+
+impl Pools {
+    /// Remembers nothing.
+    pub fn new() -> Pools {
+        Pools::default()
+    }
+
+    /// Decides which instances move. `incoming` gives the target of each move under way.
+    pub fn plan(
+        &mut self,
+        now: Time,
+        view: &FleetView,
+        incoming: &IndexMap<InstanceId, PoolId>,
+    ) -> Plan {
+        let mut plan = Plan::default();
+        let mut standings = standings(view, incoming);
+        let mut taken: Vec<InstanceId> = Vec::new();
+        for (pool, missing) in self.short_pools(now, view, &standings) {
+            let mut left = missing;
+            while left > 0 && standings[&pool].incoming < MAX_INCOMING {
+                let Some(donor) = self.choose(now, view, &standings, &pool, &taken) else {
+                    plan.wait(&pool, WaitReason::NothingToLend { short: left });
+                    break;
+                };
+                left = left.saturating_sub(donor.slots);
+                taken.push(donor.id.clone());
+                self.note(now, donor, &pool, &mut standings);
+                let (instance, from) = (donor.id.clone(), donor.pool.clone());
+                let action = Action::MoveStart { instance, from, to: pool.clone() };
+                plan.act(action, Why::PoolShort);
+            }
+        }
+        self.note_brief(now, &mut plan);
+        plan
+    }
+
+    /// Pools that have been short for long enough, with the slots that they miss; the shortest
+    /// relative to its need first.
+    fn short_pools(
+        &mut self,
+        now: Time,
+        view: &FleetView,
+        standings: &IndexMap<PoolId, Standing>,
+    ) -> Vec<(PoolId, u32)> {
+        let mut short = Vec::new();
+        for (pool, rules) in &view.pools {
+            let memory = self.memory.entry(pool.clone()).or_default();
+            let standing = &standings[pool];
+            let missing = rules.need_slots.saturating_sub(standing.slots);
+            if missing == 0 || rules.spare {
+                memory.short_since = None;
+                continue;
+            }
+            let since = *memory.short_since.get_or_insert(now);
+            if now >= since + SHORT_FOR {
+                short.push((missing * 1_000 / rules.need_slots.max(1), pool.clone(), missing));
+            }
+        }
+        short.sort_by_key(|(part, _, _)| std::cmp::Reverse(*part));
+        short.into_iter().map(|(_, pool, missing)| (pool, missing)).collect()
+    }
+
+    /// The instance whose move costs least: of a spare pool, without planned work, idle.
+    fn choose<'a>(
+        &self,
+        now: Time,
+        view: &'a FleetView,
+        standings: &IndexMap<PoolId, Standing>,
+        to: &PoolId,
+        taken: &[InstanceId],
+    ) -> Option<&'a InstanceView> {
+        let gives = |instance: &&InstanceView| {
+            instance.status == Status::Serving
+                && instance.pool != *to
+                && view.zone_state(&instance.zone) == ZoneState::In
+                && !taken.contains(&instance.id)
+                && self.can_give(now, view, standings, instance)
+        };
+        let cost = |instance: &&InstanceView| {
+            let spare = view.pools.get(&instance.pool).is_some_and(|pool| pool.spare);
+            (instance.planned, !spare, instance.running, instance.id.clone())
+        };
+        view.instances.iter().filter(gives).min_by_key(cost)
+    }
+
+    fn can_give(
+        &self,
+        now: Time,
+        view: &FleetView,
+        standings: &IndexMap<PoolId, Standing>,
+        instance: &InstanceView,
+    ) -> bool {
+        let Some(rules) = view.pools.get(&instance.pool) else { return false };
+        let standing = &standings[&instance.pool];
+        let received = self.memory.get(&instance.pool).and_then(|memory| memory.received);
+        let held = !rules.spare && received.is_some_and(|received| now < received + HOLD);
+        let need = if rules.spare { 0 } else { rules.need_slots };
+        !held && standing.serving > rules.min_instances && standing.slots >= need + instance.slots
+    }
+
+    fn note(
+        &mut self,
+        now: Time,
+        donor: &InstanceView,
+        to: &PoolId,
+        standings: &mut IndexMap<PoolId, Standing>,
+    ) {
+        self.memory.entry(to.clone()).or_default().received = Some(now);
+        if let Some(from) = standings.get_mut(&donor.pool) {
+            from.serving -= 1;
+            from.slots -= donor.slots;
+        }
+        if let Some(to) = standings.get_mut(to) {
+            to.slots += donor.slots;
+            to.incoming += 1;
+        }
+    }
+
+    fn note_brief(&self, now: Time, plan: &mut Plan) {
+        for (pool, memory) in &self.memory {
+            if memory.short_since.is_some_and(|since| now < since + SHORT_FOR) {
+                plan.wait(pool, WaitReason::ShortTooBriefly);
+            }
+        }
+    }
+}
+
+fn standings(
+    view: &FleetView,
+    incoming: &IndexMap<InstanceId, PoolId>,
+) -> IndexMap<PoolId, Standing> {
+    let mut standings: IndexMap<PoolId, Standing> =
+        view.pools.keys().map(|pool| (pool.clone(), Standing::default())).collect();
+    for instance in &view.instances {
+        if instance.status == Status::Serving {
+            let standing = standings.entry(instance.pool.clone()).or_default();
+            standing.serving += 1;
+            standing.slots += instance.slots;
+        }
+        if let Some(to) = incoming.get(&instance.id) {
+            let standing = standings.entry(to.clone()).or_default();
+            standing.slots += instance.slots;
+            standing.incoming += 1;
+        }
+    }
+    standings
+}
--- /dev/null
+++ b/tests/buffer.rs
@@ -0,0 +1,74 @@
+//! Size of the buffer. Guards against a buffer that does not carry what it has to, and against one
+//! that is larger than needed.
+
+use jacinthhook::buffer::{Binding, Demand, Sample, Terms, least};
+use std::time::Duration;
+
+fn terms() -> Terms {
+    Terms {
+        zones: 3,
+        instance_slots: 8,
+        lend_after: Duration::from_secs(2),
+        wait: Duration::from_millis(1_400),
+        max_percent: 1_000,
+    }
+}
+
+/// `pools` pools whose loads rise from 20 to `peak` slots in turn, for 10 s of each minute.
+fn in_turn(pools: usize, peak: f64) -> Demand {
+    let mut demand = Demand::new();
+    for t in 0..600 {
+        for pool in 0..pools {
+            let bursts = (t / 12) % pools == pool && t % 12 < 10;
+            let offered = if bursts { peak } else { 20.0 };
+            let sample = Sample { offered, used: offered as u32, waiting: 0.0 };
+            demand.observe(&format!("p{pool}").into(), sample);
+        }
+    }
+    demand
+}
+
+#[test]
+fn least_no_record() {
+    assert_eq!(least(&Demand::new(), &terms()), None);
+}
+
+#[test]
+fn least_steady_load() {
+    // Without bursts only the loss of a zone needs a buffer: half of what is left.
+    let buffer = least(&in_turn(4, 20.0), &terms()).unwrap();
+    assert_eq!(buffer.binding, Binding::ZoneLoss);
+    let held: u32 = buffer.own.values().sum::<u32>() + buffer.shared;
+    assert_eq!(held, 120);
+}
+
+#[test]
+fn least_bursts_in_turn() {
+    // Bursts in turn share one buffer: less than the peak of each pool, at least the peak sum.
+    let buffer = least(&in_turn(5, 100.0), &terms()).unwrap();
+    let held: u32 = buffer.own.values().sum::<u32>() + buffer.shared;
+    assert!(held < 5 * 104 * 3 / 4, "{held} slots held");
+    assert!(f64::from(held) >= 180.0, "{held} slots do not carry the summed load");
+}
+
+#[test]
+fn least_up_to_limit() {
+    let limited = Terms { max_percent: 10, ..terms() };
+    let buffer = least(&in_turn(4, 20.0), &limited).unwrap();
+    assert_eq!(buffer.binding, Binding::Limit);
+}
+
+#[test]
+fn need_holds_through_lull() {
+    let mut demand = Demand::new();
+    let pool = "p".into();
+    demand.observe(&pool, Sample { offered: 50.0, used: 40, waiting: 10.0 });
+    for _ in 0..5 {
+        demand.observe(&pool, Sample::default());
+    }
+    assert_eq!(demand.need(&pool), 50);
+    for _ in 0..10 {
+        demand.observe(&pool, Sample::default());
+    }
+    assert_eq!(demand.need(&pool), 0);
+}
--- /dev/null
+++ b/tests/pools.rs
@@ -0,0 +1,173 @@
+//! Moves between pools. Guards against moves to and fro, against pools emptied below their minimum,
+//! and against moves of instances that run planned work.
+
+use indexmap::IndexMap;
+use jacinthhook::fleet::*;
+use jacinthhook::ids::{InstanceId, PoolId, Time};
+use jacinthhook::pools::Pools;
+use quickcheck::quickcheck;
+use std::time::Duration;
+
+const SEC: Duration = Duration::from_secs(1);
+
+fn view(sizes: &[u32]) -> FleetView {
+    let mut fleet = FleetView::default();
+    for (pool, size) in sizes.iter().enumerate() {
+        let id: PoolId = format!("p{pool}").into();
+        for n in 0..*size {
+            fleet.instances.push(InstanceView {
+                id: format!("p{pool}-i{n}").into(),
+                pool: id.clone(),
+                zone: format!("z{}", n % 3).into(),
+                rack: format!("z{}-r{}", n % 3, n / 12).into(),
+                status: Status::Serving,
+                slots: 8,
+                running: 0,
+                planned: 0,
+                checkpointed: None,
+                due: 1_000_000 * SEC,
+            });
+        }
+        let rules = PoolView {
+            spare: pool == 0,
+            min_instances: 1,
+            unavailable_percent: 10,
+            unavailable_per_rack: 1,
+            drain_timeout: 10 * SEC,
+            maintenance_interval: 1_000_000 * SEC,
+            need_slots: 0,
+        };
+        fleet.pools.insert(id, rules);
+    }
+    fleet
+}
+
+/// A planner, a fleet and the moves under way; each move ends after one step.
+struct World {
+    pools: Pools,
+    fleet: FleetView,
+    incoming: IndexMap<InstanceId, PoolId>,
+    moves: Vec<(InstanceId, PoolId, PoolId)>,
+}
+
+impl World {
+    fn new(sizes: &[u32]) -> World {
+        World {
+            pools: Pools::new(),
+            fleet: view(sizes),
+            incoming: IndexMap::new(),
+            moves: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, now: Time) -> Plan {
+        for (id, to) in std::mem::take(&mut self.incoming) {
+            let moved = self.fleet.instances.iter_mut().find(|i| i.id == id).expect("listed");
+            (moved.pool, moved.status) = (to, Status::Serving);
+        }
+        let plan = self.pools.plan(now, &self.fleet, &self.incoming);
+        for decision in &plan.decisions {
+            let Action::MoveStart { instance, from, to } = &decision.action else {
+                panic!("pools only moves");
+            };
+            let moved =
+                self.fleet.instances.iter_mut().find(|i| i.id == *instance).expect("listed");
+            assert_eq!(moved.status, Status::Serving, "{instance} moved twice at once");
+            assert_eq!(moved.pool, *from);
+            moved.status = Status::Moving { since: now };
+            self.incoming.insert(instance.clone(), to.clone());
+            self.moves.push((instance.clone(), from.clone(), to.clone()));
+        }
+        plan
+    }
+
+    fn set_need(&mut self, pool: usize, slots: u32) {
+        self.fleet.pools[pool].need_slots = slots;
+    }
+
+    fn size(&self, pool: &str) -> usize {
+        self.fleet.instances.iter().filter(|i| &*i.pool == pool).count()
+    }
+}
+
+#[test]
+fn plan_spare_lends() {
+    let mut world = World::new(&[4, 4, 4]);
+    world.set_need(1, 48);
+    (0..4).for_each(|t| drop(world.step(SEC * t)));
+    assert_eq!((world.size("p0"), world.size("p1"), world.size("p2")), (2, 6, 4));
+}
+
+#[test]
+fn plan_bursts_in_turn() {
+    // Two pools that burst in turn share the same lent instances; none goes back in between.
+    let mut world = World::new(&[3, 4, 4]);
+    for t in 0..200 {
+        let bursting = 1 + (t / 40) % 2;
+        world.set_need(bursting, 48);
+        world.set_need(3 - bursting, 8);
+        world.step(SEC * t as u32);
+    }
+    // 2 moves for the first burst and at most 2 for each of the 4 that follow.
+    assert!(world.moves.len() <= 10, "{} moves", world.moves.len());
+    assert!(world.moves.iter().all(|(_, _, to)| &**to != "p0"), "returned without need");
+}
+
+#[test]
+fn plan_brief_shortage() {
+    // A need that lasts one step is not worth a move.
+    let mut world = World::new(&[3, 4]);
+    for t in 0..20 {
+        world.set_need(1, if t % 2 == 0 { 64 } else { 8 });
+        let plan = world.step(SEC / 2 * t);
+        assert!(plan.decisions.is_empty());
+    }
+}
+
+#[test]
+fn plan_planned_work_moved_last() {
+    let mut world = World::new(&[3, 2]);
+    for i in 0..2 {
+        world.fleet.instances[i].planned = 1;
+    }
+    world.set_need(1, 24);
+    (0..3).for_each(|t| drop(world.step(SEC * t)));
+    assert_eq!(world.moves.len(), 1);
+    assert_eq!(&*world.moves[0].0, "p0-i2");
+}
+
+#[test]
+fn plan_nothing_to_lend() {
+    let mut world = World::new(&[1, 2, 2]);
+    world.set_need(1, 64);
+    world.set_need(2, 16);
+    world.step(Time::ZERO);
+    let plan = world.step(SEC);
+    let reason = WaitReason::NothingToLend { short: 48 };
+    assert!(plan.waits.contains(&Wait { pool: "p1".into(), reason }));
+}
+
+quickcheck! {
+    /// Any needs: pools keep their minimum and what they need themselves, and no instance goes back
+    /// and forth between two pools within the holding time.
+    fn plan_any_needs(needs: Vec<(u8, u8)>) -> Result<bool, String> {
+        let mut world = World::new(&[3, 3, 3, 3]);
+        let mut last: IndexMap<InstanceId, (PoolId, Time)> = IndexMap::new();
+        for (t, (pool, need)) in (0u32..).zip(needs) {
+            let now = SEC * t;
+            world.set_need(1 + usize::from(pool) % 3, u32::from(need % 64));
+            let moves_before = world.moves.len();
+            world.step(now);
+            for (id, from, to) in &world.moves[moves_before..] {
+                if let Some((origin, when)) = last.insert(id.clone(), (from.clone(), now))
+                    && origin == *to && now < when + jacinthhook::pools::HOLD {
+                    return Err(format!("{id} went back to {to}"));
+                }
+            }
+            if (0..4).any(|p| world.size(&format!("p{p}")) < 1) {
+                return Err("a pool fell below its minimum".into());
+            }
+        }
+        Ok(true)
+    }
+}
