--- /dev/null
+++ b/tests/commands.rs
@@ -0,0 +1,120 @@
+//! Operators' commands against running entry instances. Guards against commands that say "done" without
+//! effect, and texts and exit codes that only the scripted instance of `operate` gives.
+
+mod env;
+
+use env::{DECLARATIONS, Env, SOON, verdict, wait_until};
+use jacinthhook::exit::Exit;
+use serde_json::{Value, json};
+
+/// Runs a command; answers its exit code and output.
+fn run(env: &Env, at: usize, args: &[&str]) -> (i32, String) {
+    let output = env.cli(at, args);
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code().expect("a code"), String::from_utf8_lossy(&text).into_owned())
+}
+
+fn done(env: &Env, args: &[&str]) -> String {
+    let (code, text) = run(env, 0, args);
+    assert_eq!(code, Exit::Done as i32, "{args:?}: {text}");
+    text
+}
+
+fn status(env: &Env, at: usize) -> Value {
+    serde_json::from_str(&env.cli_done(at, &["status", "--json"])).expect("JSON")
+}
+
+async fn call(env: &Env, at: usize, key: &str) -> (u16, String, String) {
+    let request = env.post(at, "/s/loans/x?tag=t").header("jacinthhook-key", key);
+    verdict(&request.send().await.expect("an answer"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn key_grant_and_withdraw() {
+    let env = Env::start().await;
+    let key = env.grant("counters");
+    let id = key.split_once('.').expect("an id").0;
+    assert!(done(&env, &["key", "list"]).contains(&format!("{id}  counters  granted")));
+    assert_eq!(call(&env, 1, &key).await.0, 200);
+    let text = done(&env, &["key", "withdraw", id]);
+    assert_eq!(text.matches("in force at offset").count(), 2, "{text}");
+    for at in 0..2 {
+        assert_eq!(call(&env, at, &key).await.1, "key_unknown");
+    }
+    assert!(done(&env, &["key", "list"]).contains("withdrawn"));
+    let (code, text) = run(&env, 0, &["key", "grant", "nobody"]);
+    assert_eq!(code, Exit::Refused as i32, "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn zone_out_and_back() {
+    let env = Env::start().await;
+    done(&env, &["zone", "out", "a"]);
+    let since = status(&env, 1)["zones"][0]["out_since"].as_u64();
+    assert!(since.is_some());
+    assert!(done(&env, &["status"]).contains(&format!("out since offset {}", since.unwrap_or(0))));
+    let (code, text) = run(&env, 1, &["zone", "back", "b"]);
+    assert_eq!(code, Exit::Refused as i32, "{text}");
+    done(&env, &["zone", "back", "a"]);
+    assert_eq!(status(&env, 1)["zones"][0]["out_since"], Value::Null);
+    // A second one names a command that is no longer in force.
+    let undoes = since.unwrap_or(0).to_string();
+    let (code, text) = run(&env, 0, &["zone", "back", "a", "--undoes", &undoes]);
+    assert_eq!(code, Exit::Refused as i32, "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn instance_out_and_back() {
+    let env = Env::start().await;
+    done(&env, &["instance", "out", "u-a"]);
+    let row = json!("u-a");
+    assert_eq!(status(&env, 1)["instances"][0]["instance"], row);
+    done(&env, &["instance", "back", "u-a"]);
+    wait_until("the instance takes work", SOON, async || {
+        status(&env, 1)["instances"].as_array().is_some_and(Vec::is_empty)
+    })
+    .await;
+}
+
+/// Two operators edit the same section; the second one must not undo the first one unseen.
+#[tokio::test(flavor = "multi_thread")]
+async fn publish_difference_and_mistakes() {
+    let env = Env::start().await;
+    let changed = DECLARATIONS.replace("limit = 40", "limit = 41");
+    let file = env.file("changed.ini", &changed);
+    let shown = done(&env, &["publish", &file, "--dry-run"]);
+    assert!(shown.contains("limit = 40 -> 41"), "{shown}");
+    let shown = done(&env, &["publish", &file]);
+    assert_eq!(shown.matches("in force at offset").count(), 2, "{shown}");
+    assert!(done(&env, &["publish", &file]).starts_with("no difference"));
+    let broken = env.file("broken.ini", &changed.replace("pool = main", "pool = mian"));
+    let (code, text) = run(&env, 1, &["publish", &broken]);
+    assert_eq!(code, Exit::Mistakes as i32);
+    assert_eq!(text.matches("did you mean main?").count(), 2, "{text}");
+}
+
+/// The log is down: restrictive commands are held on both instances, and the others are refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn commands_while_the_log_is_down() {
+    let env = Env::start().await;
+    let key = env.grant("counters");
+    let id = key.split_once('.').expect("an id").0;
+    env.faults(&env.platform, json!({ "down": true })).await;
+    wait_until("the log is away", SOON, async || {
+        status(&env, 0)["log_reachable"] == false && status(&env, 1)["log_reachable"] == false
+    })
+    .await;
+    let (code, text) = run(&env, 0, &["key", "withdraw", id, "--wait-ms", "500"]);
+    assert_eq!((code, text.matches("held").count()), (Exit::Partly as i32, 3), "{text}");
+    for at in 0..2 {
+        assert_eq!(call(&env, at, &key).await.1, "key_unknown");
+    }
+    let (code, text) = run(&env, 0, &["key", "grant", "counters"]);
+    assert_eq!(code, Exit::Refused as i32, "{text}");
+    assert!(text.contains("log"), "{text}");
+    env.faults(&env.platform, json!({})).await;
+    wait_until("the hold is in the log", SOON, async || {
+        run(&env, 0, &["key", "list"]).1.contains("counters  withdrawn\n")
+    })
+    .await;
+}
