--- /dev/null
+++ b/src/answer.rs
@@ -0,0 +1,118 @@
+//! Answers that an entry instance makes itself: JSON, plain text and refusals.
+
+use crate::kind::{Kind, Ran, Refusal};
+use rocket::http::{Header, Status};
+use rocket::response::{Responder, Response, Result as RocketResult};
+use rocket::{Request, catch};
+use serde::Serialize;
+use serde_json::json;
+use std::io::Cursor;
+use std::time::Duration;
+
+/// Header with the name of the error kind.
+pub const KIND_HEADER: &str = "jacinthhook-kind";
+/// Header that says whether refused or failed work ran.
+pub const RAN_HEADER: &str = crate::protocol::RAN_HEADER;
+/// Header with a fresh request id for the caller's next request.
+pub const NEXT_ID_HEADER: &str = "jacinthhook-next-id";
+
+/// A whole answer of known length.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    status: u16,
+    headers: Vec<(&'static str, String)>,
+    body: Vec<u8>,
+}
+
+impl Reply {
+    /// An answer whose body is `value` as JSON.
+    pub fn json(status: u16, value: &impl Serialize) -> Reply {
+        match serde_json::to_vec(value) {
+            Ok(body) => Reply { status, headers: vec![("content-type", JSON.into())], body },
+            Err(e) => Reply::from(Refusal::new(Kind::Internal).with_message(e.to_string())),
+        }
+    }
+
+    /// An answer in plain text.
+    pub fn text(status: u16, body: impl Into<String>) -> Reply {
+        let headers = vec![("content-type", "text/plain; charset=utf-8".into())];
+        Reply { status, headers, body: body.into().into_bytes() }
+    }
+
+    /// An answer of raw bytes.
+    pub fn bytes(status: u16, body: impl Into<Vec<u8>>) -> Reply {
+        let headers = vec![("content-type", "application/octet-stream".into())];
+        Reply { status, headers, body: body.into() }
+    }
+
+    /// Adds a header.
+    pub fn with_header(mut self, name: &'static str, value: impl Into<String>) -> Reply {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    /// Adds the headers of a refusal.
+    pub fn with_kind(self, name: &'static str, ran: Ran) -> Reply {
+        self.with_header(KIND_HEADER, name).with_header(RAN_HEADER, ran.as_str())
+    }
+
+    /// The answer as the HTTP library wants it.
+    pub fn into_response<'r>(self) -> Response<'r> {
+        let mut response = Response::new();
+        response.set_status(Status::new(self.status));
+        for (name, value) in self.headers {
+            response.set_header(Header::new(name, value));
+        }
+        response.set_sized_body(self.body.len(), Cursor::new(self.body));
+        response
+    }
+}
+
+const JSON: &str = "application/json";
+
+impl From<Refusal> for Reply {
+    fn from(refusal: Refusal) -> Reply {
+        let answer = refusal.kind.answer();
+        let mut value = json!({
+            "kind": answer.name,
+            "ran": refusal.ran.as_str(),
+            "message": refusal.message,
+        });
+        if let Some(after) = refusal.retry_after {
+            value["retry_after_ms"] = json!(after.as_millis() as u64);
+        }
+        let mut reply = Reply::json(answer.status, &value).with_kind(answer.name, refusal.ran);
+        if let Some(after) = refusal.retry_after {
+            reply = reply.with_header("retry-after", whole_seconds(after).to_string());
+        }
+        if refusal.kind == Kind::Stopping {
+            reply = reply.with_header("connection", "close");
+        }
+        reply
+    }
+}
+
+/// `Retry-After` counts whole seconds; rounding down would invite a caller too early.
+fn whole_seconds(after: Duration) -> u64 {
+    after.as_millis().div_ceil(1000) as u64
+}
+
+impl<'r> Responder<'r, 'static> for Reply {
+    fn respond_to(self, _: &'r Request<'_>) -> RocketResult<'static> {
+        Ok(self.into_response())
+    }
+}
+
+/// Answers requests that no route takes, or that the HTTP library refuses itself.
+#[catch(default)]
+pub fn unrouted(status: Status, _: &Request<'_>) -> Reply {
+    let kind = match status.code {
+        404 | 405 => Kind::NotFound,
+        413 | 431 => Kind::TooLarge,
+        503 => Kind::NoView,
+        code if code < 500 => Kind::BadRequest,
+        _ => Kind::Internal,
+    };
+    let ran = if kind == Kind::Internal { Ran::Unknown } else { Ran::NotRun };
+    Reply::from(Refusal::new(kind).with_ran(ran))
+}
--- /dev/null
+++ b/src/body.rs
@@ -0,0 +1,147 @@
+//! A caller's body on its way to an upstream.
+//!
+//! A short body is read whole before the request waits for its turn, so that it can be sent again
+//! and a slow caller holds no slot. A longer one is streamed.
+
+use crate::kind::{Kind, Refusal};
+use bytes::{Bytes, BytesMut};
+use rocket::data::{Data, DataStream, ToByteUnit};
+use std::io;
+use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::sync::mpsc;
+
+/// Bodies up to this length in bytes are held whole.
+pub const HOLD_LEN: usize = 64 * 1024;
+/// Bytes read from a caller at a time.
+const CHUNK_LEN: usize = 32 * 1024;
+
+/// A body whose first part has been read.
+pub struct CallerBody<'r> {
+    /// The whole body, or its first `HOLD_LEN` bytes.
+    pub held: Bytes,
+    /// What follows; `None` when `held` is the whole body.
+    pub rest: Option<Rest<'r>>,
+}
+
+/// The part of a body that has not been read yet.
+pub struct Rest<'r> {
+    stream: DataStream<'r>,
+    /// Bytes still allowed.
+    left: u64,
+    /// Bytes allowed in all.
+    max: u64,
+    /// Length of the whole body as the caller declared it; `None` for chunked coding.
+    pub length: Option<u64>,
+}
+
+/// Reads the first part of a body.
+///
+/// # Errors
+///
+/// `TooLarge` for more than `max` bytes, `BadRequest` for a body that breaks off.
+pub async fn read<'r>(
+    data: Data<'r>,
+    length: Option<u64>,
+    max: u64,
+) -> Result<CallerBody<'r>, Refusal> {
+    if length.is_some_and(|len| len > max) {
+        return Err(too_large(max));
+    }
+    if length == Some(0) {
+        return Ok(CallerBody { held: Bytes::new(), rest: None });
+    }
+    // One byte over the limit tells a body that is too long from one that ends there.
+    let mut stream = data.open((max + 1).bytes());
+    let (held, ended) = read_up_to(&mut stream, HOLD_LEN).await.map_err(broken)?;
+    if held.len() as u64 > max {
+        return Err(too_large(max));
+    }
+    if ended {
+        return check_length(held, length);
+    }
+    let left = max - held.len() as u64;
+    Ok(CallerBody { held, rest: Some(Rest { stream, left, max, length }) })
+}
+
+fn check_length<'r>(held: Bytes, length: Option<u64>) -> Result<CallerBody<'r>, Refusal> {
+    if length.is_some_and(|len| len != held.len() as u64) {
+        return Err(broken(io::ErrorKind::UnexpectedEof.into()));
+    }
+    Ok(CallerBody { held, rest: None })
+}
+
+/// Reads up to `max` bytes; answers whether the source ended.
+async fn read_up_to(source: &mut (impl AsyncRead + Unpin), max: usize) -> io::Result<(Bytes, bool)> {
+    let mut buf = BytesMut::new();
+    while buf.len() < max {
+        if source.take((max - buf.len()) as u64).read_buf(&mut buf).await? == 0 {
+            return Ok((buf.freeze(), true));
+        }
+    }
+    Ok((buf.freeze(), false))
+}
+
+/// A body over its limit.
+pub fn too_large(max: u64) -> Refusal {
+    Refusal::new(Kind::TooLarge).with_message(format!("the body exceeds {max} bytes"))
+}
+
+fn broken(e: io::Error) -> Refusal {
+    Refusal::new(Kind::BadRequest).with_message(format!("the body broke off: {e}"))
+}
+
+/// Feeds a streamed body to one attempt. The body ends whole only by `run`; an attempt whose feeder is
+/// dropped sees an error, so that a cut body cannot look whole at the upstream.
+pub struct Feeder {
+    tx: mpsc::Sender<io::Result<Bytes>>,
+    whole: bool,
+}
+
+/// A feeder whose first piece is `held`, and the pieces for the attempt.
+pub fn feed(held: Bytes) -> (Feeder, mpsc::Receiver<io::Result<Bytes>>) {
+    let (tx, rx) = mpsc::channel(1);
+    // The channel is empty and has room for one.
+    let _ = tx.try_send(Ok(held));
+    (Feeder { tx, whole: false }, rx)
+}
+
+impl Feeder {
+    /// Resolves when the attempt has taken the first piece; before that nothing was written.
+    pub async fn taken(&self) {
+        // An error means that the attempt has ended, which its own result tells.
+        let _ = self.tx.reserve().await;
+    }
+
+    /// Passes on the rest of a body until it ends, breaks off, exceeds its limit, or the attempt ends.
+    pub async fn run(mut self, mut rest: Rest<'_>) -> Result<(), Refusal> {
+        loop {
+            let read = read_up_to(&mut rest.stream, CHUNK_LEN).await;
+            let (data, ended) = read.map_err(broken)?;
+            if data.len() as u64 > rest.left {
+                return Err(too_large(rest.max));
+            }
+            rest.left -= data.len() as u64;
+            if !data.is_empty() && self.tx.send(Ok(data)).await.is_err() {
+                return Ok(());
+            }
+            if ended {
+                self.whole = true;
+                return Ok(());
+            }
+        }
+    }
+}
+
+impl Drop for Feeder {
+    fn drop(&mut self) {
+        if self.whole {
+            return;
+        }
+        let tx = self.tx.clone();
+        let error = || Err(io::ErrorKind::UnexpectedEof.into());
+        if let Err(mpsc::error::TrySendError::Full(error)) = tx.try_send(error()) {
+            // The clone keeps the body open until the error has its place in the channel.
+            tokio::spawn(async move { tx.send(error).await });
+        }
+    }
+}
--- /dev/null
+++ b/src/health_routes.rs
@@ -0,0 +1,44 @@
+//! `/healthz`, `/readyz` and `/metrics`.
+
+use crate::answer::Reply;
+use crate::entry::{Entry, Stage};
+use crate::kind::{Kind, Refusal};
+use rocket::request::Request;
+use rocket::route::{Handler, Outcome, Route};
+use rocket::{Data, http::Method};
+
+/// The routes.
+pub fn routes() -> Vec<Route> {
+    vec![
+        Route::new(Method::Get, "/healthz", Which::Alive),
+        Route::new(Method::Get, "/readyz", Which::Ready),
+    ]
+}
+
+#[derive(Clone, Copy)]
+enum Which {
+    /// The process answers.
+    Alive,
+    /// The load balancer should send callers here.
+    Ready,
+}
+
+#[rocket::async_trait]
+impl Handler for Which {
+    async fn handle<'r>(&self, req: &'r Request<'_>, _: Data<'r>) -> Outcome<'r> {
+        let reply = match self {
+            Which::Alive => Reply::text(200, "alive\n"),
+            Which::Ready => ready(Entry::of(req).map(|entry| &**entry)),
+        };
+        Outcome::Success(reply.into_response())
+    }
+}
+
+fn ready(entry: Option<&Entry>) -> Reply {
+    let Some(entry) = entry else { return Reply::from(Refusal::new(Kind::NoView)) };
+    if entry.is_ready() {
+        return Reply::text(200, "ready\n");
+    }
+    let kind = if entry.stage() == Stage::Serving { Kind::NoView } else { Kind::Stopping };
+    Reply::from(Refusal::new(kind))
+}
--- /dev/null
+++ b/src/operators.rs
@@ -0,0 +1,600 @@
+//! Routes for operators, `/v1/admin/*`; `docs/operators-api.md` describes them.
+
+use crate::answer::Reply;
+use crate::api::{self, EntryOutcome, KeyInfo, KeyStanding, OpResult, Outcome, Standing};
+use crate::dispatch;
+use crate::entry::Entry;
+use crate::hold::Holds;
+use crate::ids::*;
+use crate::jobs::PLATFORM_AWAY;
+use crate::kind::{Kind, Refusal};
+use crate::node::Fate;
+use crate::peer::Seen;
+use crate::record::{Record, SectionChange};
+use crate::state::{Reject, State};
+use crate::sync;
+use parking_lot::Mutex;
+use rocket::data::{Data, ToByteUnit};
+use rocket::request::{FromRequest, Request};
+use rocket::{Route, get, post, routes};
+use serde::de::DeserializeOwned;
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Largest body of a command in bytes.
+const MAX_BODY_LEN: u64 = 1024 * 1024;
+/// Longest wait for a command's body.
+const BODY_WAIT: Duration = Duration::from_secs(5);
+/// Longest wait for a command's record to be read back before it is answered as pending.
+const FATE_WAIT: Duration = Duration::from_secs(3);
+/// Time between two questions to peers while a command is waited for.
+const ASK_INTERVAL: Duration = Duration::from_millis(200);
+/// Commands whose fate is remembered here.
+const MAX_OPS: usize = 1_000;
+
+/// The routes.
+pub fn routes() -> Vec<Route> {
+    routes![
+        sections,
+        publish,
+        keys,
+        grant_key,
+        withdraw_key,
+        instance_out,
+        instance_back,
+        zone_out,
+        zone_back,
+        op,
+        status,
+    ]
+}
+
+/// Commands that this entry instance handed to the log.
+#[derive(Default)]
+pub struct Commands {
+    tickets: Mutex<Tickets>,
+}
+
+#[derive(Default)]
+struct Tickets {
+    by_op: HashMap<OpId, u64>,
+    order: VecDeque<OpId>,
+}
+
+impl Commands {
+    /// No commands yet.
+    pub fn new() -> Commands {
+        Commands::default()
+    }
+
+    /// The ticket of a command; hands it to the log unless that was done before.
+    fn ticket(&self, op: &OpId, propose: impl FnOnce() -> u64) -> u64 {
+        let mut tickets = self.tickets.lock();
+        if let Some(ticket) = tickets.by_op.get(op) {
+            return *ticket;
+        }
+        let ticket = propose();
+        tickets.by_op.insert(op.clone(), ticket);
+        tickets.order.push_back(op.clone());
+        if tickets.order.len() > MAX_OPS
+            && let Some(oldest) = tickets.order.pop_front()
+        {
+            tickets.by_op.remove(&oldest);
+        }
+        ticket
+    }
+
+    fn get(&self, op: &OpId) -> Option<u64> {
+        self.tickets.lock().by_op.get(op).copied()
+    }
+
+    /// Lets a command that was never sent be handed to the log again.
+    fn forget(&self, op: &OpId) {
+        self.tickets.lock().by_op.remove(op);
+    }
+}
+
+/// The entry instance of a request.
+struct Here<'r>(&'r Arc<Entry>);
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Here<'r> {
+    type Error = ();
+
+    async fn from_request(req: &'r Request<'_>) -> rocket::request::Outcome<Here<'r>, ()> {
+        match Entry::of(req) {
+            Some(entry) => rocket::request::Outcome::Success(Here(entry)),
+            None => rocket::request::Outcome::Error((rocket::http::Status::ServiceUnavailable, ())),
+        }
+    }
+}
+
+fn reply(answer: Result<Reply, Refusal>) -> Reply {
+    answer.unwrap_or_else(Reply::from)
+}
+
+async fn parse<T: DeserializeOwned>(data: Data<'_>) -> Result<T, Refusal> {
+    let bad = |message: String| Refusal::new(Kind::BadRequest).with_message(message);
+    let read = data.open(MAX_BODY_LEN.bytes()).into_bytes();
+    let body = tokio::time::timeout(BODY_WAIT, read).await;
+    let body = body.map_err(|_| bad("the body did not arrive in time".into()))?;
+    let body = body.map_err(|e| bad(format!("the body broke off: {e}")))?;
+    if !body.is_complete() {
+        let message = format!("the body exceeds {MAX_BODY_LEN} bytes");
+        return Err(Refusal::new(Kind::TooLarge).with_message(message));
+    }
+    serde_json::from_slice(&body).map_err(|e| bad(format!("body: {e}")))
+}
+
+#[get("/v1/admin/sections")]
+fn sections(here: Here<'_>) -> Reply {
+    let node = here.0.node.lock();
+    if !node.has_view() {
+        return Reply::from(Refusal::new(Kind::NoView));
+    }
+    let answer = api::Declarations {
+        next: node.next_offset(),
+        view_age_ms: millis(node.view_age(here.0.now())),
+        sections: node.state().sections.clone(),
+    };
+    Reply::json(200, &answer)
+}
+
+#[post("/v1/admin/publish", data = "<data>")]
+async fn publish(here: Here<'_>, data: Data<'_>) -> Reply {
+    reply(try_publish(here.0, data).await)
+}
+
+async fn try_publish(entry: &Arc<Entry>, data: Data<'_>) -> Result<Reply, Refusal> {
+    let body: api::Publish = parse(data).await?;
+    if let Some(mistakes) = check_publish(entry, &body)? {
+        return Ok(mistakes);
+    }
+    command(entry, Record::Publish { op: body.op, changes: body.changes }).await
+}
+
+/// Checks a publish before it goes to the log; an answer with every mistake found.
+fn check_publish(entry: &Entry, body: &api::Publish) -> Result<Option<Reply>, Refusal> {
+    let mut config = {
+        let node = entry.node.lock();
+        let state = node.state();
+        if state.op_offset(&body.op).is_some() {
+            return Ok(None);
+        }
+        check_bases(state, &body.changes)?;
+        state.config.clone()
+    };
+    let Err(mistakes) = config.change(&body.changes) else { return Ok(None) };
+    let refusal = api::RefusalBody::from(&Refusal::new(Kind::CheckFailed));
+    let answer = Kind::CheckFailed.answer();
+    let body = api::MistakesBody { refusal, mistakes };
+    Ok(Some(Reply::json(answer.status, &body).with_kind(answer.name, answer.ran)))
+}
+
+fn check_bases(state: &State, changes: &[SectionChange]) -> Result<(), Refusal> {
+    for change in changes {
+        let current = state.sections.get(&change.section).map(|section| section.version);
+        if current != change.base {
+            let message = format!(
+                "section {:?} is at version {current:?}, not {:?}",
+                change.section, change.base
+            );
+            return Err(Refusal::new(Kind::Conflict).with_message(message));
+        }
+    }
+    Ok(())
+}
+
+#[get("/v1/admin/keys")]
+fn keys(here: Here<'_>) -> Reply {
+    let node = here.0.node.lock();
+    let held = node.holds();
+    let is_held = |id: &KeyId| {
+        held.iter().any(|r| matches!(r, Record::KeyWithdraw { key, .. } if key == id))
+    };
+    let info = |(id, key): (&KeyId, &crate::state::Key)| KeyInfo {
+        key: id.clone(),
+        team: key.team.clone(),
+        standing: match key.withdrawn_at {
+            Some(_) => KeyStanding::Withdrawn,
+            None if is_held(id) => KeyStanding::Held,
+            None => KeyStanding::Granted,
+        },
+    };
+    Reply::json(200, &api::Keys { keys: node.state().keys.iter().map(info).collect() })
+}
+
+#[post("/v1/admin/keys/grant", data = "<data>")]
+async fn grant_key(here: Here<'_>, data: Data<'_>) -> Reply {
+    let record = parse::<api::KeyGrant>(data).await.map(|body| Record::KeyGrant {
+        op: body.op,
+        key: body.key,
+        team: body.team,
+        hash: body.hash,
+    });
+    run(here.0, record).await
+}
+
+#[post("/v1/admin/keys/withdraw", data = "<data>")]
+async fn withdraw_key(here: Here<'_>, data: Data<'_>) -> Reply {
+    let record = parse::<api::KeyWithdraw>(data).await;
+    run(here.0, record.map(|body| Record::KeyWithdraw { op: body.op, key: body.key })).await
+}
+
+#[post("/v1/admin/instances/out", data = "<data>")]
+async fn instance_out(here: Here<'_>, data: Data<'_>) -> Reply {
+    let record = parse::<api::InstanceOut>(data).await.map(|body| Record::InstanceOut {
+        op: body.op,
+        instance: body.instance,
+    });
+    run(here.0, record).await
+}
+
+#[post("/v1/admin/instances/back", data = "<data>")]
+async fn instance_back(here: Here<'_>, data: Data<'_>) -> Reply {
+    let record = parse::<api::InstanceBack>(data).await.map(|body| Record::InstanceBack {
+        op: body.op,
+        instance: body.instance,
+        undoes: body.undoes,
+    });
+    run(here.0, record).await
+}
+
+#[post("/v1/admin/zones/out", data = "<data>")]
+async fn zone_out(here: Here<'_>, data: Data<'_>) -> Reply {
+    let record = parse::<api::ZoneOut>(data).await;
+    run(here.0, record.map(|body| Record::ZoneOut { op: body.op, zone: body.zone })).await
+}
+
+#[post("/v1/admin/zones/back", data = "<data>")]
+async fn zone_back(here: Here<'_>, data: Data<'_>) -> Reply {
+    let record = parse::<api::ZoneBack>(data).await.map(|body| Record::ZoneBack {
+        op: body.op,
+        zone: body.zone,
+        undoes: body.undoes,
+    });
+    run(here.0, record).await
+}
+
+async fn run(entry: &Arc<Entry>, record: Result<Record, Refusal>) -> Reply {
+    match record {
+        Ok(record) => reply(command(entry, record).await),
+        Err(refusal) => Reply::from(refusal),
+    }
+}
+
+/// Id of an operators' command.
+fn op_of(record: &Record) -> Option<&OpId> {
+    match record {
+        Record::Publish { op, .. }
+        | Record::KeyGrant { op, .. }
+        | Record::ZoneBack { op, .. }
+        | Record::InstanceBack { op, .. } => Some(op),
+        other => Holds::op_of(other),
+    }
+}
+
+/// Puts a command into force: through the log, or as a hold if it restricts and the log is away.
+async fn command(entry: &Arc<Entry>, record: Record) -> Result<Reply, Refusal> {
+    let _in_flight = entry.begin()?;
+    let op = op_of(&record).cloned().ok_or_else(|| Refusal::new(Kind::Internal))?;
+    let restricts = Holds::op_of(&record).is_some();
+    if !restricts {
+        require_log(entry)?;
+    }
+    // A restriction takes effect here and on the peers before the log has it.
+    if restricts {
+        hold(entry, &record).await;
+    }
+    if entry.platform_age() <= PLATFORM_AWAY {
+        settle(entry, &op, record).await?;
+    }
+    sync::ask_peers(entry).await;
+    Ok(Reply::json(200, &outcome(entry, &op)))
+}
+
+fn require_log(entry: &Entry) -> Result<(), Refusal> {
+    if !entry.node.lock().has_view() {
+        return Err(Refusal::new(Kind::NoView));
+    }
+    if entry.platform_age() > PLATFORM_AWAY {
+        return Err(Refusal::new(Kind::LogUnavailable));
+    }
+    Ok(())
+}
+
+async fn hold(entry: &Arc<Entry>, record: &Record) {
+    sync::take_holds(entry, vec![record.clone()]);
+    let peers = entry.peer_addrs();
+    let calls = peers.iter().map(|peer| entry.peers.hold(peer, record.clone()));
+    // A peer that is not reached is listed as not heard, and asked again by `spread_holds`.
+    futures::future::join_all(calls).await;
+}
+
+/// Hands a command to the log and waits a while for its fate.
+async fn settle(entry: &Arc<Entry>, op: &OpId, record: Record) -> Result<(), Refusal> {
+    let restricts = Holds::op_of(&record).is_some();
+    let ticket = entry.commands.ticket(op, || entry.propose(record));
+    match entry.fate(ticket, entry.now() + FATE_WAIT).await {
+        Fate::Pending if !restricts && entry.node.lock().withdraw(ticket) => {
+            entry.commands.forget(op);
+            Err(Refusal::new(Kind::LogUnavailable))
+        }
+        Fate::Rejected(_, reject @ Reject::BaseChanged { .. }) => {
+            Err(Refusal::new(Kind::Conflict).with_message(reject.to_string()))
+        }
+        _ => Ok(()),
+    }
+}
+
+#[get("/v1/admin/ops/<op>?<wait_ms>")]
+async fn op(here: Here<'_>, op: &str, wait_ms: Option<u64>) -> Reply {
+    let wait = Duration::from_millis(wait_ms.unwrap_or(0).min(api::MAX_WAIT_MS));
+    let until = here.0.now() + wait;
+    let op = OpId::from(op);
+    loop {
+        sync::ask_peers(here.0).await;
+        let outcome = outcome(here.0, &op);
+        let settled = outcome.in_force_everywhere()
+            || matches!(outcome.result, OpResult::Rejected { .. })
+            || here.0.now() >= until;
+        if settled {
+            return Reply::json(200, &outcome);
+        }
+        tokio::time::sleep(ASK_INTERVAL).await;
+    }
+}
+
+/// What became of a command, as far as this entry instance was told.
+fn outcome(entry: &Entry, op: &OpId) -> Outcome {
+    let result = op_result(entry, op);
+    let offset = match result {
+        OpResult::Applied { offset } => Some(offset),
+        _ => None,
+    };
+    let own = own_standing(entry, op, offset);
+    let others = known_entries(entry).into_iter().map(|known| EntryOutcome {
+        standing: known.standing(op, offset),
+        entry: known.id,
+        zone: known.zone,
+    });
+    let here = EntryOutcome { entry: entry.id().clone(), zone: entry.zone().clone(), standing: own };
+    Outcome { op: op.clone(), result, entries: std::iter::once(here).chain(others).collect() }
+}
+
+fn op_result(entry: &Entry, op: &OpId) -> OpResult {
+    let ticket = entry.commands.get(op);
+    let node = entry.node.lock();
+    if let Some(offset) = node.state().op_offset(op) {
+        return OpResult::Applied { offset };
+    }
+    let held = node.holds().iter().any(|hold| Holds::op_of(hold) == Some(op));
+    match ticket.map(|ticket| node.fate(ticket)) {
+        Some(Fate::Rejected(offset, reject)) => {
+            OpResult::Rejected { offset, reason: reject.to_string() }
+        }
+        Some(Fate::Applied(offset)) => OpResult::Applied { offset },
+        _ if held => OpResult::Held,
+        Some(Fate::Pending | Fate::Unknown) => OpResult::Pending,
+        None => OpResult::Unknown,
+    }
+}
+
+fn own_standing(entry: &Entry, op: &OpId, offset: Option<Offset>) -> Standing {
+    if let Some(offset) = offset {
+        return Standing::InForce { offset };
+    }
+    let held = entry.node.lock().holds().iter().any(|hold| Holds::op_of(hold) == Some(op));
+    if held { Standing::Held } else { Standing::NotHeard { ago_ms: 0 } }
+}
+
+/// Another entry instance as far as the log and its own words tell.
+struct KnownEntry {
+    id: EntryId,
+    zone: ZoneId,
+    http_addr: String,
+    /// First offset that it had not folded when it last renewed.
+    seen: Offset,
+    departing: bool,
+    expired: bool,
+    /// Its last own word and the age of it.
+    heard: Option<(Duration, Seen)>,
+}
+
+impl KnownEntry {
+    /// First offset that it is known not to have folded.
+    fn next(&self) -> Offset {
+        self.heard.as_ref().map_or(self.seen, |(_, seen)| seen.next.max(self.seen))
+    }
+
+    fn heard_ago(&self, entry: &Entry) -> Duration {
+        self.heard.as_ref().map_or(entry.now(), |(ago, _)| *ago)
+    }
+
+    fn standing(&self, op: &OpId, offset: Option<Offset>) -> Standing {
+        if let Some(offset) = offset.filter(|offset| self.next() > *offset) {
+            return Standing::InForce { offset };
+        }
+        match &self.heard {
+            Some((_, seen)) if seen.holds.contains(op) => Standing::Held,
+            Some((ago, _)) => Standing::NotHeard { ago_ms: millis(*ago) },
+            None => Standing::NotHeard { ago_ms: u64::MAX },
+        }
+    }
+}
+
+/// All other entry instances that may live.
+fn known_entries(entry: &Entry) -> Vec<KnownEntry> {
+    let node = entry.node.lock();
+    let holders = node.state().holders.iter();
+    let others = holders.filter(|(id, holder)| **id != entry.incarnation() && !holder.gone);
+    let known = others.map(|(incarnation, holder)| KnownEntry {
+        id: holder.id.clone(),
+        zone: holder.addresses.zone.clone(),
+        http_addr: holder.addresses.http_addr.clone(),
+        seen: holder.seen,
+        departing: holder.departing,
+        expired: holder.expired,
+        heard: entry.last_heard(*incarnation),
+    });
+    known.collect()
+}
+
+#[get("/v1/admin/status")]
+async fn status(here: Here<'_>) -> Reply {
+    sync::ask_peers(here.0).await;
+    Reply::json(200, &fleet_status(here.0))
+}
+
+fn fleet_status(entry: &Entry) -> api::Status {
+    let others = known_entries(entry);
+    let now = entry.now();
+    let node = entry.node.lock();
+    let state = node.state();
+    let holds = node.holds();
+    let own = api::EntryStatus {
+        entry: entry.id().clone(),
+        zone: entry.zone().clone(),
+        http_addr: node.config().http_addr.clone(),
+        seen: node.next_offset(),
+        heard_ms_ago: 0,
+        departing: node.is_stopping(),
+        expired: !state.is_live(entry.incarnation()),
+    };
+    let others = others.iter().map(|known| api::EntryStatus {
+        entry: known.id.clone(),
+        zone: known.zone.clone(),
+        http_addr: known.http_addr.clone(),
+        seen: known.next(),
+        heard_ms_ago: millis(known.heard_ago(entry)),
+        departing: known.departing,
+        expired: known.expired,
+    });
+    let entries = std::iter::once(own).chain(others).collect();
+    let desk = entry.desk.lock();
+    api::Status {
+        entry: entry.id().clone(),
+        zone: entry.zone().clone(),
+        ready: entry.is_ready_with(&node),
+        stopping: node.is_stopping(),
+        log_reachable: entry.platform_age() <= PLATFORM_AWAY,
+        next: node.next_offset(),
+        view_age_ms: millis(node.view_age(now)),
+        digest: state.digest(),
+        published_at: state.sections.values().map(|section| section.version).max(),
+        entries,
+        zones: zones(state, &holds),
+        pools: pools(entry, &node, &desk),
+        teams: teams(state, &desk),
+        instances: instances(entry, state, &holds),
+        holds: holds.iter().filter_map(hold_status).collect(),
+        jobs: open_jobs(state),
+    }
+}
+
+fn zones(state: &State, holds: &[Record]) -> Vec<api::ZoneStatus> {
+    let mut names: Vec<ZoneId> = state.config.zones.keys().cloned().collect();
+    let used = state.instances.values().map(|instance| &instance.zone);
+    for zone in used.chain(state.zones_out.keys()) {
+        if !names.contains(zone) {
+            names.push(zone.clone());
+        }
+    }
+    let status = |zone: ZoneId| api::ZoneStatus {
+        out_since: state.zones_out.get(&zone).copied(),
+        held: holds.iter().any(|r| matches!(r, Record::ZoneOut { zone: z, .. } if *z == zone)),
+        instances: live(state).filter(|(_, instance)| instance.zone == zone).count() as u32,
+        zone,
+    };
+    names.into_iter().map(status).collect()
+}
+
+fn live(state: &State) -> impl Iterator<Item = (&InstanceId, &crate::state::Instance)> {
+    state.instances.iter().filter(|(_, instance)| instance.gone_at.is_none())
+}
+
+fn pools(
+    entry: &Entry,
+    node: &crate::node::Node,
+    desk: &dispatch::Desk,
+) -> Vec<api::PoolStatus> {
+    let state = node.state();
+    let status = |pool: &PoolId| {
+        let members: Vec<_> = live(state).filter(|(_, i)| i.pool == *pool).collect();
+        api::PoolStatus {
+            pool: pool.clone(),
+            instances: members.len() as u32,
+            usable: node.upstreams(entry.now(), pool).len() as u32,
+            moving: members.iter().filter(|(_, i)| i.moving.is_some()).count() as u32,
+            draining: members.iter().filter(|(_, i)| i.draining.is_some()).count() as u32,
+            waiting: desk.sched.pool_load(pool).waiting,
+        }
+    };
+    state.config.pools.keys().map(status).collect()
+}
+
+fn teams(state: &State, desk: &dispatch::Desk) -> Vec<api::TeamStatus> {
+    let status = |team: &TeamId| api::TeamStatus {
+        team: team.clone(),
+        limit: state.limit(team),
+        granted: state.units_in_use(team),
+        running: desk.running(team),
+        waiting: desk.sched.waiting(team),
+    };
+    state.config.teams.keys().map(status).collect()
+}
+
+fn instances(entry: &Entry, state: &State, holds: &[Record]) -> Vec<api::InstanceStatus> {
+    let is_held = |id: &InstanceId| {
+        holds.iter().any(|r| matches!(r, Record::InstanceOut { instance, .. } if instance == id))
+    };
+    let ids: Vec<InstanceId> = live(state).map(|(id, _)| id.clone()).collect();
+    let usable = entry.health.lock().usable(entry.now(), &ids);
+    let status = |(id, instance): (&InstanceId, &crate::state::Instance)| api::InstanceStatus {
+        instance: id.clone(),
+        pool: instance.pool.clone(),
+        zone: instance.zone.clone(),
+        out_since: state.instances_out.get(id).copied(),
+        held: is_held(id),
+        moving_to: instance.moving.as_ref().map(|(pool, _)| pool.clone()),
+        draining: instance.draining.is_some(),
+        set_aside: !usable.contains(id),
+    };
+    let unusual = |status: &api::InstanceStatus| {
+        status.out_since.is_some()
+            || status.held
+            || status.moving_to.is_some()
+            || status.draining
+            || status.set_aside
+    };
+    live(state).map(status).filter(unusual).collect()
+}
+
+fn hold_status(hold: &Record) -> Option<api::HoldStatus> {
+    let what = match hold {
+        Record::KeyWithdraw { key, .. } => format!("key_withdraw {key}"),
+        Record::ZoneOut { zone, .. } => format!("zone_out {zone}"),
+        Record::InstanceOut { instance, .. } => format!("instance_out {instance}"),
+        _ => return None,
+    };
+    Some(api::HoldStatus { op: Holds::op_of(hold)?.clone(), what })
+}
+
+fn open_jobs(state: &State) -> indexmap::IndexMap<String, u32> {
+    use crate::state::JobState;
+    let mut counts = indexmap::IndexMap::new();
+    for job in state.jobs.values() {
+        let name = match job.state {
+            JobState::Pending => "pending",
+            JobState::Running { .. } => "running",
+            JobState::Ended { .. } => continue,
+        };
+        *counts.entry(name.to_string()).or_insert(0) += 1;
+    }
+    counts
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/proxy.rs
@@ -0,0 +1,440 @@
+//! `ANY /s/<service>/<path>`: passes a caller's request to an upstream of the service and the answer
+//! back.
+
+use crate::answer::{NEXT_ID_HEADER, Reply};
+use crate::body::{self, CallerBody, Feeder, Rest};
+use crate::call::{self, CallHeaders};
+use crate::dispatch::{self, Counted, Place, Turn, Wanted};
+use crate::entry::{Entry, InFlight};
+use crate::health::AttemptEnd;
+use crate::ids::*;
+use crate::kind::{Kind, Ran, Refusal};
+use crate::node::{Allowed, Call, START_WINDOW};
+use crate::protocol::Listed;
+use crate::relay::{self, BodyEnd, CallerSocket, Held};
+use crate::request_id::{self, UsedId};
+use crate::retry::{Attempts, RetryStep, may_have_run};
+use crate::upstream::{AttemptAnswer, AttemptFailure, AttemptRequest, Fault, RequestBody, Target};
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
+use rocket::http::{Header, Method};
+use rocket::route::{Handler, Outcome, Route};
+use rocket::{Data, Request, Response};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Path under which the services are.
+const PREFIX: &str = "/s/";
+
+/// The routes of all methods.
+pub fn routes() -> Vec<Route> {
+    use Method::*;
+    let methods = [Get, Head, Put, Post, Delete, Options, Patch];
+    methods.into_iter().map(|m| Route::new(m, "/s/<service>/<path..>", Proxy)).collect()
+}
+
+#[derive(Clone)]
+struct Proxy;
+
+#[rocket::async_trait]
+impl Handler for Proxy {
+    async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let Some(entry) = Entry::of(req) else {
+            return Outcome::Success(Reply::from(Refusal::new(Kind::NoView)).into_response());
+        };
+        let answer = forward(entry, req, data).await;
+        let mut response = answer.unwrap_or_else(|r| Reply::from(r).into_response());
+        if let Some(id) = entry.node.lock().issue_ids(1).pop() {
+            response.set_header(Header::new(NEXT_ID_HEADER, id));
+        }
+        Outcome::Success(response)
+    }
+}
+
+async fn forward<'r>(
+    entry: &Arc<Entry>,
+    req: &'r Request<'_>,
+    data: Data<'r>,
+) -> Result<Response<'r>, Refusal> {
+    let in_flight = entry.begin()?;
+    call::check_size(req, entry.settings.header_bytes as usize)?;
+    let (service, path) = split_path(req)?;
+    let call = CallHeaders::read(req.headers())?.into_call(service, req.method());
+    let allowed = entry.node.lock().check(entry.now(), &call)?;
+    let head = Head { method: method(req)?, path, headers: headers(req)? };
+    let body = read_body(entry, req, data, allowed.deadline).await?;
+    let used = request_id::settle(entry, &call, &allowed).await?;
+    let (turn, place) = dispatch::wait(entry, wanted(&call, &allowed)).await?;
+    let caller = CallerSocket { local_port: entry.http_port, remote: req.remote() };
+    let exchange = Exchange {
+        entry: entry.clone(),
+        service: call.service.clone(),
+        allowed: Allowed { deadline: turn.until, ..allowed },
+        head,
+        caller,
+        running: Running { entry: entry.clone(), place, used, lost: false, _in_flight: in_flight },
+        attempts: Attempts::new(call.idempotent),
+        tried: Vec::new(),
+    };
+    exchange.run(turn, body).await
+}
+
+fn wanted(call: &Call, allowed: &Allowed) -> Wanted {
+    Wanted {
+        service: call.service.clone(),
+        team: allowed.team.clone(),
+        class: allowed.class,
+        deadline: allowed.deadline,
+        declared: Duration::ZERO,
+        counted: Counted::Unit,
+    }
+}
+
+/// Service and path at the upstream, with the query.
+fn split_path(req: &Request<'_>) -> Result<(ServiceId, String), Refusal> {
+    let path = req.uri().path().as_str();
+    let rest = path.strip_prefix(PREFIX).ok_or_else(|| Refusal::new(Kind::NotFound))?;
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    if has_dot_segment(path) {
+        // A URL library would resolve it, so that the upstream sees another path than was sent.
+        let message = "the path holds a segment '.' or '..'";
+        return Err(Refusal::new(Kind::BadRequest).with_message(message));
+    }
+    let query = req.uri().query().map(|q| format!("?{q}")).unwrap_or_default();
+    Ok((service.into(), format!("/{path}{query}")))
+}
+
+fn has_dot_segment(path: &str) -> bool {
+    let dots = |segment: &str| {
+        let plain = segment.replace("%2e", ".").replace("%2E", ".");
+        plain == "." || plain == ".."
+    };
+    path.split('/').any(dots)
+}
+
+fn method(req: &Request<'_>) -> Result<reqwest::Method, Refusal> {
+    let name = req.method().as_str();
+    reqwest::Method::from_bytes(name.as_bytes()).map_err(|_| Refusal::new(Kind::BadRequest))
+}
+
+fn headers(req: &Request<'_>) -> Result<HeaderMap, Refusal> {
+    let mut headers = HeaderMap::new();
+    for header in req.headers().iter() {
+        let name = HeaderName::from_bytes(header.name.as_str().as_bytes());
+        let value = HeaderValue::from_str(&header.value);
+        let (Ok(name), Ok(value)) = (name, value) else {
+            let message = format!("header {} has bytes that are not allowed", header.name);
+            return Err(Refusal::new(Kind::BadRequest).with_message(message));
+        };
+        headers.append(name, value);
+    }
+    Ok(headers)
+}
+
+async fn read_body<'r>(
+    entry: &Entry,
+    req: &Request<'_>,
+    data: Data<'r>,
+    deadline: Time,
+) -> Result<CallerBody<'r>, Refusal> {
+    let length = body_length(req)?;
+    let read = body::read(data, length, entry.settings.body_bytes);
+    match tokio::time::timeout_at(entry.instant(deadline), read).await {
+        Ok(body) => body,
+        Err(_) => {
+            let message = "the body did not arrive before the deadline";
+            Err(Refusal::new(Kind::BadRequest).with_message(message))
+        }
+    }
+}
+
+/// Declared length of a body: 0 without a body, `None` for chunked coding.
+fn body_length(req: &Request<'_>) -> Result<Option<u64>, Refusal> {
+    if req.headers().contains("transfer-encoding") {
+        return Ok(None);
+    }
+    let Some(text) = req.headers().get_one("content-length") else { return Ok(Some(0)) };
+    let malformed = || Refusal::new(Kind::BadRequest).with_message("content-length is no number");
+    call::parse_digits(text).map(Some).ok_or_else(malformed)
+}
+
+/// What is sent to an upstream besides the body.
+struct Head {
+    method: reqwest::Method,
+    path: String,
+    headers: HeaderMap,
+}
+
+/// What a request holds until its answer has been passed on.
+struct Running {
+    entry: Arc<Entry>,
+    place: Place,
+    used: UsedId,
+    /// Whether an attempt ended without an answer and may still run until the deadline.
+    lost: bool,
+    _in_flight: InFlight,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if self.used.ran == Ran::NotRun {
+            self.place.over = true;
+        }
+    }
+}
+
+impl Running {
+    /// Takes note of a complete answer.
+    fn complete(mut self, upstream: &InstanceId, failed: bool) {
+        let end = AttemptEnd::Answered { failed };
+        self.entry.health.lock().on_attempt(self.entry.now(), upstream, end);
+        self.place.failed = failed;
+        self.place.over = !self.lost;
+        self.used.ran = Ran::Ran;
+    }
+
+    /// Takes note of an answer that broke off; its work may go on until the deadline.
+    fn broken(mut self, upstream: &InstanceId) {
+        let now = self.entry.now();
+        self.entry.health.lock().on_attempt(now, upstream, AttemptEnd::LostInBody);
+        self.used.ran = Ran::Unknown;
+    }
+}
+
+/// One request on its way through attempts.
+struct Exchange {
+    entry: Arc<Entry>,
+    service: ServiceId,
+    /// With the deadline cut to the lease.
+    allowed: Allowed,
+    head: Head,
+    caller: CallerSocket,
+    running: Running,
+    attempts: Attempts,
+    tried: Vec<InstanceId>,
+}
+
+/// What an attempt with a body left behind.
+enum Tried<'r> {
+    /// The head of an answer, and the rest of the caller's body while it is still coming.
+    Answer(AttemptAnswer, Option<BoxFuture<'r, Result<(), Refusal>>>),
+    /// No answer; the body can be sent again.
+    Again(AttemptFailure, CallerBody<'r>),
+    /// No answer, and a part of the body is gone.
+    Lost(AttemptFailure, Option<Refusal>),
+}
+
+impl Exchange {
+    async fn run<'r>(
+        mut self,
+        turn: Turn,
+        mut body: CallerBody<'r>,
+    ) -> Result<Response<'r>, Refusal> {
+        self.entry.retry.lock().on_request(&self.service);
+        let mut upstream = turn.upstream;
+        loop {
+            self.check_start(&upstream)?;
+            let (failure, again) = match self.attempt(&upstream, body).await {
+                Tried::Answer(answer, upload) => return self.answer(upstream, answer, upload).await,
+                Tried::Again(failure, body) => (failure, Ok(body)),
+                Tried::Lost(failure, refusal) => (failure, Err(refusal)),
+            };
+            self.note_failure(&upstream, &failure);
+            body = match again {
+                Ok(body) => body,
+                Err(refusal) => return Err(self.give_up(failure, refusal)),
+            };
+            upstream = self.next_upstream(failure).await?;
+        }
+    }
+
+    /// The last check before the write.
+    fn check_start(&self, upstream: &Listed) -> Result<(), Refusal> {
+        let now = self.entry.now();
+        let checked = self.entry.node.lock().may_start(now, &self.allowed, upstream);
+        checked.map_err(|refusal| self.with_earlier_tries(refusal))
+    }
+
+    /// A refusal is "not run" only if no earlier attempt may have run.
+    fn with_earlier_tries(&self, refusal: Refusal) -> Refusal {
+        if self.running.used.ran == Ran::NotRun { refusal } else { refusal.with_ran(Ran::Unknown) }
+    }
+
+    async fn attempt<'r>(&mut self, upstream: &Listed, body: CallerBody<'r>) -> Tried<'r> {
+        self.tried.push(upstream.id.clone());
+        let entry = self.entry.clone();
+        let target = target(&entry, upstream);
+        match body.rest {
+            None => {
+                let request = self.request(upstream, RequestBody::Full(body.held.clone()));
+                match entry.upstreams.attempt(&target, request).await {
+                    Ok(answer) => Tried::Answer(answer, None),
+                    Err(failure) => Tried::Again(failure, body),
+                }
+            }
+            Some(rest) => {
+                let (feeder, pieces) = body::feed(body.held.clone());
+                let stream = RequestBody::Stream { pieces, length: rest.length };
+                let request = self.request(upstream, stream);
+                let attempt = async move { entry.upstreams.attempt(&target, request).await };
+                feed_attempt(attempt, feeder, body.held, rest).await
+            }
+        }
+    }
+
+    fn request(&self, upstream: &Listed, body: RequestBody) -> AttemptRequest {
+        let now = self.entry.now();
+        let clock = self.entry.clocks.get(now, &upstream.id);
+        let start_by = self.allowed.deadline.min(now + START_WINDOW);
+        AttemptRequest {
+            method: self.head.method.clone(),
+            path: self.head.path.clone(),
+            headers: self.head.headers.clone(),
+            body,
+            start_by_ms: clock.map(|clock| clock.limit(start_by)),
+            deadline_ms: clock.map(|clock| clock.limit(self.allowed.deadline)),
+            timeout: self.allowed.deadline.saturating_sub(now),
+        }
+    }
+
+    fn note_failure(&mut self, upstream: &Listed, failure: &AttemptFailure) {
+        let now = self.entry.now();
+        note_signs(&self.entry, upstream, failure.signs);
+        if failure.fault == Fault::Upstream || failure.fault == Fault::Crossed {
+            self.entry.health.lock().on_attempt(now, &upstream.id, failure.end);
+        }
+        if failure.fault == Fault::Crossed {
+            self.entry.health.lock().retire(now, &upstream.id);
+        }
+        if may_have_run(failure.end) {
+            self.running.used.ran = Ran::Unknown;
+            self.running.lost = true;
+        }
+    }
+
+    /// Another upstream after a failed attempt, or the refusal.
+    async fn next_upstream(&mut self, failure: AttemptFailure) -> Result<Listed, Refusal> {
+        if failure.fault == Fault::Reserved {
+            let message = "the path is reserved for the platform";
+            return Err(Refusal::new(Kind::NotFound).with_message(message));
+        }
+        let step = {
+            let mut retry = self.entry.retry.lock();
+            retry.step(&self.service, &mut self.attempts, failure.end)
+        };
+        match step {
+            RetryStep::Give(refusal) => Err(refusal),
+            RetryStep::Pass => Err(self.with_earlier_tries(refusal_for(failure.end))),
+            RetryStep::After(pause) => {
+                tokio::time::sleep(pause).await;
+                let placed = self.running.place.again(&self.tried);
+                placed.ok_or_else(|| self.with_earlier_tries(refusal_for(failure.end)))
+            }
+        }
+    }
+
+    fn give_up(&self, failure: AttemptFailure, refusal: Option<Refusal>) -> Refusal {
+        let refusal = refusal.unwrap_or_else(|| refusal_for(failure.end));
+        self.with_earlier_tries(refusal)
+    }
+
+    async fn answer<'r>(
+        mut self,
+        upstream: Listed,
+        answer: AttemptAnswer,
+        upload: Option<BoxFuture<'r, Result<(), Refusal>>>,
+    ) -> Result<Response<'r>, Refusal> {
+        self.running.used.ran = Ran::Unknown;
+        note_signs(&self.entry, &upstream, answer.signs);
+        let until = self.entry.instant(self.allowed.deadline);
+        let left = until.saturating_duration_since(tokio::time::Instant::now());
+        let failed = answer.status.is_server_error();
+        let (head, mut body) = relay::split(answer, left);
+        let held = match &upload {
+            None => relay::hold(&head, &mut body).await,
+            Some(_) => Ok(Held { data: Bytes::new(), complete: false }),
+        };
+        let running = self.running;
+        match held {
+            Ok(held) if held.complete => {
+                running.complete(&upstream.id, failed);
+                Ok(relay::whole(&head, held.data))
+            }
+            Ok(held) => {
+                let on_end = Box::new(move |end| match end {
+                    BodyEnd::Complete => running.complete(&upstream.id, failed),
+                    BodyEnd::Broken => running.broken(&upstream.id),
+                });
+                let caller = self.caller;
+                let streamed =
+                    relay::Streamed { held: held.data, body, until, upload, caller, on_end };
+                Ok(relay::streamed(&head, streamed))
+            }
+            Err(_) => {
+                running.broken(&upstream.id);
+                Err(Refusal::new(Kind::UpstreamLost))
+            }
+        }
+    }
+}
+
+/// Runs an attempt while the caller's body is fed to it.
+async fn feed_attempt<'r>(
+    attempt: impl Future<Output = Result<AttemptAnswer, AttemptFailure>> + Send,
+    feeder: Feeder,
+    held: Bytes,
+    rest: Rest<'r>,
+) -> Tried<'r> {
+    tokio::pin!(attempt);
+    tokio::select! {
+        biased;
+        answer = &mut attempt => return match answer {
+            Ok(answer) => Tried::Answer(answer, None),
+            Err(failure) => Tried::Again(failure, CallerBody { held, rest: Some(rest) }),
+        },
+        () = feeder.taken() => {}
+    }
+    let mut upload: BoxFuture<'r, Result<(), Refusal>> = Box::pin(feeder.run(rest));
+    let fed = tokio::select! {
+        answer = &mut attempt => return match answer {
+            Ok(answer) => Tried::Answer(answer, Some(upload)),
+            Err(failure) => Tried::Lost(failure, None),
+        },
+        fed = &mut upload => fed,
+    };
+    match attempt.await {
+        Ok(answer) => Tried::Answer(answer, None),
+        Err(failure) => Tried::Lost(failure, fed.err()),
+    }
+}
+
+fn target(entry: &Entry, upstream: &Listed) -> Target {
+    let generation = entry.health.lock().generation(&upstream.id);
+    Target { id: upstream.id.clone(), addr: upstream.addr.clone(), generation }
+}
+
+/// Takes in what an upstream says about itself with an answer.
+fn note_signs(entry: &Entry, upstream: &Listed, signs: crate::upstream::Signs) {
+    let now = entry.now();
+    if signs.draining {
+        entry.node.lock().on_draining(&upstream.id, true);
+        entry.clocks.hurry(&upstream.id);
+        dispatch::refresh_upstreams(entry);
+    }
+    if let Some(load) = signs.load {
+        entry.desk.lock().sched.on_load(now, &upstream.id, load);
+    }
+}
+
+/// The refusal for an attempt after which no other upstream can be tried.
+fn refusal_for(end: AttemptEnd) -> Refusal {
+    match end {
+        AttemptEnd::NotRun => Refusal::new(Kind::UpstreamBusy),
+        AttemptEnd::ConnectFailed => Refusal::new(Kind::NoUpstream),
+        AttemptEnd::TimedOut => Refusal::new(Kind::DeadlinePassed),
+        AttemptEnd::Answered { .. } | AttemptEnd::LostBeforeHead | AttemptEnd::LostInBody => {
+            Refusal::new(Kind::UpstreamLost)
+        }
+    }
+}
--- /dev/null
+++ b/src/request_id.rs
@@ -0,0 +1,69 @@
+//! At-most-once use of request ids around one request.
+
+use crate::entry::Entry;
+use crate::ids::*;
+use crate::kind::{Kind, Ran, Refusal};
+use crate::node::{Allowed, Call, Fate, IdStep};
+use crate::record::ClaimId;
+use crate::state::Reject;
+use std::sync::Arc;
+
+/// A request id that is in use; its end is noted on drop.
+pub struct UsedId {
+    entry: Arc<Entry>,
+    id: Option<String>,
+    /// Whether the work under it ran, as far as known.
+    pub ran: Ran,
+}
+
+impl Drop for UsedId {
+    fn drop(&mut self) {
+        if let Some(id) = &self.id {
+            let now = self.entry.now();
+            self.entry.node.lock().end_id(now, id, self.ran);
+        }
+    }
+}
+
+/// Makes sure that the request may run under its id.
+///
+/// # Errors
+///
+/// Refuses as not run by this attempt; `ran` tells about an earlier use of the id.
+pub async fn settle(
+    entry: &Arc<Entry>,
+    call: &Call,
+    allowed: &Allowed,
+) -> Result<UsedId, Refusal> {
+    let step = entry.node.lock().begin_id(entry.now(), &allowed.team, call);
+    match step {
+        IdStep::Run => {}
+        IdStep::AskIssuer { peer_addr } => ask_issuer(entry, &peer_addr, call).await?,
+        IdStep::WaitClaim(claim) => wait_claim(entry, claim, allowed.deadline).await?,
+        IdStep::Refuse(refusal) => return Err(refusal),
+    }
+    // An idempotent request does not use its id up.
+    let id = call.request_id.clone().filter(|_| !call.idempotent);
+    Ok(UsedId { entry: entry.clone(), id, ran: Ran::NotRun })
+}
+
+async fn ask_issuer(entry: &Entry, peer_addr: &str, call: &Call) -> Result<(), Refusal> {
+    let id = call.request_id.as_deref().unwrap_or_default();
+    match entry.peers.use_id(peer_addr, id).await {
+        Ok(used) => used.refusal().map_or(Ok(()), Err),
+        Err(_) => Err(Refusal::new(Kind::IdUnresolved)),
+    }
+}
+
+async fn wait_claim(entry: &Entry, claim: ClaimId, until: Time) -> Result<(), Refusal> {
+    entry.append.notify_one();
+    match entry.settled(|node| node.claim_fate(claim), until).await {
+        Fate::Applied(_) => Ok(()),
+        Fate::Rejected(_, Reject::ClaimTaken) => Err(Refusal::new(Kind::DuplicateRequest)),
+        Fate::Rejected(..) => Err(Refusal::new(Kind::LogUnavailable)),
+        // The claim may still win, but this request does not run.
+        Fate::Pending | Fate::Unknown => {
+            Err(Refusal::new(Kind::FateUnknown).with_ran(Ran::NotRun))
+        }
+    }
+}
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,234 @@
+//! The entry instance process: starts servers and loops, and stops gracefully.
+
+use crate::answer;
+use crate::entry::{Entry, EntryError, Slot, Stage};
+use crate::node::NodeConfig;
+use crate::operators;
+use crate::peer;
+use crate::probe;
+use crate::proxy;
+use crate::record::{ExpireLevel, Record};
+use crate::settings::Settings;
+use crate::sync;
+use crate::tend;
+use crate::{health_routes, jobs};
+use jsonrpsee::server::ServerHandle;
+use rand::RngExt;
+use rocket::config::{Ident, LogLevel};
+use rocket::data::Limits;
+use rocket::fairing::AdHoc;
+use rocket::shield::Shield;
+use rocket::{Build, Rocket, Shutdown};
+use snafu::{ResultExt, Snafu};
+use std::collections::HashSet;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+/// Time between "not ready" and the first refusal, in which the load balancer turns away.
+const TURN_AWAY: Duration = Duration::from_secs(1);
+/// Longest wait for the log to have the last `Renew`.
+const LEAVE_WAIT: Duration = Duration::from_secs(3);
+/// Time for answers that are being written when the server closes, in seconds.
+const CLOSE_GRACE_SECS: u32 = 2;
+/// Time between two looks at whether the last `Renew` is in the log.
+const LEAVE_LOOK: Duration = Duration::from_millis(20);
+
+/// Why an entry instance did not start.
+#[derive(Debug, Snafu)]
+pub enum ServeError {
+    /// The server for peers could not be bound.
+    #[snafu(display("peer address {addr}: {source}"))]
+    Peer { addr: SocketAddr, source: io::Error },
+    /// The server for callers could not be bound or launched.
+    #[snafu(display("HTTP address {addr}: {message}"))]
+    Http { addr: SocketAddr, message: String },
+    /// The tables could not be made.
+    #[snafu(display("{source}"))]
+    Tables { source: EntryError },
+}
+
+/// A running entry instance.
+pub struct Server {
+    /// Where callers connect.
+    pub http_addr: SocketAddr,
+    /// Where other entry instances connect.
+    pub peer_addr: SocketAddr,
+    /// Its tables.
+    pub entry: Arc<Entry>,
+    http: Shutdown,
+    http_task: JoinHandle<()>,
+    peers: ServerHandle,
+    loops: Vec<JoinHandle<()>>,
+}
+
+/// How a graceful stop ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stopped {
+    /// Everything in flight finished.
+    Clean,
+    /// The time limit came first, with this much work in flight.
+    CutOff(usize),
+}
+
+impl Server {
+    /// Starts an entry instance; returns when it accepts connections.
+    pub async fn start(settings: Settings) -> Result<Server, ServeError> {
+        let (peer_wanted, http_wanted) = (settings.peer_addr, settings.http_addr);
+        let (listener, peer_addr) =
+            peer::listen(peer_wanted).await.context(PeerSnafu { addr: peer_wanted })?;
+        let slot = Arc::new(Slot::new());
+        let (http_addr, http, http_task) = launch(http_wanted, slot.clone()).await?;
+        let cfg = node_config(&settings, http_addr, peer_addr);
+        let entry = Arc::new(Entry::new(settings, http_addr.port(), cfg).context(TablesSnafu)?);
+        let peers = listener.start(entry.clone());
+        let loops = spawn_loops(&entry);
+        // The slot is empty until here, and nothing else fills it.
+        let _ = slot.set(entry.clone());
+        Ok(Server { http_addr, peer_addr, entry, http, http_task, peers, loops })
+    }
+
+    /// Stops gracefully: reports not ready, refuses new work, finishes what is in flight within the
+    /// set limit, and gives back what it holds.
+    pub async fn stop(self) -> Stopped {
+        let entry = &self.entry;
+        let limit = entry.settings.stop_timeout;
+        entry.set_stage(Stage::NotReady);
+        sleep(TURN_AWAY.min(limit / 4)).await;
+        entry.set_stage(Stage::Refusing);
+        let mut in_flight = entry.in_flight();
+        let ended = timeout(limit, in_flight.wait_for(|n| *n == 0)).await.is_ok();
+        let left = *entry.in_flight().borrow();
+        leave(entry).await;
+        self.close().await;
+        if ended { Stopped::Clean } else { Stopped::CutOff(left) }
+    }
+
+    /// Ends servers and loops without waiting for work in flight.
+    async fn close(self) {
+        self.entry.set_stage(Stage::Ended);
+        self.http.notify();
+        // A panic in the server has been reported by the runtime.
+        let _ = self.http_task.await;
+        // Stopping twice is no failure.
+        let _ = self.peers.stop();
+        self.loops.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// Gives units and jobs back, so that others need not wait for the lease to lapse.
+async fn leave(entry: &Arc<Entry>) {
+    entry.node.lock().stop(entry.now());
+    entry.append.notify_one();
+    let left = async {
+        while !entry.node.lock().has_left() {
+            sleep(LEAVE_LOOK).await;
+        }
+    };
+    if timeout(LEAVE_WAIT, left).await.is_err() {
+        return;
+    }
+    let renewed_at = {
+        let node = entry.node.lock();
+        node.state().holders.get(&entry.incarnation()).map(|holder| holder.renewed_at)
+    };
+    let Some(renewed_at) = renewed_at else { return };
+    // Nothing is started from here on, so the lease may end now and jobs be adopted at once.
+    let expire = Record::Expire {
+        holder: entry.id().clone(),
+        holder_incarnation: entry.incarnation(),
+        renewed_at,
+        level: ExpireLevel::Borrowed,
+    };
+    let ticket = entry.propose(expire);
+    entry.fate(ticket, entry.now() + LEAVE_WAIT).await;
+}
+
+fn node_config(settings: &Settings, http_addr: SocketAddr, peer_addr: SocketAddr) -> NodeConfig {
+    let mut rng = rand::rng();
+    NodeConfig {
+        id: settings.id.clone(),
+        incarnation: rng.random(),
+        zone: settings.zone.clone(),
+        http_addr: http_addr.to_string(),
+        peer_addr: peer_addr.to_string(),
+        entry_instances: settings.entry_instances,
+        seed: rng.random(),
+        mutation: None,
+    }
+}
+
+fn spawn_loops(entry: &Arc<Entry>) -> Vec<JoinHandle<()>> {
+    vec![
+        tokio::spawn(sync::read_log(entry.clone())),
+        tokio::spawn(sync::append(entry.clone())),
+        tokio::spawn(sync::read_list(entry.clone())),
+        tokio::spawn(sync::relay(entry.clone())),
+        tokio::spawn(sync::spread_holds(entry.clone())),
+        tokio::spawn(sync::tick(entry.clone())),
+        tokio::spawn(probe::run(entry.clone())),
+        tokio::spawn(tend::run(entry.clone())),
+    ]
+}
+
+fn build(addr: SocketAddr, slot: Arc<Slot>) -> Rocket<Build> {
+    let shutdown = rocket::config::Shutdown {
+        ctrlc: false,
+        signals: HashSet::new(),
+        grace: CLOSE_GRACE_SECS,
+        mercy: 1,
+        force: false,
+        ..Default::default()
+    };
+    let config = rocket::Config {
+        address: addr.ip(),
+        port: addr.port(),
+        ident: Ident::none(),
+        limits: Limits::new(),
+        log_level: LogLevel::Off,
+        cli_colors: false,
+        shutdown,
+        ..rocket::Config::release_default()
+    };
+    rocket::custom(config)
+        // The default shield would add headers to the upstreams' answers.
+        .attach(Shield::new())
+        .manage(slot)
+        .register("/", rocket::catchers![answer::unrouted])
+        .mount("/", health_routes::routes())
+        .mount("/", jobs::routes())
+        .mount("/", operators::routes())
+        .mount("/", proxy::routes())
+}
+
+/// Launches the HTTP server; answers its address when it is bound.
+async fn launch(
+    addr: SocketAddr,
+    slot: Arc<Slot>,
+) -> Result<(SocketAddr, Shutdown, JoinHandle<()>), ServeError> {
+    let (tx, rx) = oneshot::channel();
+    let report = AdHoc::on_liftoff("bound address", |rocket| {
+        Box::pin(async move {
+            let bound = SocketAddr::new(rocket.config().address, rocket.config().port);
+            // Nobody waits when the start was given up.
+            let _ = tx.send((bound, rocket.shutdown()));
+        })
+    });
+    let failed = |message: String| ServeError::Http { addr, message };
+    let rocket = build(addr, slot).attach(report);
+    let rocket = rocket.ignite().await.map_err(|e| failed(e.to_string()))?;
+    let (fail_tx, fail_rx) = oneshot::channel();
+    let task = tokio::spawn(async move {
+        if let Err(e) = rocket.launch().await {
+            let _ = fail_tx.send(e.to_string());
+        }
+    });
+    match rx.await {
+        Ok((bound, shutdown)) => Ok((bound, shutdown, task)),
+        Err(_) => Err(failed(fail_rx.await.unwrap_or_default())),
+    }
+}
