Serve the whole path with separate processes

Cause: the parts had not run together: log, list, upstreams, scheduler and node on real sockets. Ruled out: asking the HTTP library for the port before the tables exist (it binds at launch), so the tables come into a slot once the address is known; submitting jobs as JSON, since a payload is bytes: the body is the payload and the parameters are query and headers. Change: subcommand serve; loops for log, list, relay, holds and timers (sync), waiting and placement (dispatch), proxying (proxy, body, relay), jobs (jobs, tend), operators' routes (operators), peers (peer), probes (probe); tests/env starts the binary's own subcommands on free ports. Conclusion: thin path stands; faults, stop, bad input and throughput are not measured yet.

--- a/src/body.rs
+++ b/src/body.rs
@@ -71,7 +71,10 @@
 }
 
 /// Reads up to `max` bytes; answers whether the source ended.
-async fn read_up_to(source: &mut (impl AsyncRead + Unpin), max: usize) -> io::Result<(Bytes, bool)> {
+async fn read_up_to(
+    source: &mut (impl AsyncRead + Unpin),
+    max: usize,
+) -> io::Result<(Bytes, bool)> {
     let mut buf = BytesMut::new();
     while buf.len() < max {
         if source.take((max - buf.len()) as u64).read_buf(&mut buf).await? == 0 {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,6 +4,7 @@
 use crate::exit::{Exit, Failure};
 use crate::ids::InstanceId;
 use crate::operate::{self, Report, Run, StatusFormat, Target};
+use crate::serve_command;
 use crate::settings::{self, Checked};
 use crate::standin_command::{self, PlatformRun, UpstreamRun};
 use argh::FromArgs;
@@ -30,10 +31,20 @@
     Instance(InstanceArgs),
     Zone(ZoneArgs),
     Status(StatusArgs),
+    Serve(ServeArgs),
     Platform(PlatformArgs),
     Upstream(UpstreamArgs),
 }
 
+/// Run an entry instance.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct ServeArgs {
+    /// settings of the entry instance
+    #[argh(positional)]
+    file: String,
+}
+
 /// Check settings or declarations and report every mistake.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -277,6 +288,7 @@
         Command::Instance(args) => block_on(instance(args.command)),
         Command::Zone(args) => block_on(zone(args.command)),
         Command::Status(args) => block_on(status(args)),
+        Command::Serve(args) => serve(&args.file, out),
         Command::Platform(args) => block_on(standin_command::platform(args.into(), out)),
         Command::Upstream(args) => block_on(standin_command::upstream(args.into(), out)),
     }
@@ -311,6 +323,11 @@
     Ok(Report { exit: Exit::Done, text: format!("{file}: {text}; no mistakes") })
 }
 
+fn serve(file: &str, out: &mut dyn Write) -> Result<Report, Failure> {
+    let settings = settings::read_settings(file, &read(file)?);
+    serve_command::serve(settings.map_err(|mistakes| Failure::Mistakes { mistakes })?, out)
+}
+
 fn target(at: SocketAddr, wait_ms: u64, op: Option<String>) -> Target {
     Target { at, wait: Duration::from_millis(wait_ms), op }
 }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -5,8 +5,8 @@
 use crate::kind::{Kind, Refusal};
 use crate::node::Node;
 use crate::protocol::Listed;
-use crate::state::State;
 use crate::sched::{Need, Placed, Sched, Work, WorkId};
+use crate::state::State;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -66,7 +66,9 @@
     /// Replaces the upstreams of a pool that may get new work.
     pub fn set_upstreams(&mut self, now: Time, pool: &PoolId, upstreams: &[Listed]) {
         self.upstreams.retain(|_, listed| listed.pool != *pool);
-        let known = upstreams.iter().map(|listed| (listed.id.clone(), listed.clone()));
+        // The list names the pool that the platform started an instance in; it may have moved since.
+        let in_pool = |listed: &Listed| Listed { pool: pool.clone(), ..listed.clone() };
+        let known = upstreams.iter().map(|listed| (listed.id.clone(), in_pool(listed)));
         self.upstreams.extend(known);
         self.sched.set_upstreams(now, pool, upstreams);
     }
@@ -85,6 +87,11 @@
         self.running.get(team).copied().unwrap_or(0)
     }
 
+    /// Upstreams of a pool that may get new work.
+    pub fn usable(&self, pool: &PoolId) -> u32 {
+        self.upstreams.values().filter(|listed| listed.pool == *pool).count() as u32
+    }
+
     /// Whether any work waits.
     pub fn is_idle(&self) -> bool {
         self.waiters.is_empty()
@@ -124,7 +131,9 @@
     fn start(&mut self, now: Time, node: &mut Node, placed: Placed, until: Time) {
         let Some(upstream) = self.upstreams.get(&placed.upstream).cloned() else {
             self.sched.finish(now, placed.id, Duration::ZERO, true);
-            if let Some(waiter) = self.waiters.get(&placed.id).filter(|w| w.counted == Counted::Unit) {
+            if let Some(waiter) =
+                self.waiters.get(&placed.id).filter(|w| w.counted == Counted::Unit)
+            {
                 node.free_unit_of(now, &waiter.team, until);
             }
             return self.answer(placed.id, Err(Refusal::new(Kind::NoUpstream)));
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -9,7 +9,7 @@
 use crate::node::{Allowed, Call, Fate};
 use crate::record::{Class, JobEnding, JobSpec, MAX_JOB_PAYLOAD_LEN, Record};
 use crate::reqid::claim_id;
-use crate::state::{Job, JobState, Reject};
+use crate::state::{Job, JobState, Reject, State};
 use bytes::Bytes;
 use rand::RngExt;
 use rocket::data::Data;
@@ -50,6 +50,8 @@
     pub attempt: Attempt,
     /// Where it runs.
     pub upstream: Option<InstanceId>,
+    /// Entry instance that looks after it while it runs.
+    pub holder: Option<EntryId>,
     /// Why it failed.
     pub message: Option<String>,
     /// Whether its caller wants it to stop.
@@ -188,7 +190,8 @@
             Err(Refusal::new(Kind::LogUnavailable))
         }
         Fate::Pending | Fate::Unknown => {
-            let message = format!("the record of job {job} was sent to the log; ask for its status");
+            let message =
+                format!("the record of job {job} was sent to the log; ask for its status");
             Err(Refusal::new(Kind::FateUnknown).with_message(message))
         }
     }
@@ -210,11 +213,15 @@
 fn view(entry: &Entry, id: &JobId) -> Option<JobView> {
     let node = entry.node.lock();
     let age = node.view_age(entry.now());
-    node.state().jobs.get(id).map(|job| job_view(id, job, age))
+    node.state().jobs.get(id).map(|job| job_view(node.state(), id, job, age))
 }
 
-fn job_view(id: &JobId, job: &Job, age: Duration) -> JobView {
-    let (state, upstream, message) = match &job.state {
+fn job_view(state: &State, id: &JobId, job: &Job, age: Duration) -> JobView {
+    let held_by = match &job.state {
+        JobState::Running { holder, .. } => state.holders.get(holder).map(|h| h.id.clone()),
+        JobState::Pending | JobState::Ended { .. } => None,
+    };
+    let (name, upstream, message) = match &job.state {
         JobState::Pending => ("pending", None, None),
         JobState::Running { upstream, .. } => ("running", Some(upstream.clone()), None),
         JobState::Ended { ending, .. } => match ending {
@@ -230,9 +237,10 @@
         team: job.spec.team.clone(),
         service: job.spec.service.clone(),
         class: job.spec.class,
-        state: state.to_string(),
+        state: name.to_string(),
         attempt: job.attempt,
         upstream,
+        holder: held_by,
         message,
         cancel: job.cancel,
         submitted_at: job.submitted_at,
@@ -289,7 +297,7 @@
     let all: Vec<JobView> = {
         let node = caller.entry.node.lock();
         let age = node.view_age(caller.entry.now());
-        node.state().jobs.iter().map(|(id, job)| job_view(id, job, age)).collect()
+        node.state().jobs.iter().map(|(id, job)| job_view(node.state(), id, job, age)).collect()
     };
     let mut jobs: Vec<JobView> =
         all.into_iter().filter(|job| scope.sees(caller.entry, job)).collect();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod retry;
 pub mod sched;
 pub mod serve;
+pub mod serve_command;
 pub mod settings;
 pub mod snapshot;
 pub mod standin;
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -190,9 +190,8 @@
 fn keys(here: Here<'_>) -> Reply {
     let node = here.0.node.lock();
     let held = node.holds();
-    let is_held = |id: &KeyId| {
-        held.iter().any(|r| matches!(r, Record::KeyWithdraw { key, .. } if key == id))
-    };
+    let is_held =
+        |id: &KeyId| held.iter().any(|r| matches!(r, Record::KeyWithdraw { key, .. } if key == id));
     let info = |(id, key): (&KeyId, &crate::state::Key)| KeyInfo {
         key: id.clone(),
         team: key.team.clone(),
@@ -224,10 +223,9 @@
 
 #[post("/v1/admin/instances/out", data = "<data>")]
 async fn instance_out(here: Here<'_>, data: Data<'_>) -> Reply {
-    let record = parse::<api::InstanceOut>(data).await.map(|body| Record::InstanceOut {
-        op: body.op,
-        instance: body.instance,
-    });
+    let record = parse::<api::InstanceOut>(data)
+        .await
+        .map(|body| Record::InstanceOut { op: body.op, instance: body.instance });
     run(here.0, record).await
 }
 
@@ -359,7 +357,8 @@
         entry: known.id,
         zone: known.zone,
     });
-    let here = EntryOutcome { entry: entry.id().clone(), zone: entry.zone().clone(), standing: own };
+    let here =
+        EntryOutcome { entry: entry.id().clone(), zone: entry.zone().clone(), standing: own };
     Outcome { op: op.clone(), result, entries: std::iter::once(here).chain(others).collect() }
 }
 
@@ -485,7 +484,7 @@
         published_at: state.sections.values().map(|section| section.version).max(),
         entries,
         zones: zones(state, &holds),
-        pools: pools(entry, &node, &desk),
+        pools: pools(state, &desk),
         teams: teams(state, &desk),
         instances: instances(entry, state, &holds),
         holds: holds.iter().filter_map(hold_status).collect(),
@@ -514,18 +513,13 @@
     state.instances.iter().filter(|(_, instance)| instance.gone_at.is_none())
 }
 
-fn pools(
-    entry: &Entry,
-    node: &crate::node::Node,
-    desk: &dispatch::Desk,
-) -> Vec<api::PoolStatus> {
-    let state = node.state();
+fn pools(state: &State, desk: &dispatch::Desk) -> Vec<api::PoolStatus> {
     let status = |pool: &PoolId| {
         let members: Vec<_> = live(state).filter(|(_, i)| i.pool == *pool).collect();
         api::PoolStatus {
             pool: pool.clone(),
             instances: members.len() as u32,
-            usable: node.upstreams(entry.now(), pool).len() as u32,
+            usable: desk.usable(pool),
             moving: members.iter().filter(|(_, i)| i.moving.is_some()).count() as u32,
             draining: members.iter().filter(|(_, i)| i.draining.is_some()).count() as u32,
             waiting: desk.sched.pool_load(pool).waiting,
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -200,9 +200,7 @@
 }
 
 /// Starts the server for peers; answers the address that it is bound to.
-pub async fn listen(
-    addr: SocketAddr,
-) -> io::Result<(PeerListener, SocketAddr)> {
+pub async fn listen(addr: SocketAddr) -> io::Result<(PeerListener, SocketAddr)> {
     let cfg = jsonrpsee::server::ServerConfig::builder()
         .max_connections(MAX_CONNECTIONS)
         .max_request_body_size(MAX_ANSWER_LEN)
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -102,11 +102,8 @@
             Some(last) if same_life => last.runs_since.or(position),
             _ => None,
         };
-        let interval = if status.draining || runs_since.is_none() {
-            RETRY_INTERVAL
-        } else {
-            PROBE_INTERVAL
-        };
+        let interval =
+            if status.draining || runs_since.is_none() { RETRY_INTERVAL } else { PROBE_INTERVAL };
         let draining = status.draining;
         let next_probe = now + interval;
         let new = Known { clock, draining, answered: true, next_probe, runs_since };
@@ -127,7 +124,8 @@
 fn continues(last: &UpstreamClock, new: &UpstreamClock) -> bool {
     let elapsed = new.at.saturating_sub(last.at);
     let slack = CLOCK_TOLERANCE + elapsed / DRIFT_PARTS;
-    let shown = Duration::from_millis(new.clock_ms).checked_sub(Duration::from_millis(last.clock_ms));
+    let shown =
+        Duration::from_millis(new.clock_ms).checked_sub(Duration::from_millis(last.clock_ms));
     shown.is_some_and(|shown| shown + slack >= elapsed && shown <= elapsed + slack)
 }
 
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -236,7 +236,9 @@
         loop {
             self.check_start(&upstream)?;
             let (failure, again) = match self.attempt(&upstream, body).await {
-                Tried::Answer(answer, upload) => return self.answer(upstream, answer, upload).await,
+                Tried::Answer(answer, upload) => {
+                    return self.answer(upstream, answer, upload).await;
+                }
                 Tried::Again(failure, body) => (failure, Ok(body)),
                 Tried::Lost(failure, refusal) => (failure, Err(refusal)),
             };
--- a/src/request_id.rs
+++ b/src/request_id.rs
@@ -30,11 +30,7 @@
 /// # Errors
 ///
 /// Refuses as not run by this attempt; `ran` tells about an earlier use of the id.
-pub async fn settle(
-    entry: &Arc<Entry>,
-    call: &Call,
-    allowed: &Allowed,
-) -> Result<UsedId, Refusal> {
+pub async fn settle(entry: &Arc<Entry>, call: &Call, allowed: &Allowed) -> Result<UsedId, Refusal> {
     let step = entry.node.lock().begin_id(entry.now(), &allowed.team, call);
     match step {
         IdStep::Run => {}
@@ -62,8 +58,6 @@
         Fate::Rejected(_, Reject::ClaimTaken) => Err(Refusal::new(Kind::DuplicateRequest)),
         Fate::Rejected(..) => Err(Refusal::new(Kind::LogUnavailable)),
         // The claim may still win, but this request does not run.
-        Fate::Pending | Fate::Unknown => {
-            Err(Refusal::new(Kind::FateUnknown).with_ran(Ran::NotRun))
-        }
+        Fate::Pending | Fate::Unknown => Err(Refusal::new(Kind::FateUnknown).with_ran(Ran::NotRun)),
     }
 }
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -99,7 +99,9 @@
             entry.heard_platform();
             interval = next_list_interval(interval, on_list(&entry, list));
         }
-        sleep(interval.mul_f64(rand::rng().random_range(0.9..1.1))).await;
+        // Spread, so that the instances of a fleet do not ask at the same time.
+        let spread = interval.mul_f64(rand::rng().random_range(0.9..1.1));
+        sleep(spread).await;
     }
 }
 
--- a/src/tend.rs
+++ b/src/tend.rs
@@ -3,8 +3,8 @@
 
 use crate::dispatch::{self, Counted, Place, Wanted};
 use crate::entry::{Entry, Stage};
-use crate::ids::*;
 use crate::health::JobVerdict;
+use crate::ids::*;
 use crate::node::{Fate, JobStart, Node, TaskSeen};
 use crate::protocol::{Listed, TaskRenew, TaskStart, TaskState};
 use crate::record::{JobEnding, JobSpec, MAX_JOB_RESULT_LEN, Record};
@@ -229,7 +229,8 @@
     upstream: &Listed,
     place: &mut Place,
 ) {
-    let start = match entry.node.lock().job_start(entry.now(), job) {
+    let checked = entry.node.lock().job_start(entry.now(), job);
+    let start = match checked {
         Ok(start) => start,
         // Nothing was sent, so the job was surely not started in this attempt.
         Err(_) => return finish(entry, job, release(entry, job)).await,
