Test the callers' interface and cut answers on raw sockets

Cause: nothing showed that requests pass unchanged and that a cut answer never looks complete. Ruled out: trusting a reader error to cut the connection; see src/relay.rs.

--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -165,6 +165,16 @@
         env
     }
 
+    /// One upstream and one entry instance in zone `a`, with `DECLARATIONS` in force.
+    pub async fn start_small() -> Env {
+        let mut env = Env::platform_only();
+        env.add_upstream("u-a", "a");
+        env.add_entry("entry-a", "a", "").await;
+        env.publish(DECLARATIONS).await;
+        env.wait_for_upstreams(1).await;
+        env
+    }
+
     pub fn add_upstream(&mut self, id: &str, zone: &str) {
         let platform = self.platform.addr.to_string();
         let process = Process::start(&[
@@ -314,3 +324,24 @@
     };
     (answer.status().as_u16(), header("jacinthhook-kind"), header("jacinthhook-ran"))
 }
+
+/// Sends bytes over a connection of its own and reads to the end of what comes back.
+pub async fn raw(addr: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = tokio::net::TcpStream::connect(addr).await.expect("a connection");
+    // The other end may close while the rest is written; what it sent before counts.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let read = tokio::time::timeout(SOON, stream.read_to_end(&mut answer)).await;
+    // A reset after the answer is an end as well.
+    let _ = read.expect("the connection ends");
+    answer
+}
+
+/// Splits an answer into head and body.
+pub fn split_answer(answer: &[u8]) -> (String, Vec<u8>) {
+    let end = answer.windows(4).position(|w| w == b"\r\n\r\n");
+    let end = end.unwrap_or_else(|| panic!("no head in {:?}", String::from_utf8_lossy(answer)));
+    let head = String::from_utf8_lossy(&answer[..end]).to_lowercase();
+    (head, answer[end + 4..].to_vec())
+}
