Write events of entry instances and answer /metrics

Cause: events and metrics were defined and nothing wrote them. Ruled out: an event at each place that changes the state, since the fold has no log and replays on every instance; differences between two looks report every change once, whoever made it. A first look after 500 ms swallowed what came before it (tests/commands.rs zone_out_and_back failed); it is taken with the first view. Change: look (differences, pure), watcher (loop, gauges for a scrape), log and metrics in Entry, /metrics, process events in serve_command. Conclusion: events 101, 102, 103, 106, 200, 201, 404, 405, 408 and 409 were seen on running processes or in tests; counters of answers, starts and retries are not fed yet.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,10 +3,12 @@
 //! Lock order: `node`, `desk`, `health`, `retry`. No lock is held across an await.
 
 use crate::dispatch::Desk;
+use crate::event::Log;
 use crate::health::Health;
 use crate::hold::Holds;
 use crate::ids::*;
 use crate::kind::{Kind, Refusal};
+use crate::metrics::Metrics;
 use crate::node::{Fate, Node, NodeConfig};
 use crate::operators::Commands;
 use crate::peer::{Peers, Seen};
@@ -52,6 +54,9 @@
     /// No client for upstreams.
     #[snafu(display("client of upstreams: {source}"))]
     UpstreamClient { source: CallError },
+    /// Two metrics have one name.
+    #[snafu(display("metrics: {source}"))]
+    Metrics { source: prometheus::Error },
 }
 
 fn platform_options(settings: &Settings) -> TransportOptions {
@@ -73,6 +78,8 @@
 /// One running entry instance.
 pub struct Entry {
     pub settings: Settings,
+    pub log: Log,
+    pub metrics: Arc<Metrics>,
     /// Port that callers connect to; needed to close a caller's connection.
     pub http_port: u16,
     pub node: Mutex<Node>,
@@ -122,7 +129,10 @@
         let (seed, zone) = (cfg.seed, cfg.zone.clone());
         let platform = platform_options(&settings);
         let upstream = upstream_options(&settings);
+        let metrics = Arc::new(Metrics::new().context(MetricsSnafu)?);
         Ok(Entry {
+            log: Log::stderr(&settings).with_metrics(metrics.clone()),
+            metrics,
             http_port,
             desk: Mutex::new(Desk::new(seed, zone.clone())),
             health: Mutex::new(Health::new(seed)),
--- a/src/health_routes.rs
+++ b/src/health_routes.rs
@@ -3,6 +3,7 @@
 use crate::answer::Reply;
 use crate::entry::{Entry, Stage};
 use crate::kind::{Kind, Refusal};
+use crate::watcher;
 use rocket::request::Request;
 use rocket::route::{Handler, Outcome, Route};
 use rocket::{Data, http::Method};
@@ -12,6 +13,7 @@
     vec![
         Route::new(Method::Get, "/healthz", Which::Alive),
         Route::new(Method::Get, "/readyz", Which::Ready),
+        Route::new(Method::Get, "/metrics", Which::Metrics),
     ]
 }
 
@@ -21,6 +23,8 @@
     Alive,
     /// The load balancer should send callers here.
     Ready,
+    /// Metrics in the text format of Prometheus.
+    Metrics,
 }
 
 #[rocket::async_trait]
@@ -29,6 +33,7 @@
         let reply = match self {
             Which::Alive => Reply::text(200, "alive\n"),
             Which::Ready => ready(Entry::of(req).map(|entry| &**entry)),
+            Which::Metrics => metrics(Entry::of(req).map(|entry| &**entry)),
         };
         Outcome::Success(reply.into_response())
     }
@@ -42,3 +47,12 @@
     let kind = if entry.stage() == Stage::Serving { Kind::NoView } else { Kind::Stopping };
     Reply::from(Refusal::new(kind))
 }
+
+fn metrics(entry: Option<&Entry>) -> Reply {
+    let Some(entry) = entry else { return Reply::from(Refusal::new(Kind::NoView)) };
+    watcher::set_gauges(entry);
+    match entry.metrics.text() {
+        Ok(text) => Reply::text(200, text),
+        Err(e) => Reply::from(Refusal::new(Kind::Internal).with_message(e.to_string())),
+    }
+}
--- /dev/null
+++ b/src/look.rs
@@ -0,0 +1,287 @@
+//! Log events found as differences between two looks at the shared state.
+//!
+//! The fold has no log of its own; this way every change is reported, whoever made it.
+
+use crate::event::{Event, Field};
+use crate::hold::Holds;
+use crate::ids::*;
+use crate::record::Record;
+use crate::state::State;
+use indexmap::IndexMap;
+
+/// What operators care about in the state at one offset.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Look {
+    /// Version of each section.
+    sections: IndexMap<String, Offset>,
+    /// Team of each key, and whether it was withdrawn.
+    keys: IndexMap<KeyId, (TeamId, Option<Offset>)>,
+    zones_out: IndexMap<ZoneId, Offset>,
+    instances_out: IndexMap<InstanceId, Offset>,
+    instances: IndexMap<InstanceId, InstanceLook>,
+    holders: IndexMap<Incarnation, HolderLook>,
+    /// What each hold does, by op id.
+    holds: IndexMap<OpId, String>,
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct InstanceLook {
+    pool: PoolId,
+    zone: ZoneId,
+    moving_to: Option<PoolId>,
+    draining: bool,
+    maintained_at: Option<Offset>,
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct HolderLook {
+    id: EntryId,
+    zone: ZoneId,
+    departing: bool,
+    expired: bool,
+    gone: bool,
+}
+
+/// An event with its fields.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Noticed {
+    pub event: Event,
+    pub fields: Vec<(&'static str, Value)>,
+}
+
+/// Value of a field.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Value {
+    Number(u64),
+    Text(String),
+}
+
+impl Value {
+    /// The value as the log takes it.
+    pub fn as_field(&self) -> Field<'_> {
+        match self {
+            Value::Number(number) => Field::Number(*number),
+            Value::Text(text) => Field::Text(text),
+        }
+    }
+}
+
+impl From<Offset> for Value {
+    fn from(offset: Offset) -> Value {
+        Value::Number(offset)
+    }
+}
+
+impl<T: AsRef<str> + ?Sized> From<&T> for Value {
+    fn from(text: &T) -> Value {
+        Value::Text(text.as_ref().to_string())
+    }
+}
+
+impl Look {
+    /// Looks at a state and the holds that are in force besides.
+    pub fn new(state: &State, holds: &[Record]) -> Look {
+        let live = state.instances.iter().filter(|(_, instance)| instance.gone_at.is_none());
+        let instance = |(id, instance): (&InstanceId, &crate::state::Instance)| {
+            let look = InstanceLook {
+                pool: instance.pool.clone(),
+                zone: instance.zone.clone(),
+                moving_to: instance.moving.as_ref().map(|(pool, _)| pool.clone()),
+                draining: instance.draining.is_some(),
+                maintained_at: instance.maintained_at,
+            };
+            (id.clone(), look)
+        };
+        let keys = state.keys.iter();
+        let sections = state.sections.iter();
+        Look {
+            sections: sections.map(|(name, section)| (name.clone(), section.version)).collect(),
+            keys: keys
+                .map(|(id, key)| (id.clone(), (key.team.clone(), key.withdrawn_at)))
+                .collect(),
+            zones_out: state.zones_out.clone(),
+            instances_out: state.instances_out.clone(),
+            instances: live.map(instance).collect(),
+            holders: holders(state),
+            holds: holds.iter().filter_map(described).collect(),
+        }
+    }
+
+    /// What happened since an earlier look, in a fixed order.
+    pub fn since(&self, before: &Look) -> Vec<Noticed> {
+        let mut noticed = Vec::new();
+        self.published(before, &mut noticed);
+        self.keys_changed(before, &mut noticed);
+        self.outs_changed(before, &mut noticed);
+        self.instances_changed(before, &mut noticed);
+        self.holders_changed(before, &mut noticed);
+        self.holds_changed(before, &mut noticed);
+        noticed
+    }
+
+    fn published(&self, before: &Look, noticed: &mut Vec<Noticed>) {
+        let changed = |(name, version): &(&String, &Offset)| {
+            before.sections.get(*name).is_none_or(|old| old != *version)
+        };
+        let changed: Vec<Offset> =
+            self.sections.iter().filter(changed).map(|(_, version)| *version).collect();
+        let removed = before.sections.keys().filter(|name| !self.sections.contains_key(*name));
+        let count = changed.len() + removed.count();
+        if count > 0 {
+            let mut fields = vec![("sections", Value::Number(count as u64))];
+            fields.extend(changed.iter().max().map(|offset| ("offset", Value::from(*offset))));
+            noticed.push(Noticed { event: Event::Published, fields });
+        }
+    }
+
+    fn keys_changed(&self, before: &Look, noticed: &mut Vec<Noticed>) {
+        for (id, (team, withdrawn_at)) in &self.keys {
+            let old = before.keys.get(id);
+            if old.is_none() {
+                add(noticed, Event::KeyGranted, [("key", id.into()), ("team", team.into())]);
+            }
+            if let (Some(offset), None) = (withdrawn_at, old.and_then(|(_, at)| *at)) {
+                let fields = [("key", id.into()), ("offset", (*offset).into())];
+                add(noticed, Event::KeyWithdrawn, fields);
+            }
+        }
+    }
+
+    fn outs_changed(&self, before: &Look, noticed: &mut Vec<Noticed>) {
+        let zones = (Event::ZoneOut, Event::ZoneBack, "zone");
+        outs(&before.zones_out, &self.zones_out, zones, noticed);
+        let instances = (Event::InstanceOut, Event::InstanceBack, "instance");
+        outs(&before.instances_out, &self.instances_out, instances, noticed);
+    }
+
+    fn instances_changed(&self, before: &Look, noticed: &mut Vec<Noticed>) {
+        for (id, now) in &self.instances {
+            match before.instances.get(id) {
+                Some(old) => instance_changed(id, old, now, noticed),
+                None => {
+                    let fields = [
+                        ("instance", id.into()),
+                        ("pool", (&now.pool).into()),
+                        ("zone", (&now.zone).into()),
+                    ];
+                    add(noticed, Event::UpstreamSeen, fields);
+                }
+            }
+        }
+        for id in before.instances.keys().filter(|id| !self.instances.contains_key(*id)) {
+            add(noticed, Event::UpstreamGone, [("instance", id.into())]);
+        }
+    }
+
+    fn holders_changed(&self, before: &Look, noticed: &mut Vec<Noticed>) {
+        for (incarnation, now) in &self.holders {
+            let old = before.holders.get(incarnation);
+            if old.is_none() {
+                let fields = [("entry", (&now.id).into()), ("zone", (&now.zone).into())];
+                add(noticed, Event::EntrySeen, fields);
+            }
+            if now.departing && !old.is_some_and(|old| old.departing) {
+                add(noticed, Event::EntryDeparting, [("entry", (&now.id).into())]);
+            }
+            // A planned stop expires its own lease at its end.
+            if now.expired && !now.departing && !old.is_some_and(|old| old.expired) {
+                add(noticed, Event::LeaseExpired, [("entry", (&now.id).into())]);
+            }
+            if now.gone && !old.is_some_and(|old| old.gone) {
+                add(noticed, Event::EntryGone, [("entry", (&now.id).into())]);
+            }
+        }
+    }
+
+    fn holds_changed(&self, before: &Look, noticed: &mut Vec<Noticed>) {
+        for (op, what) in self.holds.iter().filter(|(op, _)| !before.holds.contains_key(*op)) {
+            add(noticed, Event::HoldTaken, [("op", op.into()), ("what", what.into())]);
+        }
+        for (op, _) in before.holds.iter().filter(|(op, _)| !self.holds.contains_key(*op)) {
+            add(noticed, Event::HoldEnded, [("op", op.into())]);
+        }
+    }
+}
+
+fn holders(state: &State) -> IndexMap<Incarnation, HolderLook> {
+    let look = |(incarnation, holder): (&Incarnation, &crate::state::Holder)| {
+        let look = HolderLook {
+            id: holder.id.clone(),
+            zone: holder.addresses.zone.clone(),
+            departing: holder.departing,
+            expired: holder.expired,
+            gone: holder.gone,
+        };
+        (*incarnation, look)
+    };
+    state.holders.iter().map(look).collect()
+}
+
+/// What a hold does, for example `zone_out a`; `None` for other records.
+pub fn describe_hold(hold: &Record) -> Option<String> {
+    match hold {
+        Record::KeyWithdraw { key, .. } => Some(format!("key_withdraw {key}")),
+        Record::ZoneOut { zone, .. } => Some(format!("zone_out {zone}")),
+        Record::InstanceOut { instance, .. } => Some(format!("instance_out {instance}")),
+        _ => None,
+    }
+}
+
+/// Op id of a hold, and what it does.
+fn described(hold: &Record) -> Option<(OpId, String)> {
+    Some((Holds::op_of(hold)?.clone(), describe_hold(hold)?))
+}
+
+fn add<const N: usize>(
+    noticed: &mut Vec<Noticed>,
+    event: Event,
+    fields: [(&'static str, Value); N],
+) {
+    noticed.push(Noticed { event, fields: fields.into() });
+}
+
+/// Things taken out and back; `events` are those of out and back, and the name of the field.
+fn outs(
+    before: &IndexMap<std::sync::Arc<str>, Offset>,
+    now: &IndexMap<std::sync::Arc<str>, Offset>,
+    events: (Event, Event, &'static str),
+    noticed: &mut Vec<Noticed>,
+) {
+    let (out, back, field) = events;
+    for (name, offset) in now {
+        if before.get(name) != Some(offset) {
+            add(noticed, out, [(field, name.into()), ("offset", (*offset).into())]);
+        }
+    }
+    for name in before.keys().filter(|name| !now.contains_key(*name)) {
+        add(noticed, back, [(field, name.into())]);
+    }
+}
+
+fn instance_changed(
+    id: &InstanceId,
+    old: &InstanceLook,
+    now: &InstanceLook,
+    noticed: &mut Vec<Noticed>,
+) {
+    let instance = || ("instance", id.into());
+    match (old.draining, now.draining) {
+        (false, true) => {
+            add(noticed, Event::DrainStarted, [instance(), ("pool", (&now.pool).into())]);
+        }
+        (true, false) => {
+            let done = u64::from(old.maintained_at != now.maintained_at);
+            add(noticed, Event::DrainEnded, [instance(), ("done", done.into())]);
+        }
+        (true, true) | (false, false) => {}
+    }
+    if let Some(to) = now.moving_to.as_ref().filter(|to| old.moving_to.as_ref() != Some(to)) {
+        let fields = [instance(), ("from", (&now.pool).into()), ("to", to.into())];
+        add(noticed, Event::MoveStarted, fields);
+    }
+    if old.pool != now.pool {
+        add(noticed, Event::MoveEnded, [instance(), ("to", (&now.pool).into())]);
+    } else if old.moving_to.is_some() && now.moving_to.is_none() {
+        add(noticed, Event::MoveCancelled, [instance()]);
+    }
+}
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -8,6 +8,7 @@
 use crate::ids::*;
 use crate::jobs::PLATFORM_AWAY;
 use crate::kind::{Kind, Refusal};
+use crate::look::describe_hold;
 use crate::node::Fate;
 use crate::peer::Seen;
 use crate::record::{Record, SectionChange};
@@ -566,12 +567,7 @@
 }
 
 fn hold_status(hold: &Record) -> Option<api::HoldStatus> {
-    let what = match hold {
-        Record::KeyWithdraw { key, .. } => format!("key_withdraw {key}"),
-        Record::ZoneOut { zone, .. } => format!("zone_out {zone}"),
-        Record::InstanceOut { instance, .. } => format!("instance_out {instance}"),
-        _ => return None,
-    };
+    let what = describe_hold(hold)?;
     Some(api::HoldStatus { op: Holds::op_of(hold)?.clone(), what })
 }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -11,6 +11,7 @@
 use crate::settings::Settings;
 use crate::sync;
 use crate::tend;
+use crate::watcher;
 use crate::{health_routes, jobs};
 use jsonrpsee::server::ServerHandle;
 use rand::RngExt;
@@ -172,6 +173,7 @@
         tokio::spawn(sync::tick(entry.clone())),
         tokio::spawn(probe::run(entry.clone())),
         tokio::spawn(tend::run(entry.clone())),
+        tokio::spawn(watcher::run(entry.clone())),
     ]
 }
 
--- a/src/serve_command.rs
+++ b/src/serve_command.rs
@@ -1,11 +1,13 @@
 //! Runs an entry instance as a process of its own.
 
+use crate::event::Event;
 use crate::exit::{Exit, Failure};
+use crate::ids::EntryId;
 use crate::operate::Report;
 use crate::serve::{Server, Stopped};
 use crate::settings::Settings;
+use crate::stop_signal::StopSignal;
 use std::io::Write;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Runs an entry instance until SIGTERM or SIGINT. The first line names its addresses. A second
 /// signal ends the process at once.
@@ -18,47 +20,50 @@
 }
 
 async fn run(settings: Settings, out: &mut dyn Write) -> Result<Report, Failure> {
-    let mut signals = Signals::new()?;
+    let mut stop = StopSignal::new().map_err(process)?;
     let id = settings.id.clone();
     let server = Server::start(settings).await.map_err(process)?;
-    let (http, peer) = (server.http_addr, server.peer_addr);
-    writeln!(out, "entry instance {id} on {http}, for peers on {peer}").map_err(process)?;
-    out.flush().map_err(process)?;
-    signals.next().await;
+    let log = server.entry.log.clone();
+    announce(&server, &id, out)?;
+    let signal = stop.next().await;
+    log.event(Event::Stopping, &[("signal", signal.into())]);
+    let entry = server.entry.clone();
     let stopped = tokio::select! {
         stopped = server.stop() => stopped,
-        () = signals.next() => {
+        _ = stop.next() => {
+            let left = *entry.in_flight().borrow() as u64;
+            log.event(Event::StoppedAtOnce, &[("in_progress", left.into())]);
             return Err(Failure::Process { message: "ended at once by a second signal".into() });
         }
     };
     match stopped {
-        Stopped::Clean => Ok(Report { exit: Exit::Done, text: "stopped".into() }),
+        Stopped::Clean => {
+            log.event(Event::Stopped, &[]);
+            Ok(Report { exit: Exit::Done, text: "stopped".into() })
+        }
         Stopped::CutOff(left) => {
+            log.event(Event::StopTimeout, &[("in_progress", (left as u64).into())]);
             let message = format!("the stop timeout came with {left} requests in flight");
             Err(Failure::Process { message })
         }
     }
 }
 
-/// SIGTERM and SIGINT.
-struct Signals {
-    term: Signal,
-    int: Signal,
-}
-
-impl Signals {
-    fn new() -> Result<Signals, Failure> {
-        let term = signal(SignalKind::terminate()).map_err(process)?;
-        let int = signal(SignalKind::interrupt()).map_err(process)?;
-        Ok(Signals { term, int })
-    }
-
-    async fn next(&mut self) {
-        tokio::select! {
-            _ = self.term.recv() => {}
-            _ = self.int.recv() => {}
-        }
-    }
+/// Names the addresses on standard output and in the log.
+fn announce(server: &Server, id: &EntryId, out: &mut dyn Write) -> Result<(), Failure> {
+    let (http, peer) = (server.http_addr, server.peer_addr);
+    writeln!(out, "entry instance {id} on {http}, for peers on {peer}").map_err(process)?;
+    out.flush().map_err(process)?;
+    let (entry, http, peer) = (&server.entry, http.to_string(), peer.to_string());
+    let fields = [
+        ("entry", id.into()),
+        ("zone", entry.zone().into()),
+        ("incarnation", entry.incarnation().into()),
+        ("http_addr", (&http).into()),
+        ("peer_addr", (&peer).into()),
+    ];
+    entry.log.event(Event::Listening, &fields);
+    Ok(())
 }
 
 fn process(e: impl std::fmt::Display) -> Failure {
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -3,6 +3,7 @@
 
 use crate::dispatch;
 use crate::entry::Entry;
+use crate::event::Event;
 use crate::protocol::InstanceList;
 use crate::record::Record;
 use futures::future::join_all;
@@ -85,7 +86,10 @@
         let answer = entry.platform.append(bytes).await;
         let offset = answer.as_ref().ok().copied();
         entry.node.lock().on_append(entry.now(), seq, offset);
-        if offset.is_none() {
+        if let Err(e) = answer {
+            let error = e.to_string();
+            let fields = [("seq", seq.into()), ("error", (&error).into())];
+            entry.log.event(Event::AppendLost, &fields);
             sleep(APPEND_PAUSE).await;
         }
     }
@@ -152,6 +156,8 @@
     let Ok(Some(view)) = entry.peers.view(peer).await else { return };
     // A damaged view changes nothing, and the next peer or round is asked.
     if entry.node.lock().load_view(entry.now(), &view).is_ok() {
+        let fields = [("source", peer.into()), ("bytes", (view.len() as u64).into())];
+        entry.log.event(Event::ViewLoaded, &fields);
         after_fold(entry);
     }
 }
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -46,6 +46,15 @@
     assert_eq!(code, Exit::Refused as i32, "{text}");
 }
 
+/// Waits until the metrics of an entry instance have a line.
+async fn wait_for_metric(env: &Env, at: usize, line: &str) {
+    wait_until(line, SOON, async || {
+        let text = env.get(at, "/metrics").send().await.expect("an answer").text().await;
+        text.expect("text").lines().any(|found| found == line)
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn zone_out_and_back() {
     let env = Env::start().await;
@@ -53,9 +62,13 @@
     let since = status(&env, 1)["zones"][0]["out_since"].as_u64();
     assert!(since.is_some());
     assert!(done(&env, &["status"]).contains(&format!("out since offset {}", since.unwrap_or(0))));
+    wait_for_metric(&env, 1, "jacinthhook_events_total{event=\"404\"} 1").await;
+    wait_for_metric(&env, 1, "jacinthhook_upstreams_usable{pool=\"main\"} 1").await;
     let (code, text) = run(&env, 1, &["zone", "back", "b"]);
     assert_eq!(code, Exit::Refused as i32, "{text}");
     done(&env, &["zone", "back", "a"]);
+    wait_for_metric(&env, 1, "jacinthhook_events_total{event=\"405\"} 1").await;
+    wait_for_metric(&env, 1, "jacinthhook_upstreams_usable{pool=\"main\"} 2").await;
     assert_eq!(status(&env, 1)["zones"][0]["out_since"], Value::Null);
     // A second one names a command that is no longer in force.
     let undoes = since.unwrap_or(0).to_string();
@@ -109,6 +122,10 @@
     for at in 0..2 {
         assert_eq!(call(&env, at, &key).await.1, "key_unknown");
     }
+    // Lost, hold taken.
+    wait_for_metric(&env, 1, "jacinthhook_events_total{event=\"200\"} 1").await;
+    wait_for_metric(&env, 1, "jacinthhook_events_total{event=\"408\"} 1").await;
+    wait_for_metric(&env, 1, "jacinthhook_holds 1").await;
     let (code, text) = run(&env, 0, &["key", "grant", "counters"]);
     assert_eq!(code, Exit::Refused as i32, "{text}");
     assert!(text.contains("log"), "{text}");
@@ -117,4 +134,8 @@
         run(&env, 0, &["key", "list"]).1.contains("counters  withdrawn\n")
     })
     .await;
+    // Back, hold ended.
+    wait_for_metric(&env, 1, "jacinthhook_events_total{event=\"201\"} 1").await;
+    wait_for_metric(&env, 1, "jacinthhook_events_total{event=\"409\"} 1").await;
+    wait_for_metric(&env, 1, "jacinthhook_holds 0").await;
 }
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -199,7 +199,7 @@
     pub async fn add_entry(&mut self, id: &str, zone: &str, more: &str) {
         let settings = format!(
             "[entry]\nid = {id}\nzone = {zone}\nhttp_addr = 127.0.0.1:0\npeer_addr = 127.0.0.1:0\n\
-             platform_addr = {}\nentry_instances = 2\n{more}",
+             platform_addr = {}\nentry_instances = 2\n{more}\n[log]\nlevel = error\n",
             self.platform.addr
         );
         let file = self.file(&format!("{id}.ini"), &settings);
