--- a/src/state.rs
+++ b/src/state.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 mod budget;
 mod claims;
@@ -97,6 +98,14 @@
     BacklogFull,
     #[snafu(display("{instance:?} is out, drains, moves or is gone"))]
     InstanceClosed { instance: InstanceId },
+    #[snafu(display("an entry instance has not read yet that {instance:?} moves"))]
+    MoveNotSeen { instance: InstanceId },
+    #[snafu(display("the request id was claimed before"))]
+    ClaimTaken,
+    #[snafu(display("the record of {len} bytes does not fit into an entry"))]
+    TooLarge { len: usize },
+    #[snafu(display("too many records wait for the log"))]
+    QueueFull,
 }
 
 /// The shared state at one offset.
@@ -126,6 +135,8 @@
     job_totals: jobs::Totals,
     /// Last batch sequence by incarnation; oldest first.
     writers: IndexMap<Incarnation, u64>,
+    /// Longest time that a request could ever take, in milliseconds.
+    longest_deadline_ms: u64,
     ops: IndexMap<OpId, Offset>,
     op_order: VecDeque<OpId>,
 }
@@ -199,6 +210,16 @@
         true
     }
 
+    /// Sequence of the last batch that was folded of an incarnation.
+    pub fn last_seq(&self, incarnation: Incarnation) -> Option<u64> {
+        self.writers.get(&incarnation).copied()
+    }
+
+    /// Longest time that a request may take; work of an ended entry instance is over by then.
+    pub fn longest_deadline(&self) -> Duration {
+        Duration::from_millis(self.longest_deadline_ms)
+    }
+
     /// Drops the oldest incarnation that holds nothing.
     fn forget_writer(&mut self) {
         let idle = |incarnation: &Incarnation| !self.holders.contains_key(incarnation);
@@ -292,6 +313,9 @@
             }
         }
         self.config.change(changes).map_err(mistakes)?;
+        let longest = self.config.profiles.values().map(|p| p.max_deadline).max();
+        let longest_ms = longest.unwrap_or_default().as_millis() as u64;
+        self.longest_deadline_ms = self.longest_deadline_ms.max(longest_ms);
         for change in changes {
             match &change.body {
                 Some(values) => {
