--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod platform;
 pub mod protocol;
 pub mod record;
+pub mod retry;
 pub mod standin;
 pub mod standin_platform;
 mod standin_tasks;
