--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,7 +53,6 @@
 pub mod serve_command;
 pub mod settings;
 pub mod snapshot;
-pub mod retry;
 pub mod standin;
 pub mod standin_command;
 pub mod standin_platform;
