Run the planners of moves and maintenance in entry instances

Cause: the planners decided and nobody carried it out; the log knew drains and moves but no entry instance wrote them. Ruled out: a planner of its own, since no instance is set aside for control; an election, since the fold rejects a second record for the same step, so the live holder with the lowest id takes the turn. Stopping every job at the end of a drain, since one that may run only once would be lost. Change: controller (no I/O) and control (loop), a restart call named by the drain in the platform's protocol, Maintained records with the writer's clock, budgets rounded down in planner and fold alike.

--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,99 @@
+//! Feeds the controller and carries out its steps.
+
+use crate::controller::{Controller, Inputs, PASS_INTERVAL, Pass, Step, is_turn};
+use crate::entry::Entry;
+use crate::ids::*;
+use crate::protocol::{InstanceList, Listed};
+use crate::sched::PoolLoad;
+use crate::upstream::Target;
+use indexmap::IndexMap;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::time::{MissedTickBehavior, interval};
+
+/// Plans for as long as the entry instance runs.
+pub async fn run(entry: Arc<Entry>) {
+    let mut controller = Controller::new();
+    let mut ticks = interval(PASS_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let list = entry.list.lock().clone();
+        let pass = plan(&entry, &mut controller, &list);
+        for step in pass.steps {
+            carry_out(&entry, &mut controller, &list, step).await;
+        }
+    }
+}
+
+fn plan(entry: &Entry, controller: &mut Controller, list: &InstanceList) -> Pass {
+    let reports = entry.clocks.reports();
+    let node = entry.node.lock();
+    let loads = pool_loads(entry, node.state().config.pools.keys());
+    let inputs = Inputs {
+        now: entry.now(),
+        unix_s: unix_s(),
+        node: &node,
+        list,
+        reports: &reports,
+        loads: &loads,
+    };
+    controller.observe(&inputs);
+    match node.has_view() && is_turn(&node) {
+        true => controller.plan(&inputs),
+        false => Pass::default(),
+    }
+}
+
+fn pool_loads<'a>(
+    entry: &Entry,
+    pools: impl Iterator<Item = &'a PoolId>,
+) -> IndexMap<PoolId, PoolLoad> {
+    let desk = entry.desk.lock();
+    pools.map(|pool| (pool.clone(), desk.sched.pool_load(pool))).collect()
+}
+
+fn unix_s() -> u64 {
+    // A clock before 1970 plans maintenance as if it were 1970.
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_secs())
+}
+
+async fn carry_out(
+    entry: &Arc<Entry>,
+    controller: &mut Controller,
+    list: &InstanceList,
+    step: Step,
+) {
+    match step {
+        Step::Propose(record) => {
+            entry.propose(record);
+        }
+        Step::Probe(instance) => entry.clocks.hurry(&instance),
+        Step::Reboot { instance, op } => {
+            // Without an answer the next pass asks again under the same name.
+            if let Ok(state) = entry.platform.reboot(&instance, op).await {
+                controller.on_reboot(entry.now(), &instance, state);
+            }
+        }
+        Step::Checkpoint { instance, jobs } => {
+            let Some(target) = target(entry, list, &instance) else { return };
+            for (job, fence) in jobs {
+                // A job that cannot save its progress starts anew if it is stopped.
+                let _ = entry.upstreams.checkpoint_task(&target, &job, fence).await;
+            }
+        }
+        Step::Stop { instance, jobs } => {
+            let Some(target) = target(entry, list, &instance) else { return };
+            for (job, fence) in jobs {
+                // The holder of the job sees the stop and releases it; a failure is tried again.
+                let _ = entry.upstreams.stop_task(&target, &job, fence).await;
+            }
+        }
+    }
+}
+
+fn target(entry: &Entry, list: &InstanceList, instance: &InstanceId) -> Option<Target> {
+    let listed: &Listed = list.instances.iter().find(|listed| listed.id == *instance)?;
+    let generation = entry.health.lock().generation(instance);
+    Some(Target { id: instance.clone(), addr: listed.addr.clone(), generation })
+}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -38,6 +38,8 @@
     pub id: InstanceId,
     /// The one pool that it is in.
     pub pool: PoolId,
+    /// Pool that the platform started it in. An instance whose home is a spare pool may be lent.
+    pub home: PoolId,
     pub zone: ZoneId,
     pub rack: RackId,
     pub status: Status,
@@ -188,13 +190,8 @@
     }
 }
 
-/// Most instances of a pool of `size` that may be down at once.
-///
-/// The percentage is rounded down, but a pool of two or more may always have one down unless the
-/// percentage is zero: a small pool could never be maintained otherwise.
+/// Most instances of a pool of `size` that may be down at once. Rounded down: a budget is never
+/// exceeded by a part of an instance, and a pool that is too small for its percentage waits.
 pub fn allowed_down(size: u32, percent: u32) -> u32 {
-    if percent == 0 || size < 2 {
-        return 0;
-    }
-    (size * percent.min(100) / 100).max(1)
+    size * percent.min(100) / 100
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod cli;
 pub mod config;
 pub mod connection;
+pub mod control;
+pub mod controller;
 pub mod difference;
 pub mod dispatch;
 pub mod entry;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,7 +1,7 @@
 //! Client of the platform: its log and its list of instances.
 
 use crate::ids::*;
-use crate::protocol::{InstanceList, Listed, ReadAnswer};
+use crate::protocol::{InstanceList, Listed, ReadAnswer, RebootAnswer, RebootRequest, RebootState};
 use crate::transport::{self, CallError, ExchangeIds, TransportOptions};
 use bytes::Bytes;
 use parking_lot::Mutex;
@@ -103,6 +103,14 @@
         self.call(request, self.options.call_timeout).await.map(drop)
     }
 
+    /// Restarts an upstream instance, or tells how far the restart named by `op` is.
+    pub async fn reboot(&self, id: &InstanceId, op: String) -> Result<RebootState, PlatformError> {
+        let path = format!("/instances/{id}/reboot");
+        let request = self.request(Method::POST, &path).json(&RebootRequest { op });
+        let body = self.call(request, self.options.call_timeout).await?;
+        Ok(decode::<RebootAnswer>(&body)?.state)
+    }
+
     fn request(&self, method: Method, path: &str) -> RequestBuilder {
         self.client.lock().request(method, format!("http://{}{path}", self.addr))
     }
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -1,5 +1,6 @@
 //! Probes of upstreams: their clocks, load, health, and whether they drain.
 
+use crate::controller::Report;
 use crate::dispatch;
 use crate::entry::Entry;
 use crate::ids::*;
@@ -34,6 +35,7 @@
     clock: UpstreamClock,
     draining: bool,
     answered: bool,
+    running: u32,
     next_probe: Time,
     /// Log position for which this life of the upstream is known to have run already; entries from
     /// here on are younger than its start.
@@ -70,6 +72,17 @@
         known.get(upstream).is_some_and(|k| k.answered && k.runs_since.is_some_and(|o| o <= offset))
     }
 
+    /// What the last probe of each upstream told.
+    pub fn reports(&self) -> HashMap<InstanceId, Report> {
+        let known = self.known.lock();
+        let report = |known: &Known| Report {
+            at: known.clock.at,
+            running: known.running,
+            answered: known.answered,
+        };
+        known.iter().map(|(id, known)| (id.clone(), report(known))).collect()
+    }
+
     /// Makes an upstream due for a probe, for example because it answered "draining".
     pub fn hurry(&self, upstream: &InstanceId) {
         if let Some(known) = self.known.lock().get_mut(upstream) {
@@ -104,9 +117,9 @@
         };
         let interval =
             if status.draining || runs_since.is_none() { RETRY_INTERVAL } else { PROBE_INTERVAL };
-        let draining = status.draining;
+        let (draining, running) = (status.draining, status.running);
         let next_probe = now + interval;
-        let new = Known { clock, draining, answered: true, next_probe, runs_since };
+        let new = Known { clock, draining, answered: true, running, next_probe, runs_since };
         known.insert(upstream.clone(), new);
         last.is_none_or(|last| last.draining != draining || !last.answered)
     }
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -69,6 +69,29 @@
     pub instances: Vec<Listed>,
 }
 
+/// Body of `POST /instances/<id>/reboot`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RebootRequest {
+    /// Names one restart; a repeat asks only how far it is.
+    pub op: String,
+}
+
+/// How far a restart is.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RebootState {
+    /// The instance restarts; the list shows it as departing or not at all.
+    Rebooting,
+    /// It has restarted and takes work again.
+    Done,
+}
+
+/// Answer to `POST /instances/<id>/reboot`.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RebootAnswer {
+    pub state: RebootState,
+}
+
 /// Body of `PUT /tasks/<id>`: starts a task once.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TaskStart {
--- a/src/record.rs
+++ b/src/record.rs
@@ -167,6 +167,9 @@
     DrainStart { instance: InstanceId, reason: DrainReason },
     /// Ends a drain; `done` tells whether the maintenance took place.
     DrainEnd { instance: InstanceId, done: bool },
+    /// Last maintenance of an instance by the writer's clock, in Unix seconds; for an instance that
+    /// nobody has maintained yet, where its interval is taken to have begun.
+    Maintained { instance: InstanceId, at_s: u64 },
     /// First use of callers' own request ids.
     Claim {
         #[serde(with = "hex_claims")]
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,6 +1,7 @@
 //! The entry instance process: starts servers and loops, and stops gracefully.
 
 use crate::answer;
+use crate::control;
 use crate::entry::{Entry, EntryError, Slot, Stage};
 use crate::node::NodeConfig;
 use crate::operators;
@@ -171,6 +172,7 @@
         tokio::spawn(sync::spread_holds(entry.clone())),
         tokio::spawn(sync::tick(entry.clone())),
         tokio::spawn(probe::run(entry.clone())),
+        tokio::spawn(control::run(entry.clone())),
         tokio::spawn(tend::run(entry.clone())),
     ]
 }
--- a/src/standin_platform.rs
+++ b/src/standin_platform.rs
@@ -2,7 +2,9 @@
 //! instances. `docs/platform.md` states the protocol.
 
 use crate::ids::*;
-use crate::protocol::{Entry, InstanceList, Listed, ReadAnswer};
+use crate::protocol::{
+    Entry, InstanceList, Listed, Presence, ReadAnswer, RebootAnswer, RebootRequest, RebootState,
+};
 use crate::record::MAX_ENTRY_LEN;
 use crate::standin::{self, Answer, Gate, Running, StandinError, Switches};
 use bytes::Bytes;
@@ -25,6 +27,9 @@
 /// Largest registration in bytes.
 const MAX_LISTED_LEN: u64 = 16 * 1024;
 
+/// How long a restart of an instance takes.
+pub const REBOOT_TIME: Duration = Duration::from_millis(500);
+
 /// Settings of a platform stand-in.
 #[derive(Clone, Debug)]
 pub struct PlatformOptions {
@@ -144,9 +149,54 @@
     }
 }
 
+/// The last restart of an instance.
+#[derive(Debug)]
+struct Reboot {
+    op: String,
+    started: Instant,
+    done: bool,
+}
+
+/// Restarts by instance.
+#[derive(Debug, Default)]
+struct Reboots {
+    last: IndexMap<InstanceId, Reboot>,
+}
+
+impl Reboots {
+    /// Starts the restart named by `op`, or tells how far it is; `None` for an unknown instance.
+    fn ask(&mut self, registry: &mut Registry, id: &str, op: String) -> Option<RebootState> {
+        self.finish(registry);
+        let listed = registry.current.get(id)?.clone();
+        let known = self.last.get(id).filter(|reboot| reboot.op == op);
+        if let Some(reboot) = known {
+            return Some(if reboot.done { RebootState::Done } else { RebootState::Rebooting });
+        }
+        let id = listed.id.clone();
+        let departing = Listed { presence: Presence::Departing, ..listed };
+        registry.change(id.clone(), Some(departing));
+        self.last.insert(id, Reboot { op, started: Instant::now(), done: false });
+        Some(RebootState::Rebooting)
+    }
+
+    /// Shows instances as live whose restart is over.
+    fn finish(&mut self, registry: &mut Registry) {
+        let over = |reboot: &Reboot| !reboot.done && reboot.started.elapsed() >= REBOOT_TIME;
+        for (id, reboot) in self.last.iter_mut().filter(|(_, reboot)| over(reboot)) {
+            reboot.done = true;
+            if let Some(listed) = registry.current.get(id).cloned() {
+                let live = Listed { presence: Presence::Live, ..listed };
+                registry.change(id.clone(), Some(live));
+            }
+        }
+    }
+}
+
 /// State of one platform stand-in.
 struct Store {
     log: Mutex<Log>,
+    /// Locked before `registry`.
+    reboots: Mutex<Reboots>,
     registry: Mutex<Registry>,
     retention: usize,
     list_lag: Mutex<Duration>,
@@ -168,6 +218,7 @@
         let switches = Arc::new(Switches::default());
         let store = Arc::new(Store {
             log: Mutex::default(),
+            reboots: Mutex::default(),
             registry: Mutex::default(),
             retention: options.retention,
             list_lag: Mutex::new(options.list_lag),
@@ -175,7 +226,7 @@
         });
         let rocket = standin::build(options.addr, switches.clone())
             .manage(store.clone())
-            .mount("/", rocket::routes![append, read, list, register, remove]);
+            .mount("/", rocket::routes![append, read, list, register, remove, reboot]);
         let running = standin::launch(options.addr, rocket).await?;
         Ok(PlatformStandin { running, store, switches })
     }
@@ -257,7 +308,12 @@
         return gate.leave(Answer::new(500)).await;
     }
     let lag = *store.list_lag.lock();
-    let list = store.registry.lock().read(lag);
+    let list = {
+        let mut reboots = store.reboots.lock();
+        let mut registry = store.registry.lock();
+        reboots.finish(&mut registry);
+        registry.read(lag)
+    };
     gate.leave(Answer::json(200, &list)).await
 }
 
@@ -285,3 +341,24 @@
     store.registry.lock().change(id.into(), None);
     gate.leave(Answer::new(204)).await
 }
+
+#[rocket::post("/instances/<id>/reboot", data = "<data>")]
+async fn reboot(gate: Gate, id: &str, data: Data<'_>, store: &State<Arc<Store>>) -> Answer {
+    let request = match data.open(MAX_LISTED_LEN.bytes()).into_bytes().await {
+        Ok(body) if body.is_complete() => serde_json::from_slice::<RebootRequest>(&body).ok(),
+        _ => None,
+    };
+    let Some(request) = request else { return gate.leave(Answer::new(400)).await };
+    if gate.failing {
+        return gate.leave(Answer::new(500)).await;
+    }
+    let state = {
+        let mut reboots = store.reboots.lock();
+        let mut registry = store.registry.lock();
+        reboots.ask(&mut registry, id, request.op)
+    };
+    match state {
+        Some(state) => gate.leave(Answer::json(200, &RebootAnswer { state })).await,
+        None => gate.leave(Answer::new(404)).await,
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -50,8 +50,8 @@
     pub draining: Option<(DrainReason, Offset)>,
     /// Offset at which the platform's list showed it as gone.
     pub gone_at: Option<Offset>,
-    /// Offset of the end of its last maintenance.
-    pub maintained_at: Option<Offset>,
+    /// End of its last maintenance in Unix seconds; only for planning, since clocks may differ.
+    pub maintained_at: Option<u64>,
 }
 
 /// What became of a record.
@@ -268,7 +268,8 @@
             Record::MoveEnd { instance } => self.move_end(instance, true),
             Record::MoveCancel { instance } => self.move_end(instance, false),
             Record::DrainStart { instance, reason } => self.drain_start(cx, instance, *reason),
-            Record::DrainEnd { instance, done } => self.drain_end(cx, instance, *done),
+            Record::DrainEnd { instance, .. } => self.drain_end(instance),
+            Record::Maintained { instance, at_s } => self.maintained(instance, *at_s),
             Record::Claim { ids } => self.claim(cx, ids),
             Record::JobSubmit { spec } => self.job_submit(cx, spec),
             Record::JobClaim { job, attempt, upstream } => {
--- a/src/state/budget.rs
+++ b/src/state/budget.rs
@@ -1,6 +1,8 @@
 //! Instances: their one pool, moves, drains, and the availability budgets that bound them.
 
 use super::{Applied, Cx, Instance, Reject, State, Verdict, missing};
+use crate::config::Profile;
+use crate::fleet::allowed_down;
 use crate::ids::*;
 use crate::record::DrainReason;
 
@@ -17,13 +19,15 @@
     /// Most instances of a pool that may be down: the smallest budget of the profiles whose
     /// services use the pool; `None` for a pool without services.
     pub fn pool_budget(&self, pool: &PoolId) -> Option<u32> {
-        let size = self.instances.values().filter(|i| i.pool == *pool).count() as u64;
-        let percents = self.config.services.values().filter(|s| s.pool == *pool);
-        let percent = percents
-            .filter_map(|s| self.config.profiles.get(&s.profile))
-            .map(|p| u64::from(p.unavailable_percent))
-            .min()?;
-        Some((size * percent / 100) as u32)
+        let percent = self.pool_profiles(pool).map(|p| p.unavailable_percent).min()?;
+        let size = self.instances.values().filter(|i| i.pool == *pool).count() as u32;
+        Some(allowed_down(size, percent))
+    }
+
+    /// Profiles of the services that use a pool.
+    pub fn pool_profiles(&self, pool: &PoolId) -> impl Iterator<Item = &Profile> {
+        let services = self.config.services.values().filter(move |s| s.pool == *pool);
+        services.filter_map(|s| self.config.profiles.get(&s.profile))
     }
 
     /// Instances of a pool that are down, for any reason.
@@ -48,11 +52,8 @@
     }
 
     fn require_rack_budget(&self, instance: &Instance) -> Result<(), Reject> {
-        let services = self.config.services.values().filter(|s| s.pool == instance.pool);
-        let allowed = services
-            .filter_map(|s| self.config.profiles.get(&s.profile))
-            .map(|p| p.unavailable_per_rack)
-            .min();
+        let profiles = self.pool_profiles(&instance.pool);
+        let allowed = profiles.map(|p| p.unavailable_per_rack).min();
         let Some(allowed) = allowed else { return Ok(()) };
         let same_rack = |i: &&Instance| i.zone == instance.zone && i.rack == instance.rack;
         let planned = |i: &&Instance| i.draining.is_some() || i.moving.is_some();
@@ -188,14 +189,18 @@
         Ok(Verdict::Applied)
     }
 
-    pub(super) fn drain_end(&mut self, cx: Cx, id: &InstanceId, done: bool) -> Applied {
+    pub(super) fn drain_end(&mut self, id: &InstanceId) -> Applied {
         let instance = self.instances.get_mut(id).ok_or_else(|| missing("instance", id))?;
         if instance.draining.take().is_none() {
             return Err(Reject::NotUnderWay { instance: id.clone() });
         }
-        if done {
-            instance.maintained_at = Some(cx.offset);
-        }
+        Ok(Verdict::Applied)
+    }
+
+    /// Only a later time counts, so that a late record does not bring maintenance forward.
+    pub(super) fn maintained(&mut self, id: &InstanceId, at_s: u64) -> Applied {
+        let instance = self.instances.get_mut(id).ok_or_else(|| missing("instance", id))?;
+        instance.maintained_at = instance.maintained_at.max(Some(at_s));
         Ok(Verdict::Applied)
     }
 }
