--- a/tests/controller.rs
+++ b/tests/controller.rs
@@ -114,7 +114,7 @@
         let writer: EntryId = if incarnation == 1 { "entry-a".into() } else { "entry-b".into() };
         let batch = Batch { writer, incarnation, seq: *seq, records };
         let offset = self.entries.len() as Offset;
-        self.entries.push(Entry { offset, data: encode(&batch).unwrap() });
+        self.entries.push(Entry { offset, data: encode(&batch).expect("a small batch encodes") });
         let answer = ReadAnswer { first: 0, next: offset + 1, entries: self.entries.clone() };
         self.node.on_read(self.now, &answer);
     }
