Add load measurements without coordinated omission

Cause: the targets for throughput and added latency through an entry instance need one run that measures an upstream directly and through the instance. Ruled out: pacing with the runtime's timer, whose resolution of 1 ms is as large as the p50 target; a thread keeps the plan. Leaving out requests that found no free connection, which hides a stall. Change: load::run (open or closed loop), load::compare, reports as table and JSON.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod health;
 pub mod ids;
 pub mod kind;
+pub mod load;
 pub mod platform;
 pub mod protocol;
 pub mod record;
--- /dev/null
+++ b/src/load.rs
@@ -0,0 +1,480 @@
+//! Load on one address, for measurements: closed loop over a number of connections, or open loop at
+//! a rate.
+//!
+//! In the open loop each request has a planned time, and its latency counts from there whether or
+//! not a connection was free. A stalled server therefore shows in the latencies of all requests
+//! planned during the stall. A thread of its own keeps the plan, since the runtime's timer has a
+//! resolution of 1 ms.
+
+use crate::transport::{self, TransportOptions};
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
+use reqwest::{Client, Method, Url};
+use serde::Serialize;
+use snafu::Snafu;
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+
+/// Highest latency that is told apart, in microseconds: one hour.
+const MAX_LATENCY_US: u64 = 3_600_000_000;
+/// Significant decimal digits of a latency.
+const LATENCY_DIGITS: u8 = 3;
+
+/// When requests are sent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Pace {
+    /// Each connection sends as soon as it has its answer.
+    Closed,
+    /// Requests are planned at even distances.
+    Open { per_second: f64 },
+}
+
+/// One load.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    /// IP address and port.
+    pub target: String,
+    /// Path and query.
+    pub path: String,
+    pub method: Method,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub pace: Pace,
+    /// Requests open at once.
+    pub connections: usize,
+    /// Time at the start that is not measured.
+    pub warmup: Duration,
+    /// Measured time.
+    pub duration: Duration,
+    /// Longest wait for an answer.
+    pub timeout: Duration,
+}
+
+impl LoadOptions {
+    /// `GET` in a closed loop over 64 connections for 5 s after 1 s of warm-up.
+    pub fn new(target: impl Into<String>, path: impl Into<String>) -> LoadOptions {
+        LoadOptions {
+            target: target.into(),
+            path: path.into(),
+            method: Method::GET,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            pace: Pace::Closed,
+            connections: 64,
+            warmup: Duration::from_secs(1),
+            duration: Duration::from_secs(5),
+            timeout: Duration::from_secs(10),
+        }
+    }
+
+    /// Replaces the pace.
+    pub fn with_pace(mut self, pace: Pace) -> LoadOptions {
+        self.pace = pace;
+        self
+    }
+
+    /// Replaces the number of connections.
+    pub fn with_connections(mut self, connections: usize) -> LoadOptions {
+        self.connections = connections;
+        self
+    }
+
+    /// Replaces warm-up and measured time.
+    pub fn with_times(mut self, warmup: Duration, duration: Duration) -> LoadOptions {
+        self.warmup = warmup;
+        self.duration = duration;
+        self
+    }
+
+    /// Adds a header given as `name: value`.
+    pub fn with_header(mut self, line: &str) -> Result<LoadOptions, LoadError> {
+        let header = parse_header(line).ok_or_else(|| LoadError::Header { line: line.into() })?;
+        self.headers.append(header.0, header.1);
+        Ok(self)
+    }
+}
+
+fn parse_header(line: &str) -> Option<(HeaderName, HeaderValue)> {
+    let (name, value) = line.split_once(':')?;
+    Some((name.trim().parse().ok()?, value.trim().parse().ok()?))
+}
+
+/// Why a load did not start.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum LoadError {
+    /// Not `name: value`.
+    #[snafu(display("header {line:?} is not of the form 'name: value'"))]
+    Header { line: String },
+    /// The target and path make no URL.
+    #[snafu(display("target {target:?} and path {path:?} make no URL: {message}"))]
+    Target { target: String, path: String, message: String },
+    /// A rate, count or duration outside its range.
+    #[snafu(display("{what} must be above 0"))]
+    NotPositive { what: &'static str },
+    /// The client could not be built.
+    #[snafu(display("client: {message}"))]
+    Client { message: String },
+}
+
+/// Latencies in microseconds. Requests without an answer count with the time that they took; answers
+/// with a status of 400 and above are left out.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Latencies {
+    pub p50_us: u64,
+    pub p90_us: u64,
+    pub p99_us: u64,
+    pub p99_9_us: u64,
+    pub max_us: u64,
+}
+
+/// Result of one load.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct LoadReport {
+    pub target: String,
+    pub connections: usize,
+    /// Planned requests per second; `None` in the closed loop.
+    pub planned_per_second: Option<f64>,
+    /// Measured time in seconds.
+    pub seconds: f64,
+    /// Answers with a status below 400.
+    pub ok: u64,
+    /// `ok` per second.
+    pub per_second: f64,
+    /// Other ends, by status or error, and `unsent` for planned requests that found no connection.
+    pub failed: IndexMap<String, u64>,
+    pub latency: Latencies,
+}
+
+/// What one connection has measured.
+struct Tally {
+    latency: Histogram<u64>,
+    ok: u64,
+    failed: IndexMap<String, u64>,
+}
+
+impl Tally {
+    fn new() -> Tally {
+        let latency = Histogram::new_with_max(MAX_LATENCY_US, LATENCY_DIGITS)
+            .expect("constant bounds are valid");
+        Tally { latency, ok: 0, failed: IndexMap::new() }
+    }
+
+    fn add(&mut self, end: End, latency: Duration) {
+        if end.has_latency() {
+            self.latency.saturating_record(latency.as_micros() as u64);
+        }
+        match end {
+            End::Ok => self.ok += 1,
+            End::Refused(status) => *self.failed.entry(status.to_string()).or_default() += 1,
+            End::Error(what) => *self.failed.entry(what.to_string()).or_default() += 1,
+        }
+    }
+
+    fn merge(&mut self, other: Tally) {
+        self.latency.add(&other.latency).expect("both have the same bounds");
+        self.ok += other.ok;
+        for (what, count) in other.failed {
+            *self.failed.entry(what).or_default() += count;
+        }
+    }
+
+    fn latencies(&self) -> Latencies {
+        Latencies {
+            p50_us: self.latency.value_at_quantile(0.5),
+            p90_us: self.latency.value_at_quantile(0.9),
+            p99_us: self.latency.value_at_quantile(0.99),
+            p99_9_us: self.latency.value_at_quantile(0.999),
+            max_us: self.latency.max(),
+        }
+    }
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Ok,
+    Refused(u16),
+    Error(&'static str),
+}
+
+impl End {
+    /// A quick refusal must not make the latencies look better.
+    fn has_latency(self) -> bool {
+        !matches!(self, End::Refused(_))
+    }
+}
+
+/// The plan of an open loop. The thread that keeps it adds a permit when a request is due.
+struct Plan {
+    start: Instant,
+    interval: Duration,
+    count: u64,
+    due: Semaphore,
+    taken: AtomicU64,
+}
+
+impl Plan {
+    fn new(start: Instant, whole: Duration, per_second: f64) -> Plan {
+        Plan {
+            start,
+            interval: Duration::from_secs_f64(1.0 / per_second),
+            count: (whole.as_secs_f64() * per_second).round() as u64,
+            due: Semaphore::new(0),
+            taken: AtomicU64::new(0),
+        }
+    }
+
+    fn time(&self, number: u64) -> Instant {
+        self.start + Duration::from_secs_f64(self.interval.as_secs_f64() * number as f64)
+    }
+
+    /// Releases each request at its time.
+    fn keep(&self) {
+        for number in 0..self.count {
+            let wait = self.time(number).saturating_duration_since(Instant::now());
+            if !wait.is_zero() {
+                std::thread::sleep(wait);
+            }
+            self.due.add_permits(1);
+        }
+    }
+
+    /// The planned time of the next request, once it is due; `None` after the last one.
+    async fn next(&self) -> Option<Instant> {
+        let number = self.taken.fetch_add(1, Ordering::Relaxed);
+        if number >= self.count {
+            return None;
+        }
+        self.due.acquire().await.ok()?.forget();
+        Some(self.time(number))
+    }
+}
+
+/// What every connection needs.
+struct Shared {
+    options: LoadOptions,
+    url: Url,
+    start: Instant,
+    plan: Option<Plan>,
+}
+
+impl Shared {
+    fn measured_from(&self) -> Instant {
+        self.start + self.options.warmup
+    }
+
+    fn end(&self) -> Instant {
+        self.measured_from() + self.options.duration
+    }
+
+    /// When to send next and count from; `None` at the end.
+    async fn next(&self) -> Option<Instant> {
+        match &self.plan {
+            Some(plan) => plan.next().await,
+            None => Some(Instant::now()).filter(|now| *now < self.end()),
+        }
+    }
+
+    async fn send(&self, client: &Client) -> End {
+        let options = &self.options;
+        let request = client
+            .request(options.method.clone(), self.url.clone())
+            .headers(options.headers.clone())
+            .body(options.body.clone())
+            .timeout(options.timeout);
+        match whole(request).await {
+            Ok(status) if status < 400 => End::Ok,
+            Ok(status) => End::Refused(status),
+            Err(e) if e.is_timeout() => End::Error("timeout"),
+            Err(e) if e.is_connect() => End::Error("connect"),
+            Err(_) => End::Error("lost"),
+        }
+    }
+
+    /// Whether a request counts. In the closed loop only one that also ends within the measured time
+    /// counts, so that the rate is not too high.
+    fn counts(&self, from: Instant, now: Instant) -> bool {
+        from >= self.measured_from() && (self.plan.is_some() || now <= self.end())
+    }
+}
+
+async fn whole(request: reqwest::RequestBuilder) -> reqwest::Result<u16> {
+    let mut response = request.send().await?;
+    while response.chunk().await?.is_some() {}
+    Ok(response.status().as_u16())
+}
+
+/// Uses one connection until the end of the load.
+async fn connection(shared: Arc<Shared>, client: Client) -> Tally {
+    let mut tally = Tally::new();
+    while let Some(from) = shared.next().await {
+        let end = match Instant::now().saturating_duration_since(from) > shared.options.timeout {
+            // Nobody would still wait for it; sending it would only lengthen the run.
+            true => End::Error("unsent"),
+            false => shared.send(&client).await,
+        };
+        let now = Instant::now();
+        if shared.counts(from, now) {
+            tally.add(end, now - from);
+        }
+    }
+    tally
+}
+
+fn check(options: &LoadOptions) -> Result<Url, LoadError> {
+    let positive = |what, ok| if ok { Ok(()) } else { Err(LoadError::NotPositive { what }) };
+    positive("number of connections", options.connections > 0)?;
+    positive("duration", !options.duration.is_zero())?;
+    if let Pace::Open { per_second } = options.pace {
+        positive("rate", per_second.is_finite() && per_second > 0.0)?;
+    }
+    let text = format!("http://{}{}", options.target, options.path);
+    Url::parse(&text).map_err(|e| LoadError::Target {
+        target: options.target.clone(),
+        path: options.path.clone(),
+        message: e.to_string(),
+    })
+}
+
+/// Runs a load to its end.
+pub async fn run(options: LoadOptions) -> Result<LoadReport, LoadError> {
+    let url = check(&options)?;
+    let start = Instant::now();
+    let whole = options.warmup + options.duration;
+    let plan = match options.pace {
+        Pace::Closed => None,
+        Pace::Open { per_second } => Some(Plan::new(start, whole, per_second)),
+    };
+    let shared = Arc::new(Shared { options, url, start, plan });
+    let mut connections = JoinSet::new();
+    for _ in 0..shared.options.connections {
+        // A client of its own gives each worker one connection.
+        let client = transport::client(&TransportOptions::default(), 1)
+            .map_err(|e| LoadError::Client { message: e.to_string() })?;
+        connections.spawn(connection(shared.clone(), client));
+    }
+    let keeper = shared.clone();
+    let keeper = std::thread::spawn(move || {
+        if let Some(plan) = &keeper.plan {
+            plan.keep();
+        }
+    });
+    let mut tally = Tally::new();
+    while let Some(part) = connections.join_next().await {
+        tally.merge(part.expect("a connection's task does not panic"));
+    }
+    keeper.join().expect("the plan's thread does not panic");
+    Ok(report(&shared.options, tally))
+}
+
+fn report(options: &LoadOptions, tally: Tally) -> LoadReport {
+    let seconds = options.duration.as_secs_f64();
+    LoadReport {
+        target: options.target.clone(),
+        connections: options.connections,
+        planned_per_second: match options.pace {
+            Pace::Closed => None,
+            Pace::Open { per_second } => Some(per_second),
+        },
+        seconds,
+        ok: tally.ok,
+        per_second: tally.ok as f64 / seconds,
+        latency: tally.latencies(),
+        failed: tally.failed,
+    }
+}
+
+/// Load through an entry instance against load on an upstream directly.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Comparison {
+    /// Closed loop.
+    pub direct: LoadReport,
+    pub through: LoadReport,
+    /// Requests per second through the entry instance relative to direct.
+    pub ratio: f64,
+    /// Open loop at half of the rate that went through.
+    pub direct_half: LoadReport,
+    pub through_half: LoadReport,
+    /// Latency that the entry instance adds at that rate; negative when it is within the noise.
+    pub added_p50_us: i64,
+    pub added_p99_us: i64,
+}
+
+/// Measures an upstream directly and through an entry instance, first as fast as it goes and then at
+/// half of the rate that went through.
+pub async fn compare(direct: LoadOptions, through: LoadOptions) -> Result<Comparison, LoadError> {
+    let closed = |options: &LoadOptions| options.clone().with_pace(Pace::Closed);
+    let fast_direct = run(closed(&direct)).await?;
+    let fast_through = run(closed(&through)).await?;
+    let pace = Pace::Open { per_second: (fast_through.per_second / 2.0).max(1.0) };
+    let half_direct = run(direct.with_pace(pace)).await?;
+    let half_through = run(through.with_pace(pace)).await?;
+    let added = |us: fn(&Latencies) -> u64| {
+        us(&half_through.latency) as i64 - us(&half_direct.latency) as i64
+    };
+    Ok(Comparison {
+        ratio: fast_through.per_second / fast_direct.per_second,
+        added_p50_us: added(|latency| latency.p50_us),
+        added_p99_us: added(|latency| latency.p99_us),
+        direct: fast_direct,
+        through: fast_through,
+        direct_half: half_direct,
+        through_half: half_through,
+    })
+}
+
+/// Head of the table of reports.
+const TABLE_HEAD: &str = "target                  planned/s       ok/s   failed  \
+                          p50 ms  p90 ms  p99 ms p99.9 ms   max ms";
+
+impl LoadReport {
+    /// Requests that ended in another way than with a status below 400.
+    pub fn failures(&self) -> u64 {
+        self.failed.values().sum()
+    }
+
+    fn row(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let planned = self.planned_per_second.map_or("-".to_string(), |rate| format!("{rate:.1}"));
+        write!(f, "{:<22} {planned:>10} {:>10.1}", self.target, self.per_second)?;
+        write!(f, " {:>8}", self.failures())?;
+        let ms = |us: u64| us as f64 / 1_000.0;
+        let latency = &self.latency;
+        write!(f, " {:>7.2} {:>7.2}", ms(latency.p50_us), ms(latency.p90_us))?;
+        write!(f, " {:>7.2} {:>8.2}", ms(latency.p99_us), ms(latency.p99_9_us))?;
+        writeln!(f, " {:>8.2}", ms(latency.max_us))?;
+        for (what, count) in &self.failed {
+            writeln!(f, "  failed with {what}: {count}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{TABLE_HEAD}")?;
+        self.row(f)
+    }
+}
+
+impl fmt::Display for Comparison {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{TABLE_HEAD}")?;
+        for report in [&self.direct, &self.through, &self.direct_half, &self.through_half] {
+            report.row(f)?;
+        }
+        writeln!(f, "ratio through/direct: {:.3}", self.ratio)?;
+        let ms = |us: i64| us as f64 / 1_000.0;
+        writeln!(
+            f,
+            "added p50: {:.2} ms, p99: {:.2} ms",
+            ms(self.added_p50_us),
+            ms(self.added_p99_us)
+        )
+    }
+}
