--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod kind;
 pub mod learn;
 pub mod lease;
+pub mod load;
 pub mod maintenance;
 pub mod metrics;
 pub mod node;
