--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -223,7 +223,8 @@
         assert!(answer.status().is_success(), "registration of {id}: {}", answer.status());
     }
 
-    fn file(&self, name: &str, text: &str) -> String {
+    /// Writes a file that lives as long as the fleet; answers its path.
+    pub fn file(&self, name: &str, text: &str) -> String {
         let path = self.dir.join(name);
         std::fs::write(&path, text).expect("a file");
         path.to_string_lossy().into_owned()
