--- /dev/null
+++ b/src/driver.rs
@@ -0,0 +1,1362 @@
+//! A virtual clock that feeds arrivals, ends and faults to the policy code.
+//!
+//! It models only what the policies see and cause: instances with slots and sizes, reports that
+//! lag, moves, drains and faults. There is no network and no protocol.
+
+use crate::baseline::{Chooser, Rule};
+use crate::buffer::{Demand, Sample};
+use crate::config::{Config, Pool, Profile, Service, Team, Zone};
+use crate::fleet::*;
+use crate::ids::*;
+use crate::maintenance;
+use crate::pools::Pools;
+use crate::protocol::{Listed, Presence, Role};
+use crate::record::Class;
+use crate::sched::{Need, Work, WorkId};
+use indexmap::IndexMap;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+
+/// Step in which entry instances start work, notice late work and hear reports.
+const TICK: Duration = Duration::from_millis(50);
+/// Step of the planners.
+const PLAN_STEP: Duration = Duration::from_secs(1);
+/// Age of the loads that entry instances hear from probes.
+const REPORT_LAG: Duration = Duration::from_secs(1);
+/// Time until the list shows that an instance failed.
+const LIST_LAG: Duration = Duration::from_secs(3);
+/// Time from the end of an instance's work to its service in the new pool.
+const MOVE_TIME: Duration = Duration::from_millis(500);
+/// Time of a restart for maintenance.
+pub const REBOOT_TIME: Duration = Duration::from_secs(20);
+/// Time after which a failing task fails.
+const FAIL_TIME: Duration = Duration::from_millis(5);
+/// Failures in a row after which an instance is set aside, as `health` does.
+const EJECT_AFTER: u32 = 5;
+/// Time for which a failing instance is set aside.
+const EJECT_FOR: Duration = Duration::from_secs(20);
+/// Instances that one piece of work is tried on.
+const MAX_TRIES: u32 = 3;
+/// Starts above its ramp that a zone that came back bears in a step, as part of its slots.
+const RUSH_PART: f64 = 0.25;
+/// Time for which a zone that was rushed is down again.
+const RUSH_OUTAGE: Duration = Duration::from_secs(15);
+/// Bursting, low and other parts of the cycle of a queue, relative to its mean.
+const BURST: f64 = 5.0;
+const LOW: f64 = 0.05;
+/// Time that a queue bursts, and is low afterwards.
+const BURST_TIME: f64 = 12.0;
+
+/// One of the two deployments, as section 1.3 of the design states it, or a resized one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Deployment {
+    pub name: &'static str,
+    pub zones: u32,
+    /// Entry instances in each zone.
+    pub entries_per_zone: u32,
+    /// Runners of each service.
+    pub runners: Vec<u32>,
+    pub runner_slots: u32,
+    pub guarded_workers: u32,
+    /// Size of a guarded worker.
+    pub worker: Need,
+    pub spare: &'static str,
+    /// Instances of the spare pool; the design leaves it open.
+    pub spare_instances: u32,
+    /// Weight and part of the demand of each team.
+    pub teams: Vec<(&'static str, u32, f64)>,
+    /// Mean load of a service, in slots.
+    pub means: Vec<f64>,
+    pub run: Duration,
+}
+
+const GIB: u64 = 1 << 30;
+
+/// Derwent Grip Lending Co-operative.
+pub fn derwent() -> Deployment {
+    Deployment {
+        name: "derwent",
+        zones: 3,
+        entries_per_zone: 3,
+        runners: vec![8, 9, 10, 11, 12],
+        runner_slots: 8,
+        guarded_workers: 50,
+        worker: Need { slots: 8, processors: 16_000, memory: 32 * GIB, accelerators: 0 },
+        spare: "administration",
+        spare_instances: 12,
+        teams: vec![
+            ("counters", 6, 0.30),
+            ("huts", 5, 0.25),
+            ("members", 4, 0.25),
+            ("fitters", 2, 0.10),
+            ("returns", 2, 0.06),
+            ("audit", 1, 0.04),
+        ],
+        means: [8, 9, 10, 11, 12].iter().map(|n| f64::from(n * 8) * 0.3).collect(),
+        run: Duration::from_millis(300),
+    }
+}
+
+/// Tsagaan Tolgoi Upholstery Works.
+pub fn tsagaan() -> Deployment {
+    Deployment {
+        name: "tsagaan",
+        zones: 4,
+        entries_per_zone: 2,
+        worker: Need { slots: 8, processors: 64_000, memory: 128 * GIB, accelerators: 2 },
+        spare: "admin-tools",
+        teams: vec![
+            ("planners", 8, 0.35),
+            ("showroom", 5, 0.30),
+            ("nesting", 3, 0.15),
+            ("stock", 2, 0.10),
+            ("orders", 2, 0.06),
+            ("hotel", 1, 0.04),
+        ],
+        run: Duration::from_millis(400),
+        ..derwent()
+    }
+}
+
+/// How load varies.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Load {
+    /// Each queue bursts in turn, then falls to a twentieth.
+    Bursts,
+    /// Every pool is offered this multiple of its slots all the time.
+    Full(f64),
+    /// Every queue has its mean load all the time.
+    Steady,
+}
+
+/// How drains are chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Drains {
+    /// By `maintenance::plan`.
+    Planned,
+    /// The same budgets, instances at random.
+    Random,
+}
+
+/// What one run does.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scenario {
+    pub load: Load,
+    pub length: Duration,
+    /// Time out and time back of the first zone.
+    pub zone_out: Option<(Duration, Duration)>,
+    /// Whether maintenance of all instances is due at the start.
+    pub rollout: bool,
+    /// Whether instances fail in waves and some fail everything they start.
+    pub faults: bool,
+    pub drains: Drains,
+    /// `None` for the real scheduler.
+    pub rule: Option<Rule>,
+    pub lends: bool,
+}
+
+/// What one run measured.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Waits of urgent work that started, in ms.
+    pub urgent_waits: Vec<f64>,
+    /// Waits of other work on services, in ms.
+    pub other_waits: Vec<f64>,
+    pub offered: u64,
+    pub refused: u64,
+    pub completed: u64,
+    /// Work that ended without an answer after it had been admitted and started, by its cause.
+    pub failed_bad_job: u64,
+    pub failed_tries: u64,
+    pub late_unstarted: u64,
+    /// Work that ended twice, or that was refused after it had started.
+    pub duplicated: u64,
+    pub moves: u32,
+    /// Slots needed by each service's pool in each second.
+    pub needs: Vec<Vec<f64>>,
+    /// Part of the due share that each backlogged team got in a full window of 10 s.
+    pub share_ratios: Vec<f64>,
+    /// Slot-seconds of service work completed in each second.
+    pub done_per_sec: Vec<f64>,
+    /// Slot-seconds of service work offered in each second.
+    pub offered_per_sec: Vec<f64>,
+    /// Slots of serving runners in each second.
+    pub slots_per_sec: Vec<f64>,
+    /// Time until every instance of a pool was maintained, and the bound by its budget.
+    pub rollouts: Vec<(f64, f64)>,
+    /// Planned jobs that a drain stopped.
+    pub stopped_planned: u32,
+    /// Zone outages caused by a rush after the return.
+    pub rushes: u32,
+    /// Starts in a zone that was out.
+    pub starts_in_out_zone: u64,
+    pub waits_by_reason: IndexMap<&'static str, u64>,
+    pub demand: Demand,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    Serving,
+    Draining { since: Time },
+    Rebooting { since: Time, until: Time },
+    Rebooted,
+    Moving { since: Time, to: usize, until: Option<Time> },
+    Down { since: Time, until: Time },
+}
+
+#[derive(Clone, Debug)]
+struct Machine {
+    id: InstanceId,
+    pool: usize,
+    home: usize,
+    zone: usize,
+    rack: RackId,
+    slots: u32,
+    state: State,
+    running: Vec<WorkId>,
+    used: Need,
+    /// Until when it fails everything.
+    broken: Time,
+    failures: u32,
+    ejected: Time,
+    checkpointed: Option<Time>,
+    maintained: bool,
+    due: Time,
+    /// Load that probes report, one value a tick.
+    history: std::collections::VecDeque<u32>,
+}
+
+#[derive(Clone, Debug)]
+struct Task {
+    work: Work,
+    pool: usize,
+    team: usize,
+    entry: usize,
+    arrived: Time,
+    latest: Time,
+    run: Duration,
+    actual: Need,
+    bad: bool,
+    tries: u32,
+    exclude: Vec<InstanceId>,
+    machine: Option<usize>,
+    /// Rises with each start, so that the end of an earlier one is told apart.
+    epoch: u32,
+    started: Time,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrive { stream: usize },
+    End { id: WorkId, epoch: u32, failed: bool },
+    Tick,
+    Plan,
+    List,
+    Crash,
+    Break,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Stream {
+    pool: usize,
+    guarded: bool,
+}
+
+/// One run.
+struct World<'a> {
+    deployment: &'a Deployment,
+    scenario: &'a Scenario,
+    now: Time,
+    rng: ChaCha8Rng,
+    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    seq: u64,
+    chooser: Chooser,
+    pool_ids: Vec<PoolId>,
+    zone_ids: Vec<ZoneId>,
+    cfg: Config,
+    machines: Vec<Machine>,
+    by_id: HashMap<InstanceId, usize>,
+    tasks: HashMap<WorkId, Task>,
+    next_id: WorkId,
+    streams: Vec<Stream>,
+    pools: Pools,
+    offered_seen: Vec<f64>,
+    /// Work waiting, by pool and team.
+    waiting: Vec<Vec<u32>>,
+    window: Window,
+    zone_back: Option<Time>,
+    rush_until: Time,
+    zone_starts: u32,
+    out: Outcome,
+    rollout_done: Vec<Option<f64>>,
+    budget_time: Vec<f64>,
+    bound: Vec<Option<f64>>,
+    drain_work: Vec<f64>,
+    tick: u64,
+}
+
+/// Usage in the present window of 10 s, by pool and team.
+#[derive(Clone, Debug, Default)]
+struct Window {
+    used: Vec<Vec<f64>>,
+    backlogged: Vec<Vec<bool>>,
+    full_ticks: Vec<u32>,
+    ticks: u32,
+}
+
+/// Ticks in a window of 10 s.
+const WINDOW_TICKS: u32 = 200;
+/// Windows at the start that are not counted: the pools fill up.
+const WARM_UP: Duration = Duration::from_secs(10);
+
+/// Runs one scenario on a deployment.
+pub fn run(deployment: &Deployment, scenario: &Scenario, seed: u64) -> Outcome {
+    let mut world = World::new(deployment, scenario, seed);
+    world.begin();
+    while let Some(Reverse((at, _, event))) = world.events.pop() {
+        if at > scenario.length {
+            break;
+        }
+        world.now = at;
+        world.handle(event);
+    }
+    world.end()
+}
+
+/// Rate of a queue relative to its mean.
+pub fn burst_factor(at: Duration, queue: usize, queues: usize) -> f64 {
+    let cycle = BURST_TIME * queues as f64;
+    let phase = (at.as_secs_f64() - queue as f64 * BURST_TIME).rem_euclid(cycle);
+    if phase < BURST_TIME {
+        BURST
+    } else if phase < 2.0 * BURST_TIME {
+        LOW
+    } else {
+        // The rest of the cycle makes the mean 1.
+        ((cycle - BURST_TIME * (BURST + LOW)) / (cycle - 2.0 * BURST_TIME)).max(0.0)
+    }
+}
+
+fn exponential(rng: &mut ChaCha8Rng, mean: f64) -> f64 {
+    -mean * (1.0 - rng.random::<f64>()).ln()
+}
+
+fn profile(deployment: &Deployment) -> Profile {
+    let tsagaan = deployment.name == "tsagaan";
+    let order = if tsagaan {
+        vec![Class::Planned, Class::Urgent, Class::Overnight]
+    } else {
+        vec![Class::Urgent, Class::Planned, Class::Overnight]
+    };
+    Profile {
+        shares: IndexMap::new(),
+        limits: IndexMap::new(),
+        class_order: order,
+        class_floor_percent: if tsagaan { 40 } else { 10 },
+        queue_bound: 2_000,
+        max_deadline: Duration::from_secs(600),
+        urgent_start: Duration::from_millis(1_400),
+        unavailable_percent: 10,
+        unavailable_per_rack: 1,
+        drain_timeout: Duration::from_secs(10),
+        maintenance_interval: Duration::from_secs(1_814_400),
+        reserve_percent: 20,
+        stale_limit: None,
+        buffer_percent: 400,
+    }
+}
+
+fn config(deployment: &Deployment) -> Config {
+    let mut cfg = Config::default();
+    for zone in 0..deployment.zones {
+        cfg.zones.insert(format!("zone-{zone}").into(), Zone { region: "region-1".into() });
+    }
+    for (name, share, _) in &deployment.teams {
+        cfg.teams.insert((*name).into(), Team { share: *share, limit: 100_000 });
+    }
+    cfg.profiles.insert("standard".into(), profile(deployment));
+    let service_pools = (0..deployment.runners.len()).map(|i| format!("service-{i}"));
+    for name in service_pools.chain(["guarded".to_string()]) {
+        cfg.pools.insert(name.as_str().into(), Pool { spare: false, min_instances: 1 });
+        let (profile, pool) = ("standard".into(), name.as_str().into());
+        let service = Service { profile, pool, open_to: None, class: Class::Urgent };
+        cfg.services.insert(name.as_str().into(), service);
+    }
+    cfg.pools.insert(deployment.spare.into(), Pool { spare: true, min_instances: 0 });
+    cfg
+}
+
+impl<'a> World<'a> {
+    fn new(deployment: &'a Deployment, scenario: &'a Scenario, seed: u64) -> World<'a> {
+        let cfg = config(deployment);
+        let pool_ids: Vec<PoolId> = cfg.pools.keys().cloned().collect();
+        let zone_ids: Vec<ZoneId> = cfg.zones.keys().cloned().collect();
+        let entries: Vec<ZoneId> =
+            (0..deployment.entries_per_zone).flat_map(|_| zone_ids.iter().cloned()).collect();
+        let chooser = match scenario.rule {
+            None => Chooser::real(seed, &entries, &cfg),
+            Some(rule) => Chooser::plain(rule, seed, &cfg),
+        };
+        let (pools, teams) = (pool_ids.len(), deployment.teams.len());
+        let services = deployment.runners.len();
+        let stream = |pool| Stream { pool, guarded: pool == services };
+        let mut world = World {
+            deployment,
+            scenario,
+            now: Time::ZERO,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            events: BinaryHeap::new(),
+            seq: 0,
+            chooser,
+            pool_ids,
+            zone_ids,
+            cfg,
+            machines: Vec::new(),
+            by_id: HashMap::new(),
+            tasks: HashMap::new(),
+            next_id: 1,
+            streams: (0..=services).map(stream).collect(),
+            pools: Pools::new(),
+            offered_seen: vec![0.0; pools],
+            waiting: vec![vec![0; teams]; pools],
+            window: Window::new(pools, teams),
+            zone_back: None,
+            rush_until: Time::ZERO,
+            zone_starts: 0,
+            out: Outcome { needs: vec![Vec::new(); services], ..Outcome::default() },
+            rollout_done: vec![None; pools],
+            budget_time: vec![0.0; pools],
+            bound: vec![None; pools],
+            drain_work: vec![0.0; pools],
+            tick: 0,
+        };
+        world.add_machines();
+        world
+    }
+
+    fn add_machines(&mut self) {
+        let runners = self.deployment.runners.clone();
+        for (pool, count) in runners.iter().enumerate() {
+            self.add_pool(pool, *count, self.deployment.runner_slots);
+        }
+        let guarded = runners.len();
+        self.add_pool(guarded, self.deployment.guarded_workers, self.deployment.worker.slots);
+        self.add_pool(guarded + 1, self.deployment.spare_instances, self.deployment.runner_slots);
+    }
+
+    fn add_pool(&mut self, pool: usize, count: u32, slots: u32) {
+        for n in 0..count {
+            let zone = (n % self.deployment.zones) as usize;
+            let id: InstanceId = format!("{}-{n}", self.pool_ids[pool]).into();
+            self.by_id.insert(id.clone(), self.machines.len());
+            let due =
+                if self.scenario.rollout { Time::ZERO } else { Duration::from_secs(9_000_000) };
+            self.machines.push(Machine {
+                id,
+                pool,
+                home: pool,
+                zone,
+                rack: format!("{}-{zone}-{}", self.pool_ids[pool], n / self.deployment.zones / 4)
+                    .into(),
+                slots,
+                state: State::Serving,
+                running: Vec::new(),
+                used: Need::default(),
+                broken: Time::ZERO,
+                failures: 0,
+                ejected: Time::ZERO,
+                checkpointed: None,
+                maintained: false,
+                due,
+                history: std::collections::VecDeque::new(),
+            });
+        }
+    }
+
+    fn begin(&mut self) {
+        self.push(Time::ZERO, Event::List);
+        for stream in 0..self.streams.len() {
+            self.push(Time::ZERO, Event::Arrive { stream });
+        }
+        self.push(TICK, Event::Tick);
+        self.push(PLAN_STEP, Event::Plan);
+        if self.scenario.faults {
+            self.push(Duration::from_secs(20), Event::Crash);
+            self.push(Duration::from_secs(35), Event::Break);
+        }
+    }
+
+    fn push(&mut self, at: Time, event: Event) {
+        self.seq += 1;
+        self.events.push(Reverse((at, self.seq, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive { stream } => self.arrive(stream),
+            Event::End { id, epoch, failed } => self.end_task(id, epoch, failed),
+            Event::Tick => self.on_tick(),
+            Event::Plan => self.on_plan(),
+            Event::List => self.list(),
+            Event::Crash => self.crash(),
+            Event::Break => self.break_one(),
+        }
+    }
+
+    // Arrivals
+
+    fn arrive(&mut self, stream: usize) {
+        let Stream { pool, guarded } = self.streams[stream];
+        let mean_run = if guarded { 6.0 } else { self.deployment.run.as_secs_f64() };
+        let slots = if guarded { self.guarded_load() } else { self.service_load(pool) };
+        let gap = exponential(&mut self.rng, mean_run / slots.max(1e-3));
+        // A rate that is nearly zero now must not skip the next burst.
+        let gap = gap.min(1.0);
+        let thinned = gap >= 1.0;
+        self.push(self.now + Duration::from_secs_f64(gap), Event::Arrive { stream });
+        if !thinned {
+            self.offer(pool, guarded, mean_run);
+        }
+    }
+
+    fn service_load(&self, pool: usize) -> f64 {
+        let own = f64::from(self.deployment.runners[pool] * self.deployment.runner_slots);
+        match self.scenario.load {
+            Load::Full(times) => own * times,
+            Load::Steady => self.deployment.means[pool],
+            Load::Bursts => {
+                let queues = self.deployment.runners.len();
+                self.deployment.means[pool] * burst_factor(self.now, pool, queues)
+            }
+        }
+    }
+
+    /// Guarded jobs take a quarter of a worker each.
+    fn guarded_load(&self) -> f64 {
+        let jobs = f64::from(self.deployment.guarded_workers * 4);
+        match self.scenario.load {
+            Load::Full(times) => jobs * times,
+            Load::Steady | Load::Bursts => jobs * 0.6,
+        }
+    }
+
+    fn offer(&mut self, pool: usize, guarded: bool, mean_run: f64) {
+        let team = self.pick_team();
+        let entry = self.pick_entry();
+        let class = self.pick_class(guarded);
+        let run = Duration::from_secs_f64(exponential(&mut self.rng, mean_run).clamp(0.005, 60.0));
+        let allowed = match class {
+            Class::Urgent => Duration::from_secs(10),
+            Class::Planned => Duration::from_secs(120),
+            Class::Overnight => Duration::from_secs(600),
+        };
+        let actual = if guarded { self.worker_part() } else { Need::SLOT };
+        let work = Work {
+            id: self.next_id,
+            service: self.pool_ids[pool].clone(),
+            team: self.deployment.teams[team].0.into(),
+            class,
+            deadline: self.now + allowed,
+            need: self.declared_size(&actual),
+            declared: self.declared_run(mean_run),
+        };
+        self.next_id += 1;
+        let latest = match class {
+            Class::Urgent => self.now + Duration::from_millis(1_400),
+            Class::Planned | Class::Overnight => work.deadline,
+        };
+        let bad = self.rng.random_range(0..1_000) < 2;
+        self.out.offered += 1;
+        let slot = self.now.as_secs() as usize;
+        if !guarded {
+            add_at(&mut self.out.offered_per_sec, slot, run.as_secs_f64());
+            add_at(&mut self.out.needs[pool], slot, run.as_secs_f64());
+        }
+        let task = Task {
+            work: work.clone(),
+            pool,
+            team,
+            entry,
+            arrived: self.now,
+            latest,
+            run,
+            actual,
+            bad,
+            tries: 0,
+            exclude: Vec::new(),
+            machine: None,
+            epoch: 0,
+            started: Time::ZERO,
+        };
+        if self.chooser.enqueue(self.now, entry, work) {
+            self.waiting[pool][team] += 1;
+            self.tasks.insert(task.work.id, task);
+            self.start_work(entry);
+        } else {
+            self.out.refused += 1;
+        }
+    }
+
+    fn pick_team(&mut self) -> usize {
+        let mut at: f64 = self.rng.random();
+        for (team, (_, _, part)) in self.deployment.teams.iter().enumerate() {
+            at -= part;
+            if at < 0.0 {
+                return team;
+            }
+        }
+        0
+    }
+
+    /// The load balancer sends no request to an entry instance of a zone that is out.
+    fn pick_entry(&mut self) -> usize {
+        let zones = self.zone_ids.len();
+        let entries = zones * self.deployment.entries_per_zone as usize;
+        loop {
+            let entry = self.rng.random_range(0..entries);
+            if !(self.zone_is_out() && entry % zones == 0) {
+                return entry;
+            }
+        }
+    }
+
+    fn pick_class(&mut self, guarded: bool) -> Class {
+        let at: f64 = self.rng.random();
+        let (urgent, planned) = if guarded { (0.0, 0.7) } else { (0.5, 0.85) };
+        if at < urgent {
+            Class::Urgent
+        } else if at < planned {
+            Class::Planned
+        } else {
+            Class::Overnight
+        }
+    }
+
+    /// A quarter of a worker.
+    fn worker_part(&self) -> Need {
+        let worker = self.deployment.worker;
+        Need {
+            slots: 1,
+            processors: worker.processors / 4,
+            memory: worker.memory / 4,
+            accelerators: 0,
+        }
+    }
+
+    /// Declared sizes are off by up to 2 times either way.
+    fn declared_size(&mut self, actual: &Need) -> Need {
+        if actual.processors == 0 {
+            return *actual;
+        }
+        let off = 2f64.powf(self.rng.random_range(-1.0..1.0));
+        let scale = |value: u64| (value as f64 * off) as u64;
+        Need { processors: scale(actual.processors), memory: scale(actual.memory), ..*actual }
+    }
+
+    /// Declared run times are off by up to 8 times either way.
+    fn declared_run(&mut self, mean: f64) -> Duration {
+        Duration::from_secs_f64(mean * 8f64.powf(self.rng.random_range(-1.0..1.0)))
+    }
+
+    // Starts and ends
+
+    fn start_work(&mut self, entry: usize) {
+        while let Some(placed) = self.chooser.next(self.now, entry) {
+            let Some(task) = self.tasks.get(&placed.id) else {
+                self.out.duplicated += 1;
+                continue;
+            };
+            self.waiting[task.pool][task.team] -= 1;
+            let wait = (self.now - task.arrived).as_secs_f64() * 1_000.0;
+            let guarded = task.pool == self.deployment.runners.len();
+            match task.work.class {
+                Class::Urgent => self.out.urgent_waits.push(wait),
+                _ if !guarded => self.out.other_waits.push(wait),
+                _ => {}
+            }
+            self.try_start(placed.id, &placed.upstream);
+        }
+    }
+
+    /// The instance takes the work, or another one is tried.
+    fn try_start(&mut self, id: WorkId, upstream: &InstanceId) {
+        let mut upstream = upstream.clone();
+        loop {
+            let Some(at) = self.by_id.get(&upstream).copied() else { return self.give_up(id) };
+            if self.accepts(at) {
+                return self.run_on(id, at);
+            }
+            let Some(task) = self.tasks.get_mut(&id) else { return };
+            task.tries += 1;
+            task.exclude.push(upstream.clone());
+            let (entry, tries, exclude) = (task.entry, task.tries, task.exclude.clone());
+            if tries >= MAX_TRIES {
+                return self.give_up(id);
+            }
+            let Some(placed) = self.chooser.place_again(self.now, entry, id, &exclude) else {
+                return self.give_up(id);
+            };
+            upstream = placed.upstream;
+        }
+    }
+
+    fn accepts(&self, at: usize) -> bool {
+        let machine = &self.machines[at];
+        let out = self.zone_is_out() && machine.zone == 0;
+        machine.state == State::Serving && !out && (machine.running.len() as u32) < machine.slots
+    }
+
+    fn run_on(&mut self, id: WorkId, at: usize) {
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        let machine = &mut self.machines[at];
+        task.machine = Some(at);
+        task.epoch += 1;
+        task.started = self.now;
+        machine.running.push(id);
+        machine.used = machine.used.plus(&task.actual);
+        let size = &self.deployment.worker;
+        // More work than processors slows all of it; this is charged to the newest.
+        let slow = if machine.used.processors > size.processors {
+            machine.used.processors as f64 / size.processors as f64
+        } else {
+            1.0
+        };
+        let failed = task.bad || machine.broken > self.now;
+        let run = if failed { FAIL_TIME } else { task.run.mul_f64(slow) };
+        let event = Event::End { id, epoch: task.epoch, failed };
+        if machine.zone == 0 {
+            self.zone_starts += 1;
+            self.out.starts_in_out_zone += u64::from(
+                self.scenario
+                    .zone_out
+                    .is_some_and(|(out, back)| self.now > out + LIST_LAG && self.now < back),
+            );
+        }
+        self.push(self.now + run, event);
+    }
+
+    fn give_up(&mut self, id: WorkId) {
+        let Some(task) = self.tasks.remove(&id) else { return };
+        self.chooser.finish(self.now, task.entry, id, Duration::ZERO, true);
+        self.out.failed_tries += 1;
+    }
+
+    fn end_task(&mut self, id: WorkId, epoch: u32, failed: bool) {
+        let Some(task) = self.tasks.get(&id) else { return };
+        if task.epoch != epoch {
+            return;
+        }
+        let Some(at) = task.machine else { return };
+        let (entry, ran, pool) = (task.entry, self.now - task.started, task.pool);
+        let now = self.now;
+        let machine = self.release(id, at);
+        if failed {
+            machine.failures += 1;
+            if machine.failures == EJECT_AFTER {
+                machine.ejected = now + EJECT_FOR;
+                machine.failures = 0;
+                self.push(now, Event::List);
+                self.push(now + EJECT_FOR, Event::List);
+            }
+            return self.retry(id, at);
+        }
+        machine.failures = 0;
+        let load = machine.running.len() as u32;
+        let upstream = machine.id.clone();
+        let task = self.tasks.remove(&id);
+        if let (Chooser::Real(scheds), Some(task)) = (&mut self.chooser, task) {
+            scheds[entry].on_usage(id, &task.actual);
+        }
+        self.chooser.finish(self.now, entry, id, ran, false);
+        if let Chooser::Real(scheds) = &mut self.chooser {
+            scheds[entry].on_load(self.now, &upstream, load);
+        }
+        self.out.completed += 1;
+        if pool < self.deployment.runners.len() {
+            add_at(&mut self.out.done_per_sec, self.now.as_secs() as usize, ran.as_secs_f64());
+        }
+        self.start_work(entry);
+    }
+
+    fn release(&mut self, id: WorkId, at: usize) -> &mut Machine {
+        let actual = self.tasks.get(&id).map_or(Need::default(), |task| task.actual);
+        let machine = &mut self.machines[at];
+        machine.running.retain(|running| *running != id);
+        machine.used = machine.used.minus(&actual);
+        machine
+    }
+
+    /// Work that failed where it ran is tried elsewhere; all work here is idempotent.
+    fn retry(&mut self, id: WorkId, at: usize) {
+        let upstream = self.machines[at].id.clone();
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        task.tries += 1;
+        task.machine = None;
+        task.exclude.push(upstream);
+        let (entry, tries, bad, exclude) = (task.entry, task.tries, task.bad, task.exclude.clone());
+        if tries < MAX_TRIES
+            && let Some(placed) = self.chooser.place_again(self.now, entry, id, &exclude)
+        {
+            return self.try_start(id, &placed.upstream);
+        }
+        if bad {
+            self.out.failed_bad_job += 1;
+        } else {
+            self.out.failed_tries += 1;
+        }
+        self.tasks.remove(&id);
+        self.chooser.finish(self.now, entry, id, Duration::ZERO, true);
+        self.start_work(entry);
+    }
+
+    /// Work that a stop or a failure cut off goes on elsewhere: jobs from their checkpoint.
+    fn cut_off(&mut self, at: usize, saved: bool) {
+        for id in self.machines[at].running.clone() {
+            if let Some(task) = self.tasks.get_mut(&id) {
+                let done = self.now - task.started;
+                if saved {
+                    task.run = task.run.saturating_sub(done).max(FAIL_TIME);
+                }
+                task.tries = 0;
+                task.epoch += 1;
+            }
+            self.release(id, at);
+            self.retry(id, at);
+        }
+    }
+
+    // Ticks
+
+    fn on_tick(&mut self) {
+        self.tick += 1;
+        self.push(self.now + TICK, Event::Tick);
+        self.report_loads();
+        let tasks = &self.tasks;
+        let latest = |work: &Work| tasks.get(&work.id).map_or(Time::MAX, |task| task.latest);
+        for id in self.chooser.expired(self.now, &latest) {
+            if let Some(task) = self.tasks.remove(&id) {
+                self.out.late_unstarted += 1;
+                self.out.duplicated += u64::from(task.machine.is_some());
+                self.waiting[task.pool][task.team] -= 1;
+            }
+        }
+        let entries = self.zone_ids.len() * self.deployment.entries_per_zone as usize;
+        for entry in 0..entries {
+            self.start_work(entry);
+        }
+        self.check_rush();
+        self.sample();
+    }
+
+    /// Probes show loads of one second ago.
+    fn report_loads(&mut self) {
+        let lag = (REPORT_LAG.as_millis() / TICK.as_millis()) as usize;
+        let probe = self.tick.is_multiple_of(10);
+        for machine in &mut self.machines {
+            machine.history.push_back(machine.running.len() as u32);
+            if machine.history.len() > lag {
+                machine.history.pop_front();
+            }
+            if let (true, Chooser::Real(scheds)) = (probe, &mut self.chooser) {
+                let load = machine.history.front().copied().unwrap_or(0);
+                scheds.iter_mut().for_each(|s| s.on_load(self.now, &machine.id, load));
+            }
+        }
+    }
+
+    /// A zone that takes more than it bears right after its return fails again.
+    fn check_rush(&mut self) {
+        let Some(back) = self.zone_back else { return };
+        let running: usize =
+            self.machines.iter().filter(|m| m.zone == 0).map(|m| m.running.len()).sum();
+        let slots: u32 = self.machines.iter().filter(|m| m.zone == 0).map(|m| m.slots).sum();
+        let age = self.now.saturating_sub(back);
+        let part = maintenance::return_part(age) + RUSH_PART;
+        if age < maintenance::RETURN_RAMP && running as f64 > f64::from(slots) * part {
+            self.out.rushes += 1;
+            self.rush_until = self.now + RUSH_OUTAGE;
+            self.zone_back = None;
+            for at in 0..self.machines.len() {
+                if self.machines[at].zone == 0 {
+                    self.cut_off(at, false);
+                }
+            }
+            self.push(self.now, Event::List);
+            self.push(self.rush_until, Event::List);
+        }
+    }
+
+    fn sample(&mut self) {
+        if self.now < WARM_UP {
+            return;
+        }
+        let total = self.totals();
+        for task in
+            self.machines.iter().flat_map(|m| &m.running).filter_map(|id| self.tasks.get(id))
+        {
+            let slots = task.actual.dominant_slots(&total[task.pool]);
+            self.window.used[task.pool][task.team] += slots * TICK.as_secs_f64();
+        }
+        for pool in 0..self.pool_ids.len() {
+            let free = self.machines.iter().any(|m| {
+                let worker = &self.deployment.worker;
+                let fits = m.home != self.deployment.runners.len()
+                    || m.used.processors + worker.processors / 4 <= worker.processors;
+                m.pool == pool
+                    && m.state == State::Serving
+                    && (m.running.len() as u32) < m.slots
+                    && fits
+            });
+            self.window.full_ticks[pool] += u32::from(!free);
+            for team in 0..self.deployment.teams.len() {
+                self.window.backlogged[pool][team] &= self.waiting[pool][team] > 0;
+            }
+        }
+        self.window.ticks += 1;
+        if self.window.ticks == WINDOW_TICKS {
+            self.close_window();
+        }
+    }
+
+    fn totals(&self) -> Vec<Need> {
+        let mut totals = vec![Need::default(); self.pool_ids.len()];
+        for machine in self.machines.iter().filter(|m| m.state == State::Serving) {
+            let size = self.size_of(machine.home);
+            totals[machine.pool] =
+                totals[machine.pool].plus(&Need { slots: machine.slots, ..size });
+        }
+        totals
+    }
+
+    fn size_of(&self, home: usize) -> Need {
+        if home == self.deployment.runners.len() { self.deployment.worker } else { Need::SLOT }
+    }
+
+    fn close_window(&mut self) {
+        let (pools, teams) = (self.pool_ids.len(), self.deployment.teams.len());
+        let window = std::mem::replace(&mut self.window, Window::new(pools, teams));
+        for pool in 0..pools {
+            if window.full_ticks[pool] * 100 < WINDOW_TICKS * 90 {
+                continue;
+            }
+            let backlogged: Vec<usize> =
+                (0..teams).filter(|t| window.backlogged[pool][*t]).collect();
+            let used: f64 = backlogged.iter().map(|team| window.used[pool][*team]).sum();
+            let weight: u32 = backlogged.iter().map(|team| self.deployment.teams[*team].1).sum();
+            if backlogged.len() < 2 {
+                continue;
+            }
+            for team in backlogged {
+                let share = f64::from(self.deployment.teams[team].1) / f64::from(weight);
+                self.out.share_ratios.push(window.used[pool][team] / (used * share));
+            }
+        }
+    }
+
+    // Planning
+
+    fn zone_is_out(&self) -> bool {
+        let planned =
+            self.scenario.zone_out.is_some_and(|(out, back)| self.now >= out && self.now < back);
+        planned || self.now < self.rush_until
+    }
+
+    fn on_plan(&mut self) {
+        self.push(self.now + PLAN_STEP, Event::Plan);
+        if let Some((_, back)) = self.scenario.zone_out
+            && self.now >= back
+            && self.now < back + PLAN_STEP
+        {
+            self.zone_back = Some(self.now);
+        }
+        self.observe();
+        self.advance_machines();
+        let view = self.view();
+        self.count_budget();
+        let mut plan = match self.scenario.drains {
+            Drains::Planned => maintenance::plan(self.now, &view),
+            Drains::Random => self.random_drains(&view),
+        };
+        if self.scenario.lends {
+            let moves = self.pools.plan(self.now, &view, &self.incoming());
+            plan.decisions.extend(moves.decisions);
+            plan.waits.extend(moves.waits);
+        }
+        for wait in &plan.waits {
+            *self.out.waits_by_reason.entry(reason_name(wait.reason)).or_default() += 1;
+        }
+        for decision in plan.decisions {
+            self.carry_out(&decision.action);
+        }
+        self.list();
+        let slots =
+            self.machines.iter().filter(|m| self.is_runner(m)).map(|m| m.slots).sum::<u32>();
+        self.out.slots_per_sec.push(f64::from(slots));
+    }
+
+    fn is_runner(&self, machine: &Machine) -> bool {
+        let out = self.zone_is_out() && machine.zone == 0;
+        let guarded = machine.home == self.deployment.runners.len();
+        machine.state == State::Serving && !guarded && !out
+    }
+
+    fn observe(&mut self) {
+        let Chooser::Real(scheds) = &self.chooser else { return self.observe_plain() };
+        for (index, pool) in self.pool_ids.iter().enumerate() {
+            let mut sample = Sample::default();
+            let mut offered = 0.0;
+            for load in scheds.iter().map(|sched| sched.pool_load(pool)) {
+                sample.used += load.own;
+                sample.waiting += load.waiting_cost;
+                offered += load.offered_cost;
+            }
+            sample.offered = offered - self.offered_seen[index];
+            self.offered_seen[index] = offered;
+            if index < self.deployment.runners.len() {
+                self.out.demand.observe(pool, sample);
+            }
+        }
+    }
+
+    /// Plain rules record nothing, so the demand is taken from the run itself.
+    fn observe_plain(&mut self) {
+        let run = self.deployment.run.as_secs_f64();
+        let second = self.now.as_secs().saturating_sub(1) as usize;
+        for index in 0..self.deployment.runners.len() {
+            let in_pool = self.machines.iter().filter(|machine| machine.pool == index);
+            let sample = Sample {
+                offered: self.out.needs[index].get(second).copied().unwrap_or(0.0),
+                used: in_pool.map(|machine| machine.running.len() as u32).sum(),
+                waiting: f64::from(self.waiting[index].iter().sum::<u32>()) * run,
+            };
+            self.out.demand.observe(&self.pool_ids[index], sample);
+        }
+    }
+
+    fn advance_machines(&mut self) {
+        for at in 0..self.machines.len() {
+            let machine = &mut self.machines[at];
+            match machine.state {
+                State::Rebooting { until, .. } if self.now >= until => {
+                    machine.state = State::Rebooted;
+                }
+                State::Down { until, .. } if self.now >= until => machine.state = State::Serving,
+                State::Moving { since, to, until: None } if machine.running.is_empty() => {
+                    let until = Some(self.now + MOVE_TIME);
+                    machine.state = State::Moving { since, to, until };
+                }
+                State::Moving { to, until: Some(until), .. } if self.now >= until => {
+                    machine.pool = to;
+                    machine.state = State::Serving;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn incoming(&self) -> IndexMap<InstanceId, PoolId> {
+        let target = |machine: &Machine| match machine.state {
+            State::Moving { to, .. } => Some((machine.id.clone(), self.pool_ids[to].clone())),
+            _ => None,
+        };
+        self.machines.iter().filter_map(target).collect()
+    }
+
+    fn view(&self) -> FleetView {
+        let rules = &self.cfg.profiles["standard"];
+        let pools = self.cfg.pools.iter().map(|(id, pool)| {
+            let need_slots = self.out.demand.need(id);
+            let view = PoolView {
+                spare: pool.spare,
+                min_instances: pool.min_instances,
+                unavailable_percent: rules.unavailable_percent,
+                unavailable_per_rack: rules.unavailable_per_rack,
+                drain_timeout: rules.drain_timeout,
+                maintenance_interval: rules.maintenance_interval,
+                need_slots,
+            };
+            (id.clone(), view)
+        });
+        FleetView {
+            instances: self.machines.iter().map(|machine| self.instance_view(machine)).collect(),
+            pools: pools.collect(),
+            zones: vec![ZoneView { id: self.zone_ids[0].clone(), state: self.zone_state() }],
+        }
+    }
+
+    fn zone_state(&self) -> ZoneState {
+        match self.scenario.zone_out {
+            Some((out, _)) if self.zone_is_out() => {
+                ZoneState::Out { stop_by: out + Duration::from_secs(8) }
+            }
+            Some((_, back)) if self.now >= back => ZoneState::Back { since: back },
+            _ => ZoneState::In,
+        }
+    }
+
+    fn instance_view(&self, machine: &Machine) -> InstanceView {
+        let status = match machine.state {
+            State::Serving => Status::Serving,
+            State::Draining { since } => {
+                Status::Draining { reason: crate::record::DrainReason::Maintenance, since }
+            }
+            State::Rebooting { since, .. } => Status::Rebooting { since },
+            State::Rebooted => Status::Rebooted,
+            State::Moving { since, .. } => Status::Moving { since },
+            State::Down { since, .. } => Status::Down { since },
+        };
+        let planned = machine
+            .running
+            .iter()
+            .filter(|id| self.tasks.get(*id).is_some_and(|t| t.work.class == Class::Planned))
+            .count() as u32;
+        InstanceView {
+            id: machine.id.clone(),
+            pool: self.pool_ids[machine.pool].clone(),
+            home: self.pool_ids[machine.home].clone(),
+            zone: self.zone_ids[machine.zone].clone(),
+            rack: machine.rack.clone(),
+            status,
+            slots: machine.slots,
+            running: machine.running.len() as u32,
+            planned: if machine.home == self.deployment.runners.len() { planned } else { 0 },
+            checkpointed: machine.checkpointed,
+            due: machine.due,
+        }
+    }
+
+    /// Drains at random under the same budgets; running drains go on as planned.
+    fn random_drains(&mut self, view: &FleetView) -> Plan {
+        let mut plan = maintenance::plan(self.now, view);
+        let count = |plan: &Plan, pool: &PoolId| {
+            let in_pool =
+                |id: &InstanceId| view.instances.iter().any(|i| i.id == *id && i.pool == *pool);
+            let starts = plan.decisions.iter().filter(
+                |d| matches!(&d.action, Action::DrainStart { instance, .. } if in_pool(instance)),
+            );
+            starts.count()
+        };
+        let counts: Vec<(PoolId, usize)> =
+            view.pools.keys().map(|pool| (pool.clone(), count(&plan, pool))).collect();
+        plan.decisions.retain(|d| !matches!(d.action, Action::DrainStart { .. }));
+        for (pool, starts) in counts {
+            let mut due: Vec<&InstanceView> = view
+                .instances
+                .iter()
+                .filter(|i| i.pool == pool && i.status == Status::Serving && i.due <= self.now)
+                .collect();
+            due.shuffle(&mut self.rng);
+            for instance in due.into_iter().take(starts) {
+                let reason = crate::record::DrainReason::Maintenance;
+                let action = Action::DrainStart { instance: instance.id.clone(), reason };
+                plan.decisions.push(Decision { action, why: Why::Due });
+            }
+        }
+        plan
+    }
+
+    fn carry_out(&mut self, action: &Action) {
+        let (Action::DrainStart { instance, .. }
+        | Action::Checkpoint { instance }
+        | Action::Stop { instance }
+        | Action::Reboot { instance }
+        | Action::DrainEnd { instance, .. }
+        | Action::MoveStart { instance, .. }) = action;
+        let Some(at) = self.by_id.get(instance).copied() else { return };
+        match action {
+            Action::DrainStart { .. } => {
+                self.machines[at].state = State::Draining { since: self.now };
+                self.note_drain(at);
+            }
+            Action::Checkpoint { .. } => self.machines[at].checkpointed = Some(self.now),
+            Action::Stop { .. } => self.stop(at),
+            Action::Reboot { .. } => {
+                let until = self.now + REBOOT_TIME;
+                self.machines[at].state = State::Rebooting { since: self.now, until };
+            }
+            Action::DrainEnd { done, .. } => self.end_drain(at, *done),
+            Action::MoveStart { to, .. } => {
+                let to = self.pool_ids.iter().position(|pool| pool == to).unwrap_or(0);
+                self.out.moves += 1;
+                self.machines[at].state = State::Moving { since: self.now, to, until: None };
+            }
+        }
+    }
+
+    fn stop(&mut self, at: usize) {
+        let drained = matches!(self.machines[at].state, State::Draining { .. });
+        if drained {
+            let view = self.instance_view(&self.machines[at]);
+            self.out.stopped_planned += view.planned;
+        }
+        self.cut_off(at, true);
+        self.machines[at].checkpointed = None;
+    }
+
+    /// Least time that the drain and restart of an instance take: its work ends by itself or is
+    /// stopped at the limit.
+    fn note_drain(&mut self, at: usize) {
+        let rules = &self.cfg.profiles["standard"];
+        let limit = rules.drain_timeout + maintenance::CHECKPOINT_TIME;
+        let left = |id: &WorkId| {
+            let task = self.tasks.get(id)?;
+            Some((task.started + task.run).saturating_sub(self.now))
+        };
+        let longest = self.machines[at].running.iter().filter_map(left).max().unwrap_or_default();
+        let least = longest.min(limit) + REBOOT_TIME;
+        self.drain_work[self.machines[at].home] += least.as_secs_f64();
+    }
+
+    fn end_drain(&mut self, at: usize, done: bool) {
+        let machine = &mut self.machines[at];
+        machine.state = State::Serving;
+        machine.checkpointed = None;
+        if done {
+            machine.maintained = true;
+            machine.due = self.now + Duration::from_secs(1_814_400);
+        }
+        let pool = machine.home;
+        let all = self.machines.iter().filter(|m| m.home == pool).all(|m| m.maintained);
+        if all && self.rollout_done[pool].is_none() {
+            self.rollout_done[pool] = Some(self.now.as_secs_f64());
+        }
+    }
+
+    /// Adds up the time that the budget leaves after unplanned outages.
+    fn count_budget(&mut self) {
+        if !self.scenario.rollout {
+            return;
+        }
+        for pool in 0..self.pool_ids.len() {
+            if self.rollout_done[pool].is_some() {
+                continue;
+            }
+            let of_pool = self.machines.iter().filter(|m| m.pool == pool);
+            let size = of_pool.clone().count() as u32;
+            let down = of_pool.filter(|m| matches!(m.state, State::Down { .. })).count() as u32;
+            let percent = self.cfg.profiles["standard"].unavailable_percent;
+            let left = allowed_down(size, percent).saturating_sub(down);
+            self.budget_time[pool] += f64::from(left) * PLAN_STEP.as_secs_f64();
+        }
+    }
+
+    // Lists and faults
+
+    /// The instances that may get new work, as the list shows them to the entry instances.
+    fn list(&mut self) {
+        for pool in 0..self.pool_ids.len() {
+            let members = self.machines.iter().filter(|m| m.pool == pool);
+            let size = members.clone().next().map_or(Need::SLOT, |m| self.size_of(m.home));
+            let list: Vec<Listed> =
+                members.filter(|m| self.is_listed(m)).map(|m| self.listed(m)).collect();
+            let unlimited = pool != self.deployment.runners.len();
+            let size = if unlimited {
+                Need { processors: u64::MAX, memory: u64::MAX, accelerators: u32::MAX, ..size }
+            } else {
+                size
+            };
+            let id = self.pool_ids[pool].clone();
+            self.chooser.set_upstreams(self.now, &id, &list, &size);
+        }
+    }
+
+    fn is_listed(&self, machine: &Machine) -> bool {
+        let out = self.zone_is_out() && machine.zone == 0;
+        let state = match machine.state {
+            State::Serving => true,
+            // The list shows a failed instance for a while.
+            State::Down { since, .. } => self.now < since + LIST_LAG,
+            _ => false,
+        };
+        state && !out && machine.ejected <= self.now
+    }
+
+    fn listed(&self, machine: &Machine) -> Listed {
+        Listed {
+            id: machine.id.clone(),
+            role: Role::Upstream,
+            pool: self.pool_ids[machine.pool].clone(),
+            zone: self.zone_ids[machine.zone].clone(),
+            rack: machine.rack.clone(),
+            addr: String::new(),
+            presence: Presence::Live,
+            slots: machine.slots,
+            connections: 64,
+        }
+    }
+
+    /// A rack, or a single instance, fails for some seconds.
+    fn crash(&mut self) {
+        let at = self.rng.random_range(0..self.machines.len());
+        let whole_rack = self.rng.random_range(0..3) == 0;
+        let rack = self.machines[at].rack.clone();
+        let until = self.now + Duration::from_secs(self.rng.random_range(10..30));
+        for victim in 0..self.machines.len() {
+            let machine = &self.machines[victim];
+            let hit = victim == at || (whole_rack && machine.rack == rack);
+            if hit && machine.state == State::Serving {
+                self.machines[victim].state = State::Down { since: self.now, until };
+                self.cut_off(victim, false);
+            }
+        }
+        let gap = self.rng.random_range(15.0..45.0);
+        self.push(self.now + Duration::from_secs_f64(gap), Event::Crash);
+    }
+
+    /// An instance fails everything it starts for some time.
+    fn break_one(&mut self) {
+        let at = self.rng.random_range(0..self.machines.len());
+        self.machines[at].broken = self.now + Duration::from_secs(30);
+        self.push(self.now + Duration::from_secs(40), Event::Break);
+    }
+
+    fn end(mut self) -> Outcome {
+        for pool in 0..self.pool_ids.len() {
+            let Some(done) = self.rollout_done[pool] else {
+                if self.scenario.rollout {
+                    self.out.rollouts.push((f64::INFINITY, 1.0));
+                }
+                continue;
+            };
+            // Time at which the budget allows the work, at the mean rate that it allowed.
+            let rate = self.budget_time[pool] / done;
+            self.bound[pool] = Some(self.drain_work[pool] / rate.max(1e-9));
+            self.out.rollouts.push((done, self.bound[pool].unwrap_or(done)));
+        }
+        self.out
+    }
+}
+
+impl Window {
+    fn new(pools: usize, teams: usize) -> Window {
+        Window {
+            used: vec![vec![0.0; teams]; pools],
+            backlogged: vec![vec![true; teams]; pools],
+            full_ticks: vec![0; pools],
+            ticks: 0,
+        }
+    }
+}
+
+fn add_at(values: &mut Vec<f64>, at: usize, value: f64) {
+    if values.len() <= at {
+        values.resize(at + 1, 0.0);
+    }
+    values[at] += value;
+}
+
+fn reason_name(reason: WaitReason) -> &'static str {
+    match reason {
+        WaitReason::BudgetUsed { .. } => "budget_used",
+        WaitReason::PoolTooSmall { .. } => "pool_too_small",
+        WaitReason::RackBudgetUsed => "rack_budget_used",
+        WaitReason::ZoneAway => "zone_away",
+        WaitReason::LoadNeedsAll => "load_needs_all",
+        WaitReason::NothingToLend { .. } => "nothing_to_lend",
+        WaitReason::ShortTooBriefly => "short_too_briefly",
+    }
+}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -38,6 +38,8 @@
     pub id: InstanceId,
     /// The one pool that it is in.
     pub pool: PoolId,
+    /// Pool that the platform started it in. An instance whose home is a spare pool may be lent.
+    pub home: PoolId,
     pub zone: ZoneId,
     pub rack: RackId,
     pub status: Status,
--- a/src/learn.rs
+++ b/src/learn.rs
@@ -4,6 +4,7 @@
 //! work, the declared value times a learned factor and the typical value itself; the one with the
 //! smaller spread is used.
 
+use crate::fair::Need;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -12,6 +13,11 @@
 
 /// A learned value is at most this many times the declared one, or this part of it.
 const MAX_FACTOR: f64 = 64.0;
+/// A learned size is at most this many times the declared one, or this part of it. Sizes are bounded
+/// more tightly than run times: memory that is lent out twice stops the jobs on the instance.
+const MAX_SIZE_FACTOR: f64 = 4.0;
+/// Margin over the mean size, in standard deviations.
+const SIZE_MARGIN: f64 = 1.0;
 /// Finished runs that count as much as the declaration.
 const DECLARED_WEIGHT: f64 = 4.0;
 /// Finished runs before a learned run time may refuse work; a declaration alone never does.
@@ -48,6 +54,14 @@
     plain: Spread,
 }
 
+/// Used part of the declared size of one kind of work, as logarithms.
+#[derive(Clone, Copy, Debug, Default)]
+struct KnownSize {
+    reports: u32,
+    processors: Spread,
+    memory: Spread,
+}
+
 /// Expected run time of one piece of work.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
@@ -61,6 +75,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Learn {
     known: HashMap<LearnKey, Known>,
+    sizes: HashMap<LearnKey, KnownSize>,
 }
 
 impl Learn {
@@ -98,6 +113,34 @@
         known.runs = known.runs.saturating_add(1);
     }
 
+    /// Expected size of work that declares `declared`. Slots and accelerators are taken as declared:
+    /// they are handed out whole.
+    pub fn size(&self, key: LearnKey, declared: &Need) -> Need {
+        let Some(known) = self.sizes.get(&key) else { return *declared };
+        let trust = f64::from(known.reports) / (f64::from(known.reports) + DECLARED_WEIGHT);
+        let scaled = |value: u64, spread: &Spread| {
+            let center = spread.mean + SIZE_MARGIN * spread.var.sqrt();
+            (value as f64 * (trust * center).exp()) as u64
+        };
+        Need {
+            processors: scaled(declared.processors, &known.processors),
+            memory: scaled(declared.memory, &known.memory),
+            ..*declared
+        }
+    }
+
+    /// Takes in the size that work was reported to use at its most.
+    pub fn on_size(&mut self, key: LearnKey, declared: &Need, used: &Need) {
+        if self.sizes.len() >= MAX_KINDS && !self.sizes.contains_key(&key) {
+            return;
+        }
+        let known = self.sizes.entry(key).or_default();
+        let weight = (1.0 / (f64::from(known.reports) + 1.0)).max(NEWEST_WEIGHT);
+        known.processors.add(size_factor(declared.processors, used.processors), weight);
+        known.memory.add(size_factor(declared.memory, used.memory), weight);
+        known.reports = known.reports.saturating_add(1);
+    }
+
     /// Kinds of work known.
     pub fn len(&self) -> usize {
         self.known.len()
@@ -118,6 +161,15 @@
     }
 }
 
+/// Logarithm of used over declared, bounded; zero when nothing was declared.
+fn size_factor(declared: u64, used: u64) -> f64 {
+    if declared == 0 {
+        return 0.0;
+    }
+    let factor = used as f64 / declared as f64;
+    factor.clamp(1.0 / MAX_SIZE_FACTOR, MAX_SIZE_FACTOR).ln()
+}
+
 fn base_secs(declared: Duration) -> f64 {
     let declared = if declared.is_zero() { DEFAULT_RUN } else { declared };
     declared.as_secs_f64().max(MIN_SECS)
--- /dev/null
+++ b/src/measure.rs
@@ -0,0 +1,561 @@
+//! Runs the policies on a virtual clock and reports the five measures against plain baselines.
+//!
+//! All variants of an experiment run under the same seeds. Each row gives the median and the
+//! spread over the seeds.
+
+use crate::baseline::Rule;
+use crate::buffer::{self, Terms};
+use crate::chart;
+use crate::decision_cost::{self, CostRow};
+use crate::driver::{self, Deployment, Drains, Load, Outcome, Scenario};
+use indexmap::IndexMap;
+use serde::Serialize;
+use snafu::{ResultExt, Snafu};
+use std::path::{Path, PathBuf};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// What to run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Options {
+    /// Seeds of each experiment.
+    pub seeds: u64,
+    /// First seed.
+    pub first_seed: u64,
+    /// Threads that run seeds side by side.
+    pub threads: usize,
+    /// Experiments to run; all when empty.
+    pub only: Vec<Experiment>,
+    /// Directory for `measure.json` and the plots; `None` writes nothing.
+    pub out: Option<PathBuf>,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options { seeds: 20, first_seed: 1, threads: 3, only: Vec::new(), out: None }
+    }
+}
+
+/// One experiment.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Experiment {
+    /// Closeness to share while every pool is full.
+    Shares,
+    /// Moves while queues burst in turn.
+    Moves,
+    /// Work done while a zone leaves and returns.
+    Zone,
+    /// Time of a rollout while instances fail.
+    Rollout,
+    /// Cost of the buffer.
+    Buffer,
+    /// Time of decisions by size.
+    DecisionCost,
+}
+
+impl Experiment {
+    /// All experiments, in the order in which they run.
+    pub const ALL: [Experiment; 6] = [
+        Experiment::Shares,
+        Experiment::Moves,
+        Experiment::Zone,
+        Experiment::Rollout,
+        Experiment::Buffer,
+        Experiment::DecisionCost,
+    ];
+
+    /// Name in tables and on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Experiment::Shares => "shares",
+            Experiment::Moves => "moves",
+            Experiment::Zone => "zone",
+            Experiment::Rollout => "rollout",
+            Experiment::Buffer => "buffer",
+            Experiment::DecisionCost => "decision_cost",
+        }
+    }
+
+    /// Finds an experiment by its name.
+    pub fn from_name(name: &str) -> Option<Experiment> {
+        Experiment::ALL.into_iter().find(|experiment| experiment.name() == name)
+    }
+}
+
+/// Why a report could not be written.
+#[derive(Debug, Snafu)]
+pub enum MeasureError {
+    /// The directory or a file cannot be written.
+    #[snafu(display("cannot write {}: {source}", path.display()))]
+    Write { path: PathBuf, source: std::io::Error },
+    /// The report is not valid JSON.
+    #[snafu(display("cannot encode the report: {source}"))]
+    Encode { source: serde_json::Error },
+    /// A plot cannot be drawn.
+    #[snafu(display("cannot draw {}: {message}", path.display()))]
+    Draw { path: PathBuf, message: String },
+}
+
+/// Which side of a target is good.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Target {
+    AtLeast(f64),
+    AtMost(f64),
+}
+
+/// One measure of one variant, over all seeds.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Row {
+    pub experiment: Experiment,
+    pub deployment: &'static str,
+    pub variant: &'static str,
+    pub measure: &'static str,
+    pub target: Option<Target>,
+    /// One value a seed, in order of the seeds.
+    pub values: Vec<f64>,
+    pub low: f64,
+    pub median: f64,
+    pub high: f64,
+    /// Seeds that meet the target.
+    pub met: Option<usize>,
+}
+
+/// Everything that was measured.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Report {
+    pub rows: Vec<Row>,
+    pub costs: Vec<CostRow>,
+}
+
+/// Runs the experiments and writes the report when a directory is given.
+///
+/// # Errors
+///
+/// Fails when the directory, the JSON file or a plot cannot be written.
+pub fn run(options: &Options) -> Result<Report, MeasureError> {
+    let mut report = Report::default();
+    let wanted = |experiment| options.only.is_empty() || options.only.contains(&experiment);
+    for experiment in Experiment::ALL.into_iter().filter(|experiment| wanted(*experiment)) {
+        if experiment == Experiment::DecisionCost {
+            report.costs = decision_cost::measure(options.first_seed);
+            continue;
+        }
+        for deployment in [driver::derwent(), driver::tsagaan()] {
+            report.rows.extend(run_one(experiment, &deployment, options));
+        }
+    }
+    if let Some(dir) = &options.out {
+        write(&report, dir)?;
+    }
+    Ok(report)
+}
+
+fn write(report: &Report, dir: &Path) -> Result<(), MeasureError> {
+    std::fs::create_dir_all(dir).context(WriteSnafu { path: dir })?;
+    let path = dir.join("measure.json");
+    let text = serde_json::to_string_pretty(report).context(EncodeSnafu)?;
+    std::fs::write(&path, text).context(WriteSnafu { path })?;
+    chart::draw(report, dir)
+}
+
+impl Report {
+    /// The report as a table for people.
+    pub fn table(&self) -> String {
+        let mut text = String::new();
+        if !self.rows.is_empty() {
+            text.push_str("| experiment | deployment | variant | measure | median | low | high | target | met |\n");
+            text.push_str("| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+        }
+        for row in &self.rows {
+            text.push_str(&row.line());
+        }
+        if !self.costs.is_empty() {
+            text.push('\n');
+            text.push_str(&decision_cost::table(&self.costs));
+        }
+        text
+    }
+}
+
+impl Row {
+    fn line(&self) -> String {
+        let target = match self.target {
+            None => String::new(),
+            Some(Target::AtLeast(value)) => format!(">= {value}"),
+            Some(Target::AtMost(value)) => format!("<= {value}"),
+        };
+        let met = self.met.map_or(String::new(), |met| format!("{met}/{}", self.values.len()));
+        format!(
+            "| {} | {} | {} | {} | {:.3} | {:.3} | {:.3} | {target} | {met} |\n",
+            self.experiment.name(),
+            self.deployment,
+            self.variant,
+            self.measure,
+            self.median,
+            self.low,
+            self.high,
+        )
+    }
+}
+
+/// Values of one seed: variant and measure to value and target.
+type Values = IndexMap<(&'static str, &'static str), (f64, Option<Target>)>;
+
+fn run_one(experiment: Experiment, deployment: &Deployment, options: &Options) -> Vec<Row> {
+    let results = run_seeds(options, &|seed| match experiment {
+        Experiment::Shares => shares(deployment, seed),
+        Experiment::Moves => moves(deployment, seed),
+        Experiment::Zone => zone(deployment, seed),
+        Experiment::Rollout => rollout(deployment, seed),
+        Experiment::Buffer => buffer_cost(deployment, seed),
+        Experiment::DecisionCost => Values::new(),
+    });
+    let Some(first) = results.first() else { return Vec::new() };
+    first
+        .iter()
+        .map(|(key, (_, target))| {
+            let values: Vec<f64> =
+                results.iter().filter_map(|values| values.get(key)).map(|(v, _)| *v).collect();
+            row(experiment, deployment.name, *key, *target, values)
+        })
+        .collect()
+}
+
+fn row(
+    experiment: Experiment,
+    deployment: &'static str,
+    (variant, measure): (&'static str, &'static str),
+    target: Option<Target>,
+    values: Vec<f64>,
+) -> Row {
+    let mut sorted = values.clone();
+    sorted.sort_by(f64::total_cmp);
+    let at = |part: f64| sorted[((sorted.len() - 1) as f64 * part) as usize];
+    let meets = |value: &&f64| match target {
+        Some(Target::AtLeast(least)) => **value >= least,
+        Some(Target::AtMost(most)) => **value <= most,
+        None => true,
+    };
+    let met = target.map(|_| values.iter().filter(meets).count());
+    let (low, median, high) = (at(0.0), at(0.5), at(1.0));
+    Row { experiment, deployment, variant, measure, target, values, low, median, high, met }
+}
+
+fn run_seeds(options: &Options, one: &(dyn Fn(u64) -> Values + Sync)) -> Vec<Values> {
+    let next = AtomicU64::new(0);
+    let results = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..options.threads.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let index = next.fetch_add(1, Ordering::Relaxed);
+                    if index >= options.seeds {
+                        break;
+                    }
+                    let values = one(options.first_seed + index);
+                    results.lock().unwrap_or_else(|e| e.into_inner()).push((index, values));
+                }
+            });
+        }
+    });
+    let mut results = results.into_inner().unwrap_or_else(|e| e.into_inner());
+    results.sort_by_key(|(index, _)| *index);
+    results.into_iter().map(|(_, values)| values).collect()
+}
+
+fn base(load: Load, secs: u64) -> Scenario {
+    Scenario {
+        load,
+        length: Duration::from_secs(secs),
+        zone_out: None,
+        rollout: false,
+        faults: false,
+        drains: Drains::Planned,
+        rule: None,
+        lends: true,
+    }
+}
+
+const RULES: [(&str, Option<Rule>); 3] = [
+    ("jacinthhook", None),
+    ("first_come", Some(Rule::FirstCome)),
+    ("fixed_split", Some(Rule::FixedSplit)),
+];
+
+/// Only the project's own variant is held to the targets.
+fn own_target(variant: &str, target: Target) -> Option<Target> {
+    (variant == "jacinthhook").then_some(target)
+}
+
+fn shares(deployment: &Deployment, seed: u64) -> Values {
+    let mut values = Values::new();
+    for (variant, rule) in RULES {
+        let scenario = Scenario { rule, lends: false, ..base(Load::Full(2.5), 60) };
+        let out = driver::run(deployment, &scenario, seed);
+        let mut ratios = out.share_ratios.clone();
+        ratios.sort_by(f64::total_cmp);
+        let worst = ratios.first().copied().unwrap_or(f64::NAN);
+        let below = ratios.iter().filter(|ratio| **ratio < 0.95).count() as f64;
+        let part = 100.0 * below / ratios.len().max(1) as f64;
+        values.insert(
+            (variant, "worst part of due share"),
+            (worst, own_target(variant, Target::AtLeast(0.95))),
+        );
+        values.insert((variant, "windows below 95%, percent"), (part, None));
+        values.insert((variant, "windows counted"), (ratios.len() as f64, None));
+        values.insert((variant, "slots in use, percent"), (used_percent(&out), None));
+    }
+    values
+}
+
+/// Part of the runners' slots in use after the start.
+fn used_percent(out: &Outcome) -> f64 {
+    let done: f64 = out.done_per_sec.iter().skip(10).sum();
+    let slots: f64 = out.slots_per_sec.iter().skip(10).sum();
+    100.0 * done / slots.max(1.0)
+}
+
+fn moves(deployment: &Deployment, seed: u64) -> Values {
+    let mut values = Values::new();
+    let out = driver::run(deployment, &base(Load::Bursts, 360), seed);
+    let least = least_moves(deployment, &out);
+    let target = own_target("jacinthhook", Target::AtMost(1.5));
+    let ratio = f64::from(out.moves) / f64::from(least.max(1));
+    values.insert(("jacinthhook", "moves over least"), (ratio, target));
+    values.insert(("jacinthhook", "moves"), (f64::from(out.moves), None));
+    values.insert(("jacinthhook", "least moves"), (f64::from(least), None));
+    add_waits("jacinthhook", &out, &mut values);
+    let fixed = Scenario { lends: false, ..base(Load::Bursts, 360) };
+    add_waits("no_lending", &driver::run(deployment, &fixed, seed), &mut values);
+    let split = Scenario { rule: Some(Rule::FixedSplit), ..base(Load::Bursts, 360) };
+    add_waits("fixed_split", &driver::run(deployment, &split, seed), &mut values);
+    let first = Scenario { rule: Some(Rule::FirstCome), ..base(Load::Bursts, 360) };
+    add_waits("first_come", &driver::run(deployment, &first, seed), &mut values);
+    values
+}
+
+fn add_waits(variant: &'static str, out: &Outcome, values: &mut Values) {
+    let not_run = 100.0 * (out.refused + out.late_unstarted) as f64 / out.offered.max(1) as f64;
+    values.insert((variant, "urgent start p99, ms"), (quantile(&out.urgent_waits, 0.99), None));
+    values.insert((variant, "other start p99, ms"), (quantile(&out.other_waits, 0.99), None));
+    values.insert((variant, "refused as not run, percent"), (not_run, None));
+}
+
+fn quantile(values: &[f64], part: f64) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let at = (sorted.len().saturating_sub(1) as f64 * part) as usize;
+    sorted.get(at).copied().unwrap_or(0.0)
+}
+
+/// The least moves that the load needs, with the load known in advance: an instance is taken only
+/// when a pool is short, first a free one, then from the pool that needs it again latest.
+fn least_moves(deployment: &Deployment, out: &Outcome) -> u32 {
+    let needs = instance_needs(deployment, out);
+    let mut held: Vec<u32> = deployment.runners.clone();
+    let mut free = deployment.spare_instances;
+    let mut moves = 0;
+    let length = needs.iter().map(Vec::len).min().unwrap_or(0);
+    for t in 0..length {
+        for pool in 0..held.len() {
+            while held[pool] < needs[pool][t] {
+                if free > 0 {
+                    free -= 1;
+                } else if let Some(donor) = latest_needed(&needs, &held, deployment, t) {
+                    held[donor] -= 1;
+                } else {
+                    break;
+                }
+                held[pool] += 1;
+                moves += 1;
+            }
+        }
+    }
+    moves
+}
+
+/// The pool with lent instances to give that needs its last one again latest.
+fn latest_needed(
+    needs: &[Vec<u32>],
+    held: &[u32],
+    deployment: &Deployment,
+    t: usize,
+) -> Option<usize> {
+    let gives =
+        |pool: &usize| held[*pool] > deployment.runners[*pool] && held[*pool] > needs[*pool][t];
+    let again = |pool: &usize| {
+        needs[*pool][t..].iter().position(|need| *need >= held[*pool]).unwrap_or(usize::MAX)
+    };
+    (0..held.len()).filter(gives).max_by_key(again)
+}
+
+/// Instances that each pool needs in each second for its offered load, averaged over 5 s because
+/// the arrivals of single seconds scatter and a queue evens them out.
+fn instance_needs(deployment: &Deployment, out: &Outcome) -> Vec<Vec<u32>> {
+    let average = |needs: &Vec<f64>| {
+        let mean = |t: usize| {
+            let part = &needs[t.saturating_sub(2)..(t + 3).min(needs.len())];
+            part.iter().sum::<f64>() / part.len() as f64
+        };
+        let instances = |t| (mean(t) / f64::from(deployment.runner_slots)).ceil() as u32;
+        (0..needs.len()).map(instances).collect()
+    };
+    out.needs.iter().map(average).collect()
+}
+
+/// Time at which the zone leaves, and at which it is back.
+const ZONE_OUT: (u64, u64) = (40, 100);
+
+fn zone(deployment: &Deployment, seed: u64) -> Values {
+    let mut values = Values::new();
+    for (variant, rule) in RULES {
+        let times = (Duration::from_secs(ZONE_OUT.0), Duration::from_secs(ZONE_OUT.1));
+        let scenario =
+            Scenario { zone_out: Some(times), faults: true, rule, ..base(Load::Bursts, 150) };
+        let out = driver::run(deployment, &scenario, seed);
+        let target = |target| own_target(variant, target);
+        values.insert(
+            (variant, "work done over best of the rest"),
+            (zone_part(&out), target(Target::AtLeast(0.95))),
+        );
+        let p99 = quantile(&out.urgent_waits, 0.99);
+        values.insert((variant, "urgent start p99, ms"), (p99, target(Target::AtMost(1_400.0))));
+        let lost = out.failed_tries as f64;
+        values.insert((variant, "admitted and lost"), (lost, target(Target::AtMost(0.0))));
+        let twice = out.duplicated as f64;
+        values.insert((variant, "run twice"), (twice, target(Target::AtMost(0.0))));
+        let stray = out.starts_in_out_zone as f64;
+        values.insert((variant, "starts in the zone out"), (stray, target(Target::AtMost(0.0))));
+        values.insert((variant, "outages by a rush"), (f64::from(out.rushes), None));
+        let not_run = 100.0 * (out.refused + out.late_unstarted) as f64 / out.offered as f64;
+        values.insert((variant, "refused as not run, percent"), (not_run, None));
+    }
+    values
+}
+
+/// Work done from the time the zone leaves to 20 s after its return, over what the serving slots
+/// could have done of the offered work if they all were in the right pool and no work expired.
+fn zone_part(out: &Outcome) -> f64 {
+    let (from, to) = (ZONE_OUT.0 as usize, ZONE_OUT.1 as usize + 20);
+    let mut left: f64 = 0.0;
+    let mut best = 0.0;
+    for t in from..to {
+        let offered = out.offered_per_sec.get(t).copied().unwrap_or(0.0);
+        let slots = out.slots_per_sec.get(t).copied().unwrap_or(0.0);
+        let done = (left + offered).min(slots);
+        left = left + offered - done;
+        best += done;
+    }
+    let done: f64 = (from..to).filter_map(|t| out.done_per_sec.get(t)).sum();
+    done / best
+}
+
+fn rollout(deployment: &Deployment, seed: u64) -> Values {
+    let mut values = Values::new();
+    for (variant, drains) in [("jacinthhook", Drains::Planned), ("random_drains", Drains::Random)] {
+        let scenario =
+            Scenario { rollout: true, faults: true, drains, ..base(Load::Steady, 1_200) };
+        let out = driver::run(deployment, &scenario, seed);
+        let ratios: Vec<f64> = out.rollouts.iter().map(|(took, bound)| took / bound).collect();
+        let worst = ratios.iter().copied().fold(0.0, f64::max);
+        let mean = ratios.iter().sum::<f64>() / ratios.len().max(1) as f64;
+        let target = own_target(variant, Target::AtMost(1.25));
+        values.insert((variant, "worst pool, time over bound"), (worst, target));
+        values.insert((variant, "mean of pools, time over bound"), (mean, None));
+        let longest = out.rollouts.iter().map(|(took, _)| *took).fold(0.0, f64::max);
+        values.insert((variant, "longest pool, s"), (longest, None));
+        let stopped = f64::from(out.stopped_planned);
+        values.insert((variant, "planned jobs stopped after a checkpoint"), (stopped, None));
+        values.insert((variant, "urgent start p99, ms"), (quantile(&out.urgent_waits, 0.99), None));
+    }
+    values
+}
+
+/// Headroom steps that are tried, in percent of the mean load.
+const HEADROOM_STEP: u32 = 10;
+const MAX_HEADROOM: u32 = 900;
+
+fn buffer_cost(deployment: &Deployment, seed: u64) -> Values {
+    let mut values = Values::new();
+    let scenario = buffer_scenario(true);
+    let record = driver::run(deployment, &base(Load::Bursts, 180), seed + 10_000).demand;
+    let terms = Terms {
+        zones: deployment.zones,
+        instance_slots: deployment.runner_slots,
+        lend_after: Duration::from_secs(3),
+        wait: Duration::from_millis(1_400),
+        max_percent: 1_000,
+    };
+    let Some(plan) = buffer::least(&record, &terms) else { return values };
+    let slots = deployment.runner_slots;
+    let runners = plan.own.values().map(|own| own / slots).collect();
+    let spare_instances = plan.shared / slots;
+    let ours = Deployment { runners, spare_instances, guarded_workers: 4, ..deployment.clone() };
+    let out = driver::run(&ours, &scenario, seed);
+    let mean: f64 = deployment.means.iter().sum();
+    let cost = held(&ours) - mean;
+    let (fixed, percent, fixed_out) = least_headroom(deployment, seed, &out);
+    let fixed_cost = held(&fixed) - mean;
+    let saved = 100.0 * (1.0 - cost / fixed_cost);
+    let target = own_target("jacinthhook", Target::AtLeast(25.0));
+    values.insert(("jacinthhook", "cheaper than fixed headroom, percent"), (saved, target));
+    values.insert(("jacinthhook", "slots above the mean load"), (cost, None));
+    values.insert(("jacinthhook", "shared slots"), (f64::from(plan.shared), None));
+    add_waits("jacinthhook", &out, &mut values);
+    values.insert(("fixed_headroom", "slots above the mean load"), (fixed_cost, None));
+    values.insert(("fixed_headroom", "headroom, percent"), (f64::from(percent), None));
+    add_waits("fixed_headroom", &fixed_out, &mut values);
+    values
+}
+
+fn buffer_scenario(lends: bool) -> Scenario {
+    let zone_out = Some((Duration::from_secs(60), Duration::from_secs(120)));
+    Scenario { zone_out, lends, ..base(Load::Bursts, 150) }
+}
+
+/// Slots of all runners and spare instances.
+fn held(deployment: &Deployment) -> f64 {
+    let instances = deployment.runners.iter().sum::<u32>() + deployment.spare_instances;
+    f64::from(instances * deployment.runner_slots)
+}
+
+/// The smallest headroom, the same for each pool, with which no more urgent work waits long and no
+/// more work is refused than with `ours`.
+fn least_headroom(
+    deployment: &Deployment,
+    seed: u64,
+    ours: &Outcome,
+) -> (Deployment, u32, Outcome) {
+    let (mut low, mut high) = (0, MAX_HEADROOM / HEADROOM_STEP);
+    let mut best = headroom_run(deployment, high * HEADROOM_STEP, seed);
+    while low < high {
+        let middle = (low + high) / 2;
+        let tried = headroom_run(deployment, middle * HEADROOM_STEP, seed);
+        if as_good(&tried.1, ours) {
+            high = middle;
+            best = tried;
+        } else {
+            low = middle + 1;
+        }
+    }
+    (best.0, high * HEADROOM_STEP, best.1)
+}
+
+fn headroom_run(deployment: &Deployment, percent: u32, seed: u64) -> (Deployment, Outcome) {
+    let times = 1.0 + f64::from(percent) / 100.0;
+    let instances = |mean: &f64| (mean * times / f64::from(deployment.runner_slots)).ceil() as u32;
+    let runners = deployment.means.iter().map(instances).collect();
+    let fixed =
+        Deployment { runners, spare_instances: 0, guarded_workers: 4, ..deployment.clone() };
+    let out = driver::run(&fixed, &buffer_scenario(false), seed);
+    (fixed, out)
+}
+
+fn as_good(tried: &Outcome, ours: &Outcome) -> bool {
+    let waits = quantile(&tried.urgent_waits, 0.99) <= quantile(&ours.urgent_waits, 0.99);
+    let not_run = |out: &Outcome| out.refused + out.late_unstarted;
+    waits && not_run(tried) <= not_run(ours)
+}
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -97,6 +97,16 @@
         self.members.values().filter(|member| member.open).map(|member| member.foreign).sum()
     }
 
+    /// Instances, open or not.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether there is no instance.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
     /// Whether an instance is a member, open or not.
     pub fn contains(&self, id: &InstanceId) -> bool {
         self.members.contains_key(id)
@@ -104,6 +114,9 @@
 
     /// Replaces the instances that may get new work. Others keep only what they run.
     pub fn set(&mut self, now: Time, upstreams: &[Listed], rng: &mut ChaCha8Rng) {
+        if self.is_same(upstreams) {
+            return;
+        }
         let had = self.open_zones();
         for index in 0..self.members.len() {
             self.unindex(index);
@@ -120,8 +133,10 @@
 
     /// Sets resources besides slots, which the list does not give.
     pub fn set_sizes(&mut self, id: &InstanceId, sizes: Need, rng: &mut ChaCha8Rng) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.total = Need { slots: member.total.slots, ..sizes };
+        let Some(member) = self.members.get_mut(id) else { return };
+        let total = Need { slots: member.total.slots, ..sizes };
+        if member.total != total {
+            member.total = total;
             self.rebuild(rng);
         }
     }
@@ -197,6 +212,17 @@
         !stale.is_empty()
     }
 
+    /// Whether a list names exactly the open members.
+    fn is_same(&self, upstreams: &[Listed]) -> bool {
+        let same = |listed: &Listed| {
+            let slots = listed.slots.min(listed.connections);
+            let open = |member: &Member| member.open && member.total.slots == slots;
+            listed.presence == Presence::Live && self.members.get(&listed.id).is_some_and(open)
+        };
+        let open = self.members.values().filter(|member| member.open).count();
+        open == upstreams.len() && upstreams.iter().all(same)
+    }
+
     fn open_zones(&self) -> Vec<ZoneId> {
         self.zones
             .iter()
--- a/src/pools.rs
+++ b/src/pools.rs
@@ -2,7 +2,8 @@
 //! or its own minimum needs.
 //!
 //! A lent instance stays where it is until it is needed elsewhere. Returning it at once would move
-//! it twice for each burst. A pool that gave an instance away, or got one, keeps the rest for
+//! it twice for each burst. Only instances whose home is a spare pool move: others may be of another
+//! kind. A pool that gave an instance away, or got one, keeps the rest for
 //! `HOLD`, which rules out moves to and fro.
 
 use crate::fleet::*;
@@ -132,9 +133,13 @@
         let Some(rules) = view.pools.get(&instance.pool) else { return false };
         let standing = &standings[&instance.pool];
         let received = self.memory.get(&instance.pool).and_then(|memory| memory.received);
+        let lendable = view.pools.get(&instance.home).is_some_and(|home| home.spare);
         let held = !rules.spare && received.is_some_and(|received| now < received + HOLD);
         let need = if rules.spare { 0 } else { rules.need_slots };
-        !held && standing.serving > rules.min_instances && standing.slots >= need + instance.slots
+        lendable
+            && !held
+            && standing.serving > rules.min_instances
+            && standing.slots >= need + instance.slots
     }
 
     fn note(
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -72,6 +72,8 @@
     pub waiting: u32,
     /// Expected slot-seconds of the work waiting here.
     pub waiting_cost: f64,
+    /// Expected slot-seconds of all work that was ever offered here, refused work included.
+    pub offered_cost: f64,
     /// Typical run time in seconds.
     pub run_secs: f64,
 }
@@ -98,6 +100,7 @@
     own_slots: u32,
     waiting: u32,
     waiting_cost: f64,
+    offered_cost: f64,
     run_secs: f64,
 }
 
@@ -114,6 +117,8 @@
     team: u32,
     service: u32,
     class: usize,
+    /// Expected size; what is taken of an instance.
+    need: Need,
     cost: f64,
     typical: Duration,
     stage: Stage,
@@ -130,6 +135,8 @@
     team_shares: HashMap<TeamId, u32>,
     waiting: Vec<u32>,
     pools: IndexMap<PoolId, Pool>,
+    /// Pool that each instance was last listed in.
+    homes: HashMap<InstanceId, usize>,
     cursor: usize,
     items: Vec<Option<Item>>,
     vacant: Vec<u32>,
@@ -155,6 +162,7 @@
             own_slots: 0,
             waiting: 0,
             waiting_cost: 0.0,
+            offered_cost: 0.0,
             run_secs: FIRST_RUN_SECS,
         }
     }
@@ -217,6 +225,7 @@
             team_shares: HashMap::new(),
             waiting: Vec::new(),
             pools: IndexMap::new(),
+            homes: HashMap::new(),
             cursor: 0,
             items: Vec::new(),
             vacant: Vec::new(),
@@ -253,14 +262,16 @@
     /// was set last.
     pub fn set_upstreams(&mut self, now: Time, pool: &PoolId, upstreams: &[Listed]) {
         let index = self.pool_index(pool) as usize;
-        for (at, other) in self.pools.values_mut().enumerate() {
-            if at != index {
-                for listed in upstreams {
-                    other.fleet.close(&listed.id, &mut self.rng);
-                }
+        for listed in upstreams {
+            let before = self.homes.insert(listed.id.clone(), index);
+            if let Some(before) = before.filter(|before| *before != index) {
+                self.pools[before].fleet.close(&listed.id, &mut self.rng);
             }
         }
         self.pools[index].fleet.set(now, upstreams, &mut self.rng);
+        if self.homes.len() > 2 * self.members() {
+            self.homes.retain(|id, pool| self.pools[*pool].fleet.contains(id));
+        }
     }
 
     /// Sets the resources of an instance besides its slots; unknown ones are not limited.
@@ -272,10 +283,8 @@
 
     /// Takes in how much an instance runs in all, whoever started it. Reports may lag.
     pub fn on_load(&mut self, now: Time, upstream: &InstanceId, running: u32) {
-        for pool in self.pools.values_mut() {
-            if pool.fleet.contains(upstream) {
-                pool.fleet.on_load(now, upstream, running, &mut self.rng);
-            }
+        if let Some(pool) = self.homes.get(upstream) {
+            self.pools[*pool].fleet.on_load(now, upstream, running, &mut self.rng);
         }
     }
 
@@ -296,15 +305,17 @@
         let estimate = self.learn.estimate((team, service), work.declared);
         let class = class_index(work.class);
         let latest = start_by(now, work.class, work.deadline, estimate.short, urgent_start);
-        let total = self.pools[pool as usize].fleet.total();
-        let cost = work.need.dominant_slots(total) * estimate.typical.as_secs_f64();
+        let need = self.learn.size((team, service), &work.need);
+        let state = &mut self.pools[pool as usize];
+        let cost = need.dominant_slots(state.fleet.total()) * estimate.typical.as_secs_f64();
+        state.offered_cost += cost;
         let turn = (latest, self.arrivals);
         let weight = self.weight(service, team);
         self.check_wait(now, pool, team, weight, class, turn)?;
         self.arrivals += 1;
         let typical = estimate.typical;
         let stage = Stage::Waiting { turn };
-        let item = Item { work, pool, team, service, class, cost, typical, stage };
+        let item = Item { work, pool, team, service, class, need, cost, typical, stage };
         self.add_waiting(item, turn, weight);
         Ok(())
     }
@@ -347,14 +358,14 @@
         let Stage::Running { upstream, started, charged } = &item.stage else { return };
         let weight = self.weight(item.service, item.team);
         let pool = &mut self.pools[item.pool as usize];
-        let slots = item.work.need.dominant_slots(pool.fleet.total());
+        let slots = item.need.dominant_slots(pool.fleet.total());
         let used = now.saturating_sub(*started).as_secs_f64();
         pool.fair.charge(item.team, weight, slots * (used - charged.as_secs_f64()));
         if let Some(upstream) = upstream {
-            pool.fleet.give(upstream, &item.work.need, &mut self.rng);
+            pool.fleet.give(upstream, &item.need, &mut self.rng);
         }
-        pool.own_slots = pool.own_slots.saturating_sub(item.work.need.slots);
-        pool.running[item.class] = pool.running[item.class].saturating_sub(item.work.need.slots);
+        pool.own_slots = pool.own_slots.saturating_sub(item.need.slots);
+        pool.running[item.class] = pool.running[item.class].saturating_sub(item.need.slots);
         pool.fair.end(item.team);
         pool.unpark_team(item.team, weight);
         if !failed {
@@ -364,6 +375,14 @@
         self.forget(key);
     }
 
+    /// Takes in the most that running work was reported to use. Its own place stays as it is; later
+    /// work of its kind is sized by it.
+    pub fn on_usage(&mut self, id: WorkId, used: &Need) {
+        let Some(key) = self.ids.get(&id).copied() else { return };
+        let Some(item) = self.items[key as usize].as_ref() else { return };
+        self.learn.on_size((item.team, item.service), &item.work.need, used);
+    }
+
     /// Another instance for work that did not run where it was placed. `None` when none has room;
     /// the work then holds no instance until the next call or `finish`.
     pub fn place_again(&mut self, now: Time, id: WorkId, exclude: &[InstanceId]) -> Option<Placed> {
@@ -372,10 +391,10 @@
         let Stage::Running { upstream, .. } = &mut item.stage else { return None };
         let fleet = &mut self.pools[item.pool as usize].fleet;
         if let Some(upstream) = upstream.take() {
-            fleet.give(&upstream, &item.work.need, &mut self.rng);
+            fleet.give(&upstream, &item.need, &mut self.rng);
         }
-        let index = fleet.find(now, &item.work.need, exclude)?;
-        let placed = fleet.take(index, &item.work.need, &mut self.rng);
+        let index = fleet.find(now, &item.need, exclude)?;
+        let placed = fleet.take(index, &item.need, &mut self.rng);
         *upstream = Some(placed.clone());
         Some(Placed { id, upstream: placed })
     }
@@ -394,10 +413,16 @@
             own: pool.own_slots,
             waiting: pool.waiting,
             waiting_cost: pool.waiting_cost,
+            offered_cost: pool.offered_cost,
             run_secs: pool.run_secs,
         }
     }
 
+    /// Instances known in all pools.
+    fn members(&self) -> usize {
+        self.pools.values().map(|pool| pool.fleet.len()).sum()
+    }
+
     fn set_pool_rules(&mut self, pool: u32, profile: &Profile) {
         let pool = &mut self.pools[pool as usize];
         pool.order = profile.class_order.iter().map(|class| class_index(*class)).collect();
@@ -549,7 +574,7 @@
             return;
         }
         *charged += CHARGE_STEP;
-        let (pool, team, service, need) = (item.pool, item.team, item.service, item.work.need);
+        let (pool, team, service, need) = (item.pool, item.team, item.service, item.need);
         self.charges.push(Reverse((due + CHARGE_STEP, id)));
         let weight = self.weight(service, team);
         let pool = &mut self.pools[pool as usize];
@@ -578,8 +603,8 @@
             let (team, class) = pool.fair.pick(&order[..len], pool.slots())?;
             let (_, waiting) = pool.queues.get(&team)?.head(class)?;
             let item = self.items[waiting.key as usize].as_ref()?;
-            let Some(index) = pool.fleet.find(now, &item.work.need, &[]) else {
-                if item.work.need == Need::SLOT {
+            let Some(index) = pool.fleet.find(now, &item.need, &[]) else {
+                if item.need == Need::SLOT {
                     return None;
                 }
                 pool.park(now, team);
@@ -619,7 +644,7 @@
         let weight = self.weight(item.service, item.team);
         let item = self.items[key as usize].as_mut()?;
         let pool = &mut self.pools[item.pool as usize];
-        let need = item.work.need;
+        let need = item.need;
         let upstream = pool.fleet.take(index, &need, &mut self.rng);
         let charged = item.typical.min(CHARGE_STEP);
         let slots = need.dominant_slots(pool.fleet.total());
--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -16,6 +16,7 @@
     InstanceView {
         id: format!("p{pool}-i{n}").into(),
         pool: format!("p{pool}").into(),
+        home: format!("p{pool}").into(),
         zone: format!("z{zone}").into(),
         rack: format!("z{zone}-r{}", n / zones / 4).into(),
         status: Status::Serving,
--- a/tests/pools.rs
+++ b/tests/pools.rs
@@ -18,6 +18,7 @@
             fleet.instances.push(InstanceView {
                 id: format!("p{pool}-i{n}").into(),
                 pool: id.clone(),
+                home: id.clone(),
                 zone: format!("z{}", n % 3).into(),
                 rack: format!("z{}-r{}", n % 3, n / 12).into(),
                 status: Status::Serving,
