--- a/src/cli.rs
+++ b/src/cli.rs
@@ -3,6 +3,8 @@
 use crate::difference::Missing;
 use crate::exit::{Exit, Failure};
 use crate::ids::InstanceId;
+use crate::load_command::{self, LoadArgs};
+use crate::measure_command::{self, MeasureArgs};
 use crate::operate::{self, Report, Run, StatusFormat, Target};
 use crate::serve_command;
 use crate::settings::{self, Checked};
@@ -32,6 +34,8 @@
     Zone(ZoneArgs),
     Status(StatusArgs),
     Serve(ServeArgs),
+    Load(LoadArgs),
+    Measure(MeasureArgs),
     Platform(PlatformArgs),
     Upstream(UpstreamArgs),
 }
@@ -289,6 +293,8 @@
         Command::Zone(args) => block_on(zone(args.command)),
         Command::Status(args) => block_on(status(args)),
         Command::Serve(args) => serve(&args.file, out),
+        Command::Load(args) => block_on(load_command::run(args)),
+        Command::Measure(args) => measure_command::run(args),
         Command::Platform(args) => block_on(standin_command::platform(args.into(), out)),
         Command::Upstream(args) => block_on(standin_command::upstream(args.into(), out)),
     }
--- /dev/null
+++ b/src/load_command.rs
@@ -0,0 +1,83 @@
+//! `load`: arguments and output of a load on one address.
+
+use crate::exit::{Exit, Failure};
+use crate::load::{self, LoadOptions, Pace};
+use crate::operate::Report;
+use argh::FromArgs;
+use reqwest::Method;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Send load to one address and report rate and latencies.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "load")]
+pub struct LoadArgs {
+    /// path and query
+    #[argh(positional)]
+    path: String,
+    /// address of an entry instance or upstream, IP:PORT
+    #[argh(option)]
+    at: SocketAddr,
+    /// requests per second at even distances; without it each connection sends as soon as it has its answer
+    #[argh(option)]
+    rate: Option<f64>,
+    /// requests open at once (64)
+    #[argh(option, default = "64")]
+    connections: usize,
+    /// measured time in milliseconds (5000)
+    #[argh(option, default = "5_000")]
+    duration_ms: u64,
+    /// time at the start that is not measured, in milliseconds (1000)
+    #[argh(option, default = "1_000")]
+    warmup_ms: u64,
+    /// longest wait for an answer in milliseconds (10000)
+    #[argh(option, default = "10_000")]
+    timeout_ms: u64,
+    /// method (GET)
+    #[argh(option, default = "Method::GET")]
+    method: Method,
+    /// header as 'name: value'; may be repeated
+    #[argh(option)]
+    header: Vec<String>,
+    /// body (none)
+    #[argh(option, default = "String::new()")]
+    body: String,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Runs a load and reports it.
+pub async fn run(args: LoadArgs) -> Result<Report, Failure> {
+    let json = args.json;
+    let options = options(args).map_err(argument)?;
+    let report = load::run(options).await.map_err(argument)?;
+    let text = if json {
+        serde_json::to_string_pretty(&report)
+            .map_err(|e| Failure::Process { message: e.to_string() })?
+    } else {
+        report.to_string()
+    };
+    Ok(Report { exit: Exit::Done, text })
+}
+
+fn options(args: LoadArgs) -> Result<LoadOptions, load::LoadError> {
+    let times = (Duration::from_millis(args.warmup_ms), Duration::from_millis(args.duration_ms));
+    let mut options = LoadOptions::new(args.at.to_string(), args.path)
+        .with_connections(args.connections)
+        .with_times(times.0, times.1);
+    if let Some(per_second) = args.rate {
+        options = options.with_pace(Pace::Open { per_second });
+    }
+    for line in &args.header {
+        options = options.with_header(line)?;
+    }
+    options.method = args.method;
+    options.body = args.body.into();
+    options.timeout = Duration::from_millis(args.timeout_ms);
+    Ok(options)
+}
+
+fn argument(e: load::LoadError) -> Failure {
+    Failure::Argument { message: e.to_string() }
+}
