Watch silent connections, hedge idempotent requests, and test faults

Cause: a request over a connection that went silent waited for its whole deadline. Ruled out: a second attempt without a watch of its own; both of two requests hung until 20 s when the second upstream's connections were silent as well. Change: silence.rs probes after 2 s and retires or sets aside; an idempotent request gets up to two further attempts beside the first one, within the retry budget. tests/fault.rs: silent connections, crossed and lost answers, upstream down, platform down past the lease, an entry instance stopped past its lease and thawed. Conclusion: each fault alone ends in an answer or a true refusal; combinations are not tested.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod serve;
 pub mod serve_command;
 pub mod settings;
+pub mod silence;
 pub mod snapshot;
 pub mod standin;
 pub mod standin_command;
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -138,6 +138,9 @@
         let upstreams = listed_upstreams(&entry);
         entry.clocks.keep(&upstreams);
         failed.retain(|_, until| *until > now);
+        for upstream in entry.health.lock().to_probe(now) {
+            entry.clocks.hurry(&upstream);
+        }
         let due = upstreams.into_iter().filter(|l| entry.clocks.due(now, l));
         let due: Vec<Listed> = due.filter(|l| !failed.contains_key(&l.id)).collect();
         if due.is_empty() {
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -13,10 +13,12 @@
 use crate::protocol::Listed;
 use crate::relay::{self, BodyEnd, CallerSocket, Held};
 use crate::request_id::{self, UsedId};
-use crate::retry::{Attempts, RetryStep, may_have_run};
+use crate::retry::{Attempts, MAX_TRIES, RetryStep, may_have_run};
+use crate::silence::{self, Silent};
 use crate::upstream::{AttemptAnswer, AttemptFailure, AttemptRequest, Fault, RequestBody, Target};
 use bytes::Bytes;
 use futures::future::BoxFuture;
+use futures::stream::{FuturesUnordered, StreamExt};
 use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
 use rocket::http::{Header, Method};
 use rocket::route::{Handler, Outcome, Route};
@@ -75,6 +77,8 @@
         caller,
         running: Running { entry: entry.clone(), place, used, lost: false, _in_flight: in_flight },
         attempts: Attempts::new(call.idempotent),
+        idempotent: call.idempotent,
+        launched: 0,
         tried: Vec::new(),
     };
     exchange.run(turn, body).await
@@ -212,17 +216,26 @@
     caller: CallerSocket,
     running: Running,
     attempts: Attempts,
+    idempotent: bool,
+    launched: u32,
+    /// Upstreams that get no further attempt.
     tried: Vec<InstanceId>,
 }
 
-/// What an attempt with a body left behind.
+/// The rest of a caller's body on its way to an upstream.
+type Upload<'r> = BoxFuture<'r, Result<(), Refusal>>;
+
+/// An upstream and how the attempt there ended.
+type Ended = (Listed, Result<AttemptAnswer, AttemptFailure>);
+
+/// What an attempt with a body left behind, and the upstream that it concerns.
 enum Tried<'r> {
     /// The head of an answer, and the rest of the caller's body while it is still coming.
-    Answer(AttemptAnswer, Option<BoxFuture<'r, Result<(), Refusal>>>),
+    Answer(Listed, AttemptAnswer, Option<Upload<'r>>),
     /// No answer; the body can be sent again.
-    Again(AttemptFailure, CallerBody<'r>),
+    Again(Listed, AttemptFailure, CallerBody<'r>),
     /// No answer, and a part of the body is gone.
-    Lost(AttemptFailure, Option<Refusal>),
+    Lost(Listed, AttemptFailure, Option<Refusal>),
 }
 
 impl Exchange {
@@ -235,14 +248,12 @@
         let mut upstream = turn.upstream;
         loop {
             self.check_start(&upstream)?;
-            let (failure, again) = match self.attempt(&upstream, body).await {
-                Tried::Answer(answer, upload) => {
-                    return self.answer(upstream, answer, upload).await;
-                }
-                Tried::Again(failure, body) => (failure, Ok(body)),
-                Tried::Lost(failure, refusal) => (failure, Err(refusal)),
+            let (tried, failure, again) = match self.attempt(&upstream, body).await {
+                Tried::Answer(by, answer, upload) => return self.answer(by, answer, upload).await,
+                Tried::Again(tried, failure, body) => (tried, failure, Ok(body)),
+                Tried::Lost(tried, failure, refusal) => (tried, failure, Err(refusal)),
             };
-            self.note_failure(&upstream, &failure);
+            self.note_failure(&tried, &failure);
             body = match again {
                 Ok(body) => body,
                 Err(refusal) => return Err(self.give_up(failure, refusal)),
@@ -265,26 +276,102 @@
 
     async fn attempt<'r>(&mut self, upstream: &Listed, body: CallerBody<'r>) -> Tried<'r> {
         self.tried.push(upstream.id.clone());
-        let entry = self.entry.clone();
-        let target = target(&entry, upstream);
         match body.rest {
             None => {
-                let request = self.request(upstream, RequestBody::Full(body.held.clone()));
-                match entry.upstreams.attempt(&target, request).await {
-                    Ok(answer) => Tried::Answer(answer, None),
-                    Err(failure) => Tried::Again(failure, body),
+                let (upstream, answer) = self.attempt_whole(upstream, &body.held).await;
+                match answer {
+                    Ok(answer) => Tried::Answer(upstream, answer, None),
+                    Err(failure) => Tried::Again(upstream, failure, body),
                 }
             }
             Some(rest) => {
                 let (feeder, pieces) = body::feed(body.held.clone());
                 let stream = RequestBody::Stream { pieces, length: rest.length };
-                let request = self.request(upstream, stream);
-                let attempt = async move { entry.upstreams.attempt(&target, request).await };
-                feed_attempt(attempt, feeder, body.held, rest).await
+                let (attempt, silence) = self.send(upstream, stream);
+                // Retires the connections for others; this attempt goes on to its deadline.
+                let attempt = async move {
+                    tokio::pin!(attempt);
+                    tokio::select! {
+                        answer = &mut attempt => answer,
+                        _ = silence => attempt.await,
+                    }
+                };
+                feed_attempt(upstream.clone(), attempt, feeder, body.held, rest).await
             }
         }
     }
 
+    /// An attempt, and a future that resolves when its connection has proved silent.
+    fn send(
+        &self,
+        upstream: &Listed,
+        body: RequestBody,
+    ) -> (
+        impl Future<Output = Result<AttemptAnswer, AttemptFailure>> + Send + use<>,
+        impl Future<Output = Silent> + Send + use<>,
+    ) {
+        let entry = self.entry.clone();
+        let target = target(&entry, upstream);
+        let silence = silence::watch(entry.clone(), upstream.clone(), target.generation);
+        let request = self.request(upstream, body);
+        (async move { entry.upstreams.attempt(&target, request).await }, silence)
+    }
+
+    /// One attempt with a whole body, and for idempotent requests further ones beside it when its
+    /// connection is silent. The first answer wins; the work of the others may go on.
+    async fn attempt_whole(&mut self, upstream: &Listed, body: &Bytes) -> Ended {
+        let mut attempts = FuturesUnordered::new();
+        let mut silence = self.launch(&attempts, upstream, body);
+        loop {
+            tokio::select! {
+                biased;
+                Some((by, answer)) = attempts.next() => {
+                    if answer.is_ok() || attempts.is_empty() {
+                        return (by, answer);
+                    }
+                }
+                silent = &mut silence => {
+                    silence = match self.hedge(silent) {
+                        Some(other) => self.launch(&attempts, &other, body),
+                        None => Box::pin(std::future::pending()),
+                    };
+                }
+            }
+        }
+    }
+
+    /// Starts an attempt; the answer resolves when its connection has proved silent.
+    fn launch(
+        &mut self,
+        attempts: &FuturesUnordered<BoxFuture<'static, Ended>>,
+        upstream: &Listed,
+        body: &Bytes,
+    ) -> BoxFuture<'static, Silent> {
+        self.launched += 1;
+        let (attempt, silence) = self.send(upstream, RequestBody::Full(body.clone()));
+        let by = upstream.clone();
+        attempts.push(Box::pin(async move { (by, attempt.await) }));
+        Box::pin(silence)
+    }
+
+    /// An upstream for an attempt beside a silent one, if the request allows it.
+    fn hedge(&mut self, silent: Silent) -> Option<Listed> {
+        let allowed = self.idempotent && self.launched < MAX_TRIES;
+        if !allowed || !self.entry.retry.lock().take(&self.service) {
+            return None;
+        }
+        if silent == Silent::Connections {
+            // The upstream itself works and may be tried again.
+            self.tried.pop();
+        }
+        let other = self.running.place.again(&self.tried)?;
+        self.check_start(&other).ok()?;
+        self.tried.push(other.id.clone());
+        self.running.lost = true;
+        self.running.used.ran = Ran::Unknown;
+        Some(other)
+    }
+
     fn request(&self, upstream: &Listed, body: RequestBody) -> AttemptRequest {
         let now = self.entry.now();
         let clock = self.entry.clocks.get(now, &upstream.id);
@@ -345,7 +432,7 @@
         mut self,
         upstream: Listed,
         answer: AttemptAnswer,
-        upload: Option<BoxFuture<'r, Result<(), Refusal>>>,
+        upload: Option<Upload<'r>>,
     ) -> Result<Response<'r>, Refusal> {
         self.running.used.ran = Ran::Unknown;
         note_signs(&self.entry, &upstream, answer.signs);
@@ -383,6 +470,7 @@
 
 /// Runs an attempt while the caller's body is fed to it.
 async fn feed_attempt<'r>(
+    upstream: Listed,
     attempt: impl Future<Output = Result<AttemptAnswer, AttemptFailure>> + Send,
     feeder: Feeder,
     held: Bytes,
@@ -392,22 +480,22 @@
     tokio::select! {
         biased;
         answer = &mut attempt => return match answer {
-            Ok(answer) => Tried::Answer(answer, None),
-            Err(failure) => Tried::Again(failure, CallerBody { held, rest: Some(rest) }),
+            Ok(answer) => Tried::Answer(upstream, answer, None),
+            Err(failure) => Tried::Again(upstream, failure, CallerBody { held, rest: Some(rest) }),
         },
         () = feeder.taken() => {}
     }
-    let mut upload: BoxFuture<'r, Result<(), Refusal>> = Box::pin(feeder.run(rest));
+    let mut upload: Upload<'r> = Box::pin(feeder.run(rest));
     let fed = tokio::select! {
         answer = &mut attempt => return match answer {
-            Ok(answer) => Tried::Answer(answer, Some(upload)),
-            Err(failure) => Tried::Lost(failure, None),
+            Ok(answer) => Tried::Answer(upstream, answer, Some(upload)),
+            Err(failure) => Tried::Lost(upstream, failure, None),
         },
         fed = &mut upload => fed,
     };
     match attempt.await {
-        Ok(answer) => Tried::Answer(answer, None),
-        Err(failure) => Tried::Lost(failure, fed.err()),
+        Ok(answer) => Tried::Answer(upstream, answer, None),
+        Err(failure) => Tried::Lost(upstream, failure, fed.err()),
     }
 }
 
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -13,6 +13,8 @@
 
 /// Longest wait for something that happens soon; a busy machine needs some of it.
 pub const SOON: Duration = Duration::from_secs(20);
+/// Longest wait for an answer; longer than the longest deadline of `DECLARATIONS`.
+pub const ANSWERED: Duration = Duration::from_secs(30);
 /// Longest wait for something that waits for a lapsed lease of 15 s.
 pub const AFTER_LEASE: Duration = Duration::from_secs(60);
 
@@ -274,8 +276,19 @@
         }
     }
 
+    /// Waits until all entry instances together hold this many units of a team.
+    pub async fn wait_for_units(&self, team: &str, units: u64) {
+        wait_until("units granted", SOON, async || {
+            let status = self.json(0, "/v1/admin/status").await;
+            let teams = status["teams"].as_array().expect("teams");
+            let found = teams.iter().find(|t| t["team"] == team).expect("the team");
+            found["granted"].as_u64() >= Some(units)
+        })
+        .await;
+    }
+
     pub fn request(&self, at: usize, method: Method, path: &str) -> RequestBuilder {
-        self.http.request(method, self.entries[at].url(path)).timeout(SOON)
+        self.http.request(method, self.entries[at].url(path)).timeout(ANSWERED)
     }
 
     pub fn get(&self, at: usize, path: &str) -> RequestBuilder {
