--- a/tests/health.rs
+++ b/tests/health.rs
@@ -274,3 +274,42 @@
     health.retire(ms(0), &pool[0]);
     assert_eq!((health.generation(&pool[0]), health.generation(&pool[1])), (1, 0));
 }
+
+/// Lets a job fail on three instances with good work before and after each failure; `doubt` tells of
+/// an instance on which another job fails last.
+fn fail_on_three(health: &mut Health, job: &JobId, doubt: Option<usize>) -> Vec<JobVerdict> {
+    let pool = pool(4);
+    let mut verdicts = Vec::new();
+    for (i, upstream) in pool[1..].iter().enumerate() {
+        let now = ms(1_000 + 10 * i as u64);
+        health.on_attempt(now, upstream, GOOD);
+        verdicts.push(health.on_job_failure(now + ms(1), job, upstream));
+        health.on_attempt(now + ms(2), upstream, GOOD);
+        if doubt == Some(i) {
+            health.on_job_failure(now + ms(3), &"other".into(), upstream);
+        }
+    }
+    verdicts
+}
+
+#[test]
+fn on_job_failure_needs_three_instances_without_doubt() {
+    use JobVerdict::{CannotRun, TryElsewhere};
+    let sure = fail_on_three(&mut Health::new(1), &"j".into(), None);
+    assert_eq!(sure, [TryElsewhere, TryElsewhere, CannotRun]);
+    let doubtful = fail_on_three(&mut Health::new(1), &"j".into(), Some(0));
+    assert_eq!(doubtful, [TryElsewhere; 3]);
+}
+
+#[test]
+fn on_job_failure_acquits_an_instance_of_bad_jobs() {
+    let pool = pool(4);
+    let mut health = Health::new(1);
+    for job in ["a", "b", "c", "d", "e"] {
+        health.on_job_failure(ms(1), &job.into(), &pool[0]);
+    }
+    health.on_attempt(ms(2), &pool[1], GOOD);
+    assert_eq!(health.usable(ms(2), &pool), pool[1..]);
+    fail_on_three(&mut health, &"a".into(), None);
+    assert_eq!(health.usable(ms(1_100), &pool), pool);
+}
