--- a/src/entry.rs
+++ b/src/entry.rs
@@ -90,6 +90,8 @@
     /// Last word of each peer about itself.
     heard: Mutex<HashMap<Incarnation, (Instant, Seen)>>,
     platform_heard: Mutex<Instant>,
+    /// When a request was last refused because of the stop.
+    refused: Mutex<Instant>,
     /// Wakes the task that appends to the log.
     pub append: Notify,
     id: EntryId,
@@ -137,6 +139,7 @@
             commands: Commands::new(),
             heard: Mutex::default(),
             platform_heard: Mutex::new(Instant::now()),
+            refused: Mutex::new(Instant::now()),
             append: Notify::new(),
             id: cfg.id.clone(),
             incarnation: cfg.incarnation,
@@ -285,6 +288,11 @@
         self.stage() == Stage::Serving && node.has_view()
     }
 
+    /// Time since a request was refused because of the stop.
+    pub fn quiet_for(&self) -> Duration {
+        self.refused.lock().elapsed()
+    }
+
     /// Changes with the stage.
     pub fn stages(&self) -> watch::Receiver<Stage> {
         self.stage.subscribe()
@@ -304,6 +312,7 @@
         // Counted before the check: whoever sees the stage and then no work in flight misses none.
         let counted = self.count();
         if self.stage() >= Stage::Refusing {
+            *self.refused.lock() = Instant::now();
             return Err(Refusal::new(Kind::Stopping));
         }
         if *self.in_flight.borrow() > self.settings.requests as usize {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -33,6 +33,10 @@
 const TURN_AWAY: Duration = Duration::from_secs(1);
 /// Longest wait for the log to have the last `Renew`.
 const LEAVE_WAIT: Duration = Duration::from_secs(3);
+/// Time without a refused request after which callers count as turned away.
+const QUIET: Duration = Duration::from_millis(500);
+/// Longest wait for callers to turn away.
+const MAX_LINGER: Duration = Duration::from_secs(3);
 /// Time for answers that are being written when the server closes, in seconds.
 const CLOSE_GRACE_SECS: u32 = 2;
 /// Time between two looks at whether the last `Renew` is in the log.
@@ -104,6 +108,7 @@
         let ended = timeout(limit, in_flight.wait_for(|n| *n == 0)).await.is_ok();
         let left = *entry.in_flight().borrow();
         leave(entry).await;
+        linger(entry).await;
         self.close().await;
         if ended { Stopped::Clean } else { Stopped::CutOff(left) }
     }
@@ -120,6 +125,18 @@
     }
 }
 
+/// Waits until callers have turned away: closing a connection on which a request is on its way would
+/// leave its caller without an answer.
+async fn linger(entry: &Entry) {
+    let quiet = async {
+        while entry.quiet_for() < QUIET {
+            sleep(LEAVE_LOOK).await;
+        }
+    };
+    // Callers that never turn away do not keep the process.
+    let _ = timeout(MAX_LINGER, quiet).await;
+}
+
 /// Gives units and jobs back, so that others need not wait for the lease to lapse.
 async fn leave(entry: &Arc<Entry>) {
     entry.node.lock().stop(entry.now());
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -7,7 +7,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Child, ChildStdout, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -47,6 +47,8 @@
 /// A child process that is killed at the end.
 pub struct Process {
     child: Child,
+    /// Kept open: a process whose output is closed ends with a failure.
+    _output: BufReader<ChildStdout>,
     pub addr: SocketAddr,
     pub line: String,
 }
@@ -59,11 +61,12 @@
         let mut child = child.expect("the binary starts");
         let stdout = child.stdout.take().expect("its output is piped");
         let mut line = String::new();
-        BufReader::new(stdout).read_line(&mut line).expect("a first line");
+        let mut output = BufReader::new(stdout);
+        output.read_line(&mut line).expect("a first line");
         let words = line.split([' ', ',', '\n']);
         let addr = words.filter_map(|word| word.parse().ok()).next();
         let addr = addr.unwrap_or_else(|| panic!("no address in {line:?} of {args:?}"));
-        Process { child, addr, line }
+        Process { child, _output: output, addr, line }
     }
 
     pub fn id(&self) -> u32 {
@@ -288,8 +291,13 @@
         .await;
     }
 
+    /// Requests to one entry instance that do not borrow the fleet.
+    pub fn caller(&self, at: usize) -> Caller {
+        Caller { http: self.http.clone(), addr: self.entries[at].addr }
+    }
+
     pub fn request(&self, at: usize, method: Method, path: &str) -> RequestBuilder {
-        self.http.request(method, self.entries[at].url(path)).timeout(ANSWERED)
+        self.caller(at).request(method, path)
     }
 
     pub fn get(&self, at: usize, path: &str) -> RequestBuilder {
@@ -323,6 +331,20 @@
     }
 }
 
+/// A caller of one entry instance.
+#[derive(Clone)]
+pub struct Caller {
+    http: Client,
+    addr: SocketAddr,
+}
+
+impl Caller {
+    pub fn request(&self, method: Method, path: &str) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.addr);
+        self.http.request(method, url).timeout(ANSWERED)
+    }
+}
+
 impl Drop for Env {
     fn drop(&mut self) {
         // A directory that stays behind does no harm.
