Test operators' commands on a running fleet

Cause: nothing showed that commands are in force where they say so, without the log and in a zone cut off from the platform. Ruled out: fault switches of the platform for a cut-off zone, since they act on all instances; a forwarder in tests/env/link.rs cuts one way. Conclusion: one command at a time; the p99 over many commands is not measured.

--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -2,6 +2,8 @@
 //! free ports. All end with the test.
 #![allow(dead_code)] // Each test program uses a part.
 
+pub mod link;
+
 use reqwest::{Client, Method, RequestBuilder, Response};
 use serde_json::Value;
 use std::io::{BufRead, BufReader};
@@ -202,10 +204,14 @@
 
     /// Starts an entry instance, registers it as the platform would, and waits until it is ready.
     pub async fn add_entry(&mut self, id: &str, zone: &str, more: &str) {
+        self.add_entry_at(id, zone, self.platform.addr, more).await;
+    }
+
+    /// As `add_entry`, with another way to the platform.
+    pub async fn add_entry_at(&mut self, id: &str, zone: &str, platform: SocketAddr, more: &str) {
         let settings = format!(
             "[entry]\nid = {id}\nzone = {zone}\nhttp_addr = 127.0.0.1:0\npeer_addr = 127.0.0.1:0\n\
-             platform_addr = {}\nentry_instances = 2\n{more}",
-            self.platform.addr
+             platform_addr = {platform}\nentry_instances = 2\n{more}"
         );
         let file = self.file(&format!("{id}.ini"), &settings);
         let process = Process::start(&["serve", &file]);
