Count answers, starts and retries of requests

Cause: the counters and histograms per team and class were not fed. Ruled out: counting in the answer's own code, which knows no team and does not see the end of a streamed body. Change: tally, passed through proxy; requests that fail their checks count under '-', which is no team's name. Conclusion: one answered and one refused request show in /metrics (tests/commands.rs key_grant_and_withdraw).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,6 +73,7 @@
 pub mod state;
 pub mod stop_signal;
 pub mod sync;
+pub mod tally;
 pub mod tend;
 pub mod transport;
 pub mod upstream;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -21,6 +21,8 @@
 pub const MAX_SERVICES: usize = 128;
 /// Value of a label beyond its bound.
 pub const OTHER: &str = "other";
+/// Value of `team` and `class` for a request that was refused before they were known; no name of a team.
+pub const NONE: &str = "-";
 /// Upper bounds of time buckets in seconds, around the targets of 1 ms, 5 ms and 1.4 s.
 const TIME_BUCKETS: [f64; 14] =
     [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.4, 2.5, 10.0, 60.0];
@@ -50,7 +52,7 @@
 }
 
 metrics! {
-    ANSWERS, "answers_total", "counter", ["team", "class", "kind"], "Answers to requests and jobs; kind is ok or the kind of refusal or failure.";
+    ANSWERS, "answers_total", "counter", ["team", "class", "kind"], "Answers to requests; kind is ok or the kind of refusal or failure, and team and class are - when the request passed no check.";
     DURATION, "request_seconds", "histogram", ["team", "class"], "Time from arrival to the end of the answer.";
     WAIT, "start_wait_seconds", "histogram", ["team", "class"], "Time from arrival to the start at an upstream.";
     RETRIES, "retries_total", "counter", ["service"], "Requests sent to another upstream after a failed attempt.";
@@ -172,6 +174,13 @@
         self.duration.with_label_values(&[team, class]).observe(took.as_secs_f64());
     }
 
+    /// Counts an answer to a request that passed no check, so that its team is not known.
+    pub fn unchecked(&self, kind: Option<Kind>, took: Duration) {
+        let kind = kind.map_or("ok", |kind| kind.answer().name);
+        self.answers.with_label_values(&[NONE, NONE, kind]).inc();
+        self.duration.with_label_values(&[NONE, NONE]).observe(took.as_secs_f64());
+    }
+
     /// Counts a start at an upstream.
     pub fn start(&self, team: &str, class: Class, waited: Duration) {
         let team = self.teams.label(team);
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -15,6 +15,7 @@
 use crate::request_id::{self, UsedId};
 use crate::retry::{Attempts, MAX_TRIES, RetryStep, may_have_run};
 use crate::silence::{self, Silent};
+use crate::tally::Tally;
 use crate::upstream::{AttemptAnswer, AttemptFailure, AttemptRequest, Fault, RequestBody, Target};
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -45,8 +46,12 @@
         let Some(entry) = Entry::of(req) else {
             return Outcome::Success(Reply::from(Refusal::new(Kind::NoView)).into_response());
         };
-        let answer = forward(entry, req, data).await;
-        let mut response = answer.unwrap_or_else(|r| Reply::from(r).into_response());
+        let mut tally = Tally::new(entry);
+        let answer = forward(entry, req, data, &mut tally).await;
+        let mut response = answer.unwrap_or_else(|refusal| {
+            tally.ended(Some(refusal.kind));
+            Reply::from(refusal).into_response()
+        });
         if let Some(id) = entry.node.lock().issue_ids(1).pop() {
             response.set_header(Header::new(NEXT_ID_HEADER, id));
         }
@@ -58,16 +63,20 @@
     entry: &Arc<Entry>,
     req: &'r Request<'_>,
     data: Data<'r>,
+    tally: &mut Tally,
 ) -> Result<Response<'r>, Refusal> {
     let in_flight = entry.begin()?;
     call::check_size(req, entry.settings.header_bytes as usize)?;
     let (service, path) = split_path(req)?;
     let call = CallHeaders::read(req.headers())?.into_call(service, req.method());
     let allowed = entry.node.lock().check(entry.now(), &call)?;
+    tally.checked(&allowed);
     let head = Head { method: method(req)?, path, headers: headers(req)? };
     let body = read_body(entry, req, data, allowed.deadline).await?;
     let used = request_id::settle(entry, &call, &allowed).await?;
     let (turn, place) = dispatch::wait(entry, wanted(&call, &allowed)).await?;
+    tally.started();
+    let tally = tally.clone();
     let caller = CallerSocket { local_port: entry.http_port, remote: req.remote() };
     let exchange = Exchange {
         entry: entry.clone(),
@@ -75,7 +84,14 @@
         allowed: Allowed { deadline: turn.until, ..allowed },
         head,
         caller,
-        running: Running { entry: entry.clone(), place, used, lost: false, _in_flight: in_flight },
+        running: Running {
+            entry: entry.clone(),
+            place,
+            used,
+            tally,
+            lost: false,
+            _in_flight: in_flight,
+        },
         attempts: Attempts::new(call.idempotent),
         idempotent: call.idempotent,
         launched: 0,
@@ -175,6 +191,7 @@
     entry: Arc<Entry>,
     place: Place,
     used: UsedId,
+    tally: Tally,
     /// Whether an attempt ended without an answer and may still run until the deadline.
     lost: bool,
     _in_flight: InFlight,
@@ -196,6 +213,7 @@
         self.place.failed = failed;
         self.place.over = !self.lost;
         self.used.ran = Ran::Ran;
+        self.tally.ended(None);
     }
 
     /// Takes note of an answer that broke off; its work may go on until the deadline.
@@ -417,6 +435,7 @@
             RetryStep::Pass => Err(self.with_earlier_tries(refusal_for(failure.end))),
             RetryStep::After(pause) => {
                 tokio::time::sleep(pause).await;
+                self.entry.metrics.retry(&self.service);
                 let placed = self.running.place.again(&self.tried);
                 placed.ok_or_else(|| self.with_earlier_tries(refusal_for(failure.end)))
             }
@@ -453,7 +472,10 @@
             Ok(held) => {
                 let on_end = Box::new(move |end| match end {
                     BodyEnd::Complete => running.complete(&upstream.id, failed),
-                    BodyEnd::Broken => running.broken(&upstream.id),
+                    BodyEnd::Broken => {
+                        running.tally.ended(Some(Kind::UpstreamLost));
+                        running.broken(&upstream.id);
+                    }
                 });
                 let caller = self.caller;
                 let streamed =
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -41,6 +41,13 @@
     for at in 0..2 {
         assert_eq!(call(&env, at, &key).await.1, "key_unknown");
     }
+    let answers = "jacinthhook_answers_total";
+    let ok = format!("{answers}{{class=\"urgent\",kind=\"ok\",team=\"counters\"}} 1");
+    wait_for_metric(&env, 1, &ok).await;
+    let refused = format!("{answers}{{class=\"-\",kind=\"key_unknown\",team=\"-\"}} 1");
+    wait_for_metric(&env, 1, &refused).await;
+    let started = "jacinthhook_start_wait_seconds_count{class=\"urgent\",team=\"counters\"} 1";
+    wait_for_metric(&env, 1, started).await;
     assert!(done(&env, &["key", "list"]).contains("withdrawn"));
     let (code, text) = run(&env, 0, &["key", "grant", "nobody"]);
     assert_eq!(code, Exit::Refused as i32, "{text}");
