--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,6 @@
 //! Command line. `docs/cli.md` describes the commands and exit codes for operators.
 
+use crate::dev;
 use crate::difference::Missing;
 use crate::exit::{Exit, Failure};
 use crate::ids::InstanceId;
@@ -17,6 +18,10 @@
 /// Default of `--wait-ms`; a change is in force everywhere within this time.
 const DEFAULT_WAIT_MS: u64 = 4_000;
 
+/// Default of `dev --http-addr`.
+const DEV_ADDR: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 7801);
+
 /// Fleet capacity and maintenance manager.
 #[derive(Debug, FromArgs)]
 struct Args {
@@ -33,6 +38,7 @@
     Instance(InstanceArgs),
     Zone(ZoneArgs),
     Status(StatusArgs),
+    Dev(DevArgs),
     Serve(ServeArgs),
     Load(LoadArgs),
     Measure(MeasureArgs),
@@ -40,6 +46,15 @@
     Upstream(UpstreamArgs),
 }
 
+/// Run a stand-in platform, two upstreams and an entry instance in one process.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "dev")]
+struct DevArgs {
+    /// address for callers and operators, IP:PORT; port 0 takes a free one (127.0.0.1:7801)
+    #[argh(option, default = "DEV_ADDR")]
+    http_addr: SocketAddr,
+}
+
 /// Run an entry instance.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "serve")]
@@ -292,6 +307,7 @@
         Command::Instance(args) => block_on(instance(args.command)),
         Command::Zone(args) => block_on(zone(args.command)),
         Command::Status(args) => block_on(status(args)),
+        Command::Dev(args) => block_on(dev::run(args.http_addr, out)),
         Command::Serve(args) => serve(&args.file, out),
         Command::Load(args) => block_on(load_command::run(args)),
         Command::Measure(args) => measure_command::run(args),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod control;
 pub mod controller;
 pub mod decision_cost;
+pub mod dev;
 pub mod difference;
 pub mod dispatch;
 pub mod driver;
--- a/src/standin_command.rs
+++ b/src/standin_command.rs
@@ -71,24 +71,27 @@
 }
 
 /// Entry of one instance in the list of a platform stand-in.
-struct Registration {
+pub struct Registration {
     url: String,
     http: reqwest::Client,
 }
 
 impl Registration {
-    fn new(platform: SocketAddr, id: &InstanceId) -> Result<Registration, Failure> {
+    /// The entry that an id has or will have.
+    pub fn new(platform: SocketAddr, id: &InstanceId) -> Result<Registration, Failure> {
         let url = format!("http://{platform}/instances/{id}");
         let builder = reqwest::Client::builder().no_proxy().timeout(REGISTER_TIMEOUT);
         Ok(Registration { url, http: builder.build().map_err(process)? })
     }
 
-    async fn add(&self, listed: &Listed) -> Result<(), Failure> {
+    /// Adds or replaces it.
+    pub async fn add(&self, listed: &Listed) -> Result<(), Failure> {
         let answer = self.http.put(&self.url).json(listed).send().await.map_err(process)?;
         answer.error_for_status().map(drop).map_err(process)
     }
 
-    async fn remove(&self) -> Result<(), Failure> {
+    /// Removes it.
+    pub async fn remove(&self) -> Result<(), Failure> {
         let answer = self.http.delete(&self.url).send().await.map_err(process)?;
         answer.error_for_status().map(drop).map_err(process)
     }
--- a/src/watcher.rs
+++ b/src/watcher.rs
@@ -7,14 +7,14 @@
 use crate::look::Look;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// Time between two looks.
-const INTERVAL: Duration = Duration::from_millis(500);
-
-/// Time between two looks before the first view. What the first look shows is not reported as a change, so it
-/// must not come late.
-const FIRST_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest time between two looks; holds and set-aside upstreams change without a fold.
+const MAX_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest time between two looks. What is done and undone within it is not reported.
+const MIN_INTERVAL: Duration = Duration::from_millis(20);
+/// Pause after a look in multiples of its time, which bounds the watcher to 2% of a core.
+const COST: u32 = 50;
 
 /// What was seen at the last look.
 struct Watcher {
@@ -38,10 +38,13 @@
         set_aside: HashSet::new(),
         empty_pools: HashSet::new(),
     };
+    let mut folded = watcher.entry.folded();
     loop {
+        let started = Instant::now();
         watcher.look();
-        let pause = if watcher.look.is_some() { INTERVAL } else { FIRST_INTERVAL };
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep((started.elapsed() * COST).clamp(MIN_INTERVAL, MAX_INTERVAL)).await;
+        // Both a fold and the end of the wait lead to the next look.
+        let _ = tokio::time::timeout(MAX_INTERVAL, folded.changed()).await;
     }
 }
 
