--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,7 +3,7 @@
 //! Lock order: `node`, `desk`, `health`, `retry`. No lock is held across an await.
 
 use crate::dispatch::Desk;
-use crate::event::Log;
+use crate::event::{Event, Log};
 use crate::health::Health;
 use crate::hold::Holds;
 use crate::ids::*;
@@ -15,7 +15,7 @@
 use crate::platform::{Platform, PlatformError};
 use crate::probe::Clocks;
 use crate::protocol::InstanceList;
-use crate::record::Record;
+use crate::record::{JobEnding, Record};
 use crate::retry::Retry;
 use crate::settings::Settings;
 use crate::tend::JobTable;
@@ -255,11 +255,27 @@
 
     /// Hands a record to the log; the ticket asks for its fate.
     pub fn propose(&self, record: Record) -> u64 {
+        self.log_job(&record);
         let ticket = self.node.lock().propose(self.now(), record);
         self.append.notify_one();
         ticket
     }
 
+    /// Logs what a record does to a job beyond its usual course.
+    fn log_job(&self, record: &Record) {
+        let (event, job, attempt) = match record {
+            Record::JobAdopt { job, attempt } => (Event::JobAdopted, job, attempt),
+            Record::JobRelease { job, attempt } => (Event::JobReleased, job, attempt),
+            Record::JobEnd { job, attempt, ending } => match ending {
+                JobEnding::Unknown => (Event::JobUnknown, job, attempt),
+                JobEnding::CannotRun(_) => (Event::JobSetAside, job, attempt),
+                JobEnding::Done(_) | JobEnding::Failed(_) | JobEnding::Cancelled => return,
+            },
+            _ => return,
+        };
+        self.log.event(event, &[("job", job.into()), ("attempt", (*attempt).into())]);
+    }
+
     /// Waits until the fate of a ticket has been read, at most until `until`.
     pub async fn fate(&self, ticket: u64, until: Time) -> Fate {
         let read = |node: &Node| node.fate(ticket);
--- a/src/look.rs
+++ b/src/look.rs
@@ -30,7 +30,8 @@
     zone: ZoneId,
     moving_to: Option<PoolId>,
     draining: bool,
-    maintained_at: Option<Offset>,
+    /// Unix seconds.
+    maintained_at: Option<u64>,
 }
 
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -269,12 +270,13 @@
         (false, true) => {
             add(noticed, Event::DrainStarted, [instance(), ("pool", (&now.pool).into())]);
         }
-        (true, false) => {
-            let done = u64::from(old.maintained_at != now.maintained_at);
-            add(noticed, Event::DrainEnded, [instance(), ("done", done.into())]);
-        }
+        (true, false) => add(noticed, Event::DrainEnded, [instance()]),
         (true, true) | (false, false) => {}
     }
+    // The first one is where the interval is taken to have begun.
+    if old.maintained_at.is_some() && old.maintained_at < now.maintained_at {
+        add(noticed, Event::InstanceMaintained, [instance(), ("pool", (&now.pool).into())]);
+    }
     if let Some(to) = now.moving_to.as_ref().filter(|to| old.moving_to.as_ref() != Some(to)) {
         let fields = [instance(), ("from", (&now.pool).into()), ("to", to.into())];
         add(noticed, Event::MoveStarted, fields);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -68,21 +68,6 @@
     LOG_REACHABLE, "log_reachable", "gauge", [], "1 when the platform's log answers, otherwise 0.";
     HOLDS, "holds", "gauge", [], "Commands in force as holds.";
     EVENTS, "events_total", "counter", ["event"], "Log events by number, also those that were suppressed or below the level.";
-    CONTROL_BYTES, "control_bytes_total", "counter", ["with", "direction"], "Bytes exchanged with the platform and with other entry instances.";
-}
-
-/// The other end of control traffic.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum With {
-    Platform,
-    Peer,
-}
-
-/// Direction of control traffic.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Direction {
-    Sent,
-    Received,
 }
 
 /// Values of a label that have a series of their own.
@@ -132,7 +117,6 @@
     log_reachable: IntGaugeVec,
     holds: IntGaugeVec,
     events: IntCounterVec,
-    control_bytes: IntCounterVec,
 }
 
 impl Metrics {
@@ -157,7 +141,6 @@
             log_reachable: gauge(r, &LOG_REACHABLE)?,
             holds: gauge(r, &HOLDS)?,
             events: counter(r, &EVENTS)?,
-            control_bytes: counter(r, &CONTROL_BYTES)?,
             teams: Bounded::new(MAX_TEAMS),
             services: Bounded::new(MAX_SERVICES),
             pools: Bounded::new(MAX_SERVICES),
@@ -242,19 +225,6 @@
         self.events.with_label_values(&[event.entry().code.to_string()]).inc();
     }
 
-    /// Counts control traffic in bytes.
-    pub fn control(&self, with: With, direction: Direction, bytes: u64) {
-        let with = match with {
-            With::Platform => "platform",
-            With::Peer => "peer",
-        };
-        let direction = match direction {
-            Direction::Sent => "sent",
-            Direction::Received => "received",
-        };
-        self.control_bytes.with_label_values(&[with, direction]).inc_by(bytes);
-    }
-
     /// All metrics that have a value, as text.
     pub fn text(&self) -> Result<String, prometheus::Error> {
         TextEncoder::new().encode_to_string(&self.registry.gather())
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -4,6 +4,7 @@
 use crate::api::{self, EntryOutcome, KeyInfo, KeyStanding, OpResult, Outcome, Standing};
 use crate::dispatch;
 use crate::entry::Entry;
+use crate::event::Event;
 use crate::hold::Holds;
 use crate::ids::*;
 use crate::jobs::PLATFORM_AWAY;
@@ -274,8 +275,19 @@
     }
 }
 
-/// Puts a command into force: through the log, or as a hold if it restricts and the log is away.
+/// Puts a command into force, and logs a refusal.
 async fn command(entry: &Arc<Entry>, record: Record) -> Result<Reply, Refusal> {
+    let op = op_of(&record).cloned().unwrap_or_else(|| "".into());
+    let answer = try_command(entry, record).await;
+    if let Err(refusal) = &answer {
+        let kind = refusal.kind.answer().name;
+        entry.log.event(Event::CommandRefused, &[("op", (&op).into()), ("kind", kind.into())]);
+    }
+    answer
+}
+
+/// Puts a command into force: through the log, or as a hold if it restricts and the log is away.
+async fn try_command(entry: &Arc<Entry>, record: Record) -> Result<Reply, Refusal> {
     let _in_flight = entry.begin()?;
     let op = op_of(&record).cloned().ok_or_else(|| Refusal::new(Kind::Internal))?;
     let restricts = Holds::op_of(&record).is_some();
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -473,7 +473,7 @@
                 let on_end = Box::new(move |end| match end {
                     BodyEnd::Complete => running.complete(&upstream.id, failed),
                     BodyEnd::Broken => {
-                        running.tally.ended(Some(Kind::UpstreamLost));
+                        running.tally.cut(&upstream.id);
                         running.broken(&upstream.id);
                     }
                 });
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -127,9 +127,16 @@
 
 /// Asks peers for the log's tail while the platform does not answer, and for a view without one.
 pub async fn relay(entry: Arc<Entry>) {
+    let mut relaying = false;
     loop {
         sleep(RELAY_INTERVAL).await;
-        if entry.platform_age() < RELAY_AFTER {
+        let away = entry.platform_age() >= RELAY_AFTER;
+        if away && !relaying {
+            let next = entry.node.lock().next_offset();
+            entry.log.event(Event::RelayUsed, &[("next", next.into())]);
+        }
+        relaying = away;
+        if !away {
             continue;
         }
         for peer in entry.peer_addrs() {
--- a/src/tally.rs
+++ b/src/tally.rs
@@ -1,8 +1,10 @@
 //! Counts one request in the metrics.
 
 use crate::entry::Entry;
-use crate::ids::TeamId;
+use crate::event::Event;
+use crate::ids::*;
 use crate::kind::Kind;
+use crate::metrics::NONE;
 use crate::node::Allowed;
 use crate::record::Class;
 use std::sync::Arc;
@@ -38,9 +40,36 @@
     /// Counts its end; `None` for a complete answer of an upstream.
     pub fn ended(&self, kind: Option<Kind>) {
         let took = self.arrived.elapsed();
+        if let Some(kind) = kind {
+            self.log(kind);
+        }
         match &self.work {
             Some((team, class)) => self.entry.metrics.answer(team, *class, kind, took),
             None => self.entry.metrics.unchecked(kind, took),
         }
     }
+
+    /// Counts an answer that was cut after its head.
+    pub fn cut(&self, upstream: &InstanceId) {
+        let fields = [("instance", upstream.into()), ("team", self.team().into())];
+        self.entry.log.event(Event::AnswerCut, &fields);
+        self.ended(Some(Kind::UpstreamLost));
+    }
+
+    fn log(&self, kind: Kind) {
+        let event = match kind {
+            Kind::LimitReached => Event::TeamAtLimit,
+            Kind::QueueFull => Event::QueueFull,
+            Kind::StaleView => Event::ViewStale,
+            Kind::DuplicateRequest => Event::DuplicateRefused,
+            Kind::BadRequest | Kind::TooLarge => Event::BadInput,
+            _ => Event::WorkRefused,
+        };
+        let fields = [("kind", kind.answer().name.into()), ("team", self.team().into())];
+        self.entry.log.event(event, &fields);
+    }
+
+    fn team(&self) -> &str {
+        self.work.as_ref().map_or(NONE, |(team, _)| team)
+    }
 }
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -115,3 +115,19 @@
         }
     }
 }
+
+/// Guards against events that the catalogue promises and nothing writes.
+#[test]
+fn events_are_written_somewhere() {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let files =
+        std::fs::read_dir(dir).expect("sources").map(|entry| entry.expect("an entry").path());
+    let sources = files.filter(|path| path.extension().is_some_and(|suffix| suffix == "rs"));
+    let code: String =
+        sources.map(|path| std::fs::read_to_string(path).expect("a source")).collect();
+    let words: HashSet<&str> = code.split(|c: char| !c.is_alphanumeric() && c != ':').collect();
+    for event in Event::ALL {
+        let name = format!("Event::{event:?}");
+        assert!(words.contains(name.as_str()), "nothing writes {name}");
+    }
+}
