Compare loads in alternating rounds

Ruled out: longer runs, since the machine's load changes over minutes. Change: load::compare runs rounds in turning order and reports the medians.

--- a/src/load.rs
+++ b/src/load.rs
@@ -390,45 +390,92 @@
     }
 }
 
-/// Load through an entry instance against load on an upstream directly.
+/// A load on an upstream directly and one through an entry instance, one right after the other.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Comparison {
-    /// Closed loop.
+pub struct Pair {
     pub direct: LoadReport,
     pub through: LoadReport,
+}
+
+impl Pair {
     /// Requests per second through the entry instance relative to direct.
+    pub fn ratio(&self) -> f64 {
+        self.through.per_second / self.direct.per_second
+    }
+
+    /// Latency that the entry instance adds, in microseconds; negative within the noise.
+    fn added(&self, us: fn(&Latencies) -> u64) -> i64 {
+        us(&self.through.latency) as i64 - us(&self.direct.latency) as i64
+    }
+}
+
+/// Loads through an entry instance against loads on an upstream directly.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Comparison {
+    /// Closed loop, by round.
+    pub full: Vec<Pair>,
+    /// Open loop at half of the rate that went through, by round.
+    pub half: Vec<Pair>,
+    /// Median of the rounds' ratios of requests per second.
     pub ratio: f64,
-    /// Open loop at half of the rate that went through.
-    pub direct_half: LoadReport,
-    pub through_half: LoadReport,
-    /// Latency that the entry instance adds at that rate; negative when it is within the noise.
+    /// Median of the latency added at half of the rate.
     pub added_p50_us: i64,
     pub added_p99_us: i64,
 }
 
 /// Measures an upstream directly and through an entry instance, first as fast as it goes and then at
-/// half of the rate that went through.
-pub async fn compare(direct: LoadOptions, through: LoadOptions) -> Result<Comparison, LoadError> {
-    let closed = |options: &LoadOptions| options.clone().with_pace(Pace::Closed);
-    let fast_direct = run(closed(&direct)).await?;
-    let fast_through = run(closed(&through)).await?;
-    let pace = Pace::Open { per_second: (fast_through.per_second / 2.0).max(1.0) };
-    let half_direct = run(direct.with_pace(pace)).await?;
-    let half_through = run(through.with_pace(pace)).await?;
-    let added = |us: fn(&Latencies) -> u64| {
-        us(&half_through.latency) as i64 - us(&half_direct.latency) as i64
-    };
+/// half of the rate that went through. On a shared machine the speed changes from one second to the
+/// next, so the two alternate for some rounds, in turning order, and the medians count.
+pub async fn compare(
+    direct: LoadOptions,
+    through: LoadOptions,
+    rounds: usize,
+) -> Result<Comparison, LoadError> {
+    if rounds == 0 {
+        return Err(LoadError::NotPositive { what: "number of rounds" });
+    }
+    let full = pairs(&direct, &through, Pace::Closed, rounds).await?;
+    let rate = median(full.iter().map(|pair| pair.through.per_second), f64::total_cmp);
+    let pace = Pace::Open { per_second: (rate / 2.0).max(1.0) };
+    let half = pairs(&direct, &through, pace, rounds).await?;
+    let added = |us| median(half.iter().map(|pair| pair.added(us)), i64::cmp);
     Ok(Comparison {
-        ratio: fast_through.per_second / fast_direct.per_second,
+        ratio: median(full.iter().map(Pair::ratio), f64::total_cmp),
         added_p50_us: added(|latency| latency.p50_us),
         added_p99_us: added(|latency| latency.p99_us),
-        direct: fast_direct,
-        through: fast_through,
-        direct_half: half_direct,
-        through_half: half_through,
+        full,
+        half,
     })
 }
 
+async fn pairs(
+    direct: &LoadOptions,
+    through: &LoadOptions,
+    pace: Pace,
+    rounds: usize,
+) -> Result<Vec<Pair>, LoadError> {
+    let (direct, through) = (direct.clone().with_pace(pace), through.clone().with_pace(pace));
+    let mut pairs = Vec::new();
+    for round in 0..rounds {
+        let pair = if round % 2 == 0 {
+            let direct = run(direct.clone()).await?;
+            Pair { direct, through: run(through.clone()).await? }
+        } else {
+            let through = run(through.clone()).await?;
+            Pair { direct: run(direct.clone()).await?, through }
+        };
+        pairs.push(pair);
+    }
+    Ok(pairs)
+}
+
+/// The upper one of the middle values; there is at least one.
+fn median<T>(values: impl Iterator<Item = T>, order: fn(&T, &T) -> std::cmp::Ordering) -> T {
+    let mut values: Vec<T> = values.collect();
+    values.sort_by(order);
+    values.swap_remove(values.len() / 2)
+}
+
 /// Head of the table of reports.
 const TABLE_HEAD: &str = "target                  planned/s       ok/s   failed  \
                           p50 ms  p90 ms  p99 ms p99.9 ms   max ms";
@@ -465,10 +512,11 @@
 impl fmt::Display for Comparison {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{TABLE_HEAD}")?;
-        for report in [&self.direct, &self.through, &self.direct_half, &self.through_half] {
-            report.row(f)?;
+        for pair in self.full.iter().chain(&self.half) {
+            pair.direct.row(f)?;
+            pair.through.row(f)?;
         }
-        writeln!(f, "ratio through/direct: {:.3}", self.ratio)?;
+        writeln!(f, "ratio through/direct: {:.3}, median of {}", self.ratio, self.full.len())?;
         let ms = |us: i64| us as f64 / 1_000.0;
         writeln!(
             f,
