--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -211,7 +211,7 @@
     pub async fn add_entry_at(&mut self, id: &str, zone: &str, platform: SocketAddr, more: &str) {
         let settings = format!(
             "[entry]\nid = {id}\nzone = {zone}\nhttp_addr = 127.0.0.1:0\npeer_addr = 127.0.0.1:0\n\
-             platform_addr = {platform}\nentry_instances = 2\n{more}"
+             platform_addr = {platform}\nentry_instances = 2\n{more}\n[log]\nlevel = error\n"
         );
         let file = self.file(&format!("{id}.ini"), &settings);
         let process = Process::start(&["serve", &file]);
