--- a/src/state/budget.rs
+++ b/src/state/budget.rs
@@ -47,6 +47,26 @@
         self.require_rack_budget(instance)
     }
 
+    /// An instance that is down already uses the budget, so its maintenance costs nothing more now. Yet
+    /// what is out may be taken back while the drain lasts, so drains and moves alone stay within it.
+    fn require_planned_budget(&self, instance: &Instance) -> Result<(), Reject> {
+        let Some(allowed) = self.pool_budget(&instance.pool) else { return Ok(()) };
+        let planned = |i: &&Instance| {
+            i.pool == instance.pool
+                && i.gone_at.is_none()
+                && (i.draining.is_some() || i.moving.is_some())
+        };
+        let down = self.instances.values().filter(planned).count() as u32;
+        if instance.gone_at.is_none() && down >= allowed {
+            return Err(Reject::Budget {
+                domain: format!("pool {}", instance.pool),
+                down,
+                allowed,
+            });
+        }
+        self.require_rack_budget(instance)
+    }
+
     fn require_rack_budget(&self, instance: &Instance) -> Result<(), Reject> {
         let services = self.config.services.values().filter(|s| s.pool == instance.pool);
         let allowed = services
@@ -180,8 +200,9 @@
         if instance.draining.is_some() || instance.moving.is_some() {
             return Err(Reject::InstanceClosed { instance: id.clone() });
         }
-        // An instance that is down already uses the budget; its maintenance costs nothing more.
-        if !self.is_down(id, instance) {
+        if self.is_down(id, instance) {
+            self.require_planned_budget(instance)?;
+        } else {
             self.require_budget(instance)?;
         }
         self.instances[id].draining = Some((reason, cx.offset));
