--- a/src/config.rs
+++ b/src/config.rs
@@ -19,7 +19,7 @@
 /// Milliseconds in a day.
 const DAY_MS: u32 = 86_400_000;
 /// Shape of a name, as mistakes state it.
-const NAME_SHAPE: &str = "1 to 40 lower-case letters, digits and -, the first one not -";
+pub const NAME_SHAPE: &str = "1 to 40 lower-case letters, digits and -, the first one not -";
 
 /// One published section.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -624,6 +624,15 @@
 const CLASSES: [(&str, Class); 3] =
     [("urgent", Class::Urgent), ("planned", Class::Planned), ("overnight", Class::Overnight)];
 
+/// The word for a class in declarations, headers and metrics.
+pub fn class_word(class: Class) -> &'static str {
+    match class {
+        Class::Urgent => "urgent",
+        Class::Planned => "planned",
+        Class::Overnight => "overnight",
+    }
+}
+
 fn class_order(reader: &mut Reader, default: Vec<Class>) -> Vec<Class> {
     let Some(value) = reader.get("class_order") else { return default };
     let mut order = Vec::new();
