--- a/src/connection.rs
+++ b/src/connection.rs
@@ -10,6 +10,16 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::os::fd::OwnedFd;
 
+/// Fails a streamed answer whose source was cut: closes its connection and returns, upon which the
+/// stream may end. Where the system forbids it, never returns: a caller that waits for the rest is
+/// better than one that takes the part for the whole.
+pub async fn fail_answer(local_port: u16, remote: SocketAddr) {
+    // A socket that is not found has been closed already.
+    if abort(local_port, remote).is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Shuts down the accepted socket between `local_port` and `remote` in both directions. Answers
 /// whether such a socket was found. Walks the open descriptors of the process, so it is meant for
 /// the rare cut and not for each request.
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -25,7 +25,8 @@
 impl Default for TransportOptions {
     fn default() -> TransportOptions {
         TransportOptions {
-            connect_timeout: Duration::from_secs(1),
+            // Zones are 1.5 ms apart; a request with 1.4 s to its start can try two instances.
+            connect_timeout: Duration::from_millis(500),
             call_timeout: Duration::from_secs(2),
             idle_timeout: Duration::from_secs(30),
             max_idle: 64,
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -118,6 +118,27 @@
     assert!(standin.runs().is_empty());
 }
 
+#[tokio::test]
+async fn attempt_late_start_is_not_run() {
+    let options = UpstreamOptions::new("u1", any_port());
+    let options = options.with_clock_origin(Duration::from_secs(100));
+    let (standin, client, target) = upstream_with(options).await;
+    let mut sent = get("/x?tag=t");
+    sent.start_by_ms = Some(99_999);
+    let failure = client.attempt(&target, sent).await.unwrap_err();
+    assert_eq!((failure.end, standin.runs().len()), (AttemptEnd::NotRun, 0));
+}
+
+#[tokio::test]
+async fn attempt_late_answer_ran() {
+    let (standin, client, target) = upstream().await;
+    set(&standin, Faults { late_answers: 1, late_ms: 60_000, ..Faults::default() });
+    let mut sent = get("/x?tag=t");
+    sent.timeout = Duration::from_secs(1);
+    let failure = client.attempt(&target, sent).await.unwrap_err();
+    assert_eq!((failure.end, standin.runs()["t"]), (AttemptEnd::TimedOut, 1));
+}
+
 #[tokio::test]
 async fn attempt_beyond_connections_is_not_run() {
     let options = UpstreamOptions::new("u1", any_port()).with_size(1, 1);
@@ -154,6 +175,17 @@
     }
 }
 
+#[tokio::test]
+async fn attempt_body_is_whole() {
+    let (_standin, client, target) = upstream().await;
+    for (query, len) in [("size=100000", 100_000), ("chunks=3&chunk_size=7", 21), ("size=0", 0)] {
+        let path = format!("/x?{query}");
+        let mut answer = client.attempt(&target, get(&path)).await.unwrap();
+        let expected: Vec<u8> = (0..len).map(|i| (i % 251) as u8).collect();
+        assert_eq!(whole(&mut answer).await.unwrap(), expected, "{query}");
+    }
+}
+
 #[tokio::test]
 async fn attempt_stalled_body_is_lost() {
     let (_standin, client, target) = upstream().await;
