--- /dev/null
+++ b/src/measure_command.rs
@@ -0,0 +1,43 @@
+//! `measure`: arguments and output of the policies' measures on a virtual clock.
+
+use crate::exit::{Exit, Failure};
+use crate::measure::{self, Experiment, Options};
+use crate::operate::Report;
+use argh::FromArgs;
+
+/// Measure the policies on a virtual clock.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "measure")]
+pub struct MeasureArgs {
+    /// seeds of each experiment (20)
+    #[argh(option, default = "20")]
+    seeds: u64,
+    /// first seed (1)
+    #[argh(option, default = "1")]
+    first_seed: u64,
+    /// threads that run seeds side by side (3)
+    #[argh(option, default = "3")]
+    threads: usize,
+    /// experiment to run; may be repeated (all)
+    #[argh(option, from_str_fn(experiment))]
+    only: Vec<Experiment>,
+    /// directory for the report as JSON and for plots
+    #[argh(option)]
+    out: Option<std::path::PathBuf>,
+}
+
+fn experiment(name: &str) -> Result<Experiment, String> {
+    let names = Experiment::ALL.map(Experiment::name).join(", ");
+    Experiment::from_name(name).ok_or_else(|| format!("no experiment {name:?}; one of {names}"))
+}
+
+/// Runs the experiments and reports them as a table.
+pub fn run(args: MeasureArgs) -> Result<Report, Failure> {
+    let MeasureArgs { seeds, first_seed, threads, only, out } = args;
+    if seeds == 0 || threads == 0 {
+        return Err(Failure::Argument { message: "--seeds and --threads must be above 0".into() });
+    }
+    let report = measure::run(&Options { seeds, first_seed, threads, only, out })
+        .map_err(|e| Failure::Process { message: e.to_string() })?;
+    Ok(Report { exit: Exit::Done, text: report.table() })
+}
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,55 @@
+//! Arguments of the commands that measure. Guards against arguments that are taken and have no effect.
+
+mod common;
+
+use common::{upstream, upstream_with};
+use jacinthhook::cli;
+use jacinthhook::exit::Exit;
+use jacinthhook::standin_upstream::UpstreamOptions;
+use serde_json::Value;
+
+/// Runs a command in a thread of its own, since it makes its own runtime.
+async fn run(args: Vec<String>) -> (Exit, String) {
+    let command = move || {
+        let words: Vec<&str> = args.iter().map(String::as_str).collect();
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        let exit = cli::run(&words, &mut out, &mut err);
+        out.extend(err);
+        (exit, String::from_utf8(out).expect("text"))
+    };
+    tokio::task::spawn_blocking(command).await.expect("the command does not panic")
+}
+
+fn words(args: &str) -> Vec<String> {
+    std::iter::once("jacinthhook").chain(args.split(' ')).map(str::to_string).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn load_sends_what_is_asked() {
+    let (standin, _, _) = upstream().await;
+    let args = "load /x?tag=t --rate 100 --connections 4 --duration-ms 500 --warmup-ms 0 \
+                --method POST --body b --json --at";
+    let (exit, text) = run(words(&format!("{args} {}", standin.addr()))).await;
+    assert_eq!(exit, Exit::Done, "{text}");
+    let report: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!((&report["ok"], &report["connections"]), (&50.into(), &4.into()));
+    assert_eq!(standin.runs()["t"], 50);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn load_wrong_arguments() {
+    let (standin, _, _) = upstream_with(UpstreamOptions::new("u", common::any_port())).await;
+    for args in ["--rate 0", "--header nonsense", "--connections 0", "--method ???"] {
+        let (exit, text) = run(words(&format!("load /x --at {} {args}", standin.addr()))).await;
+        assert_eq!(exit, Exit::Usage, "{args}: {text}");
+    }
+    assert!(standin.runs().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn measure_wrong_arguments() {
+    for args in ["--only share", "--seeds 0", "--threads 0"] {
+        let (exit, text) = run(words(&format!("measure {args}"))).await;
+        assert_eq!(exit, Exit::Usage, "{args}: {text}");
+    }
+}
