End moves and drains by the offset of their start

Ruled out: comparing the writer's last seen offset, which is not exact. Change: MoveEnd, MoveCancel and DrainEnd name the offset of the start they end, as ZoneBack does. Entry instances known as gone no longer block moves.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -354,7 +354,9 @@
                 self.propose(inputs.now, instance, vec![record], pass);
             }
             Action::DrainEnd { instance, done } => {
-                let end = Record::DrainEnd { instance: instance.clone(), done };
+                let known = inputs.node.state().instances.get(&instance);
+                let Some(started) = known.and_then(under_way_since) else { return };
+                let end = Record::DrainEnd { instance: instance.clone(), started, done };
                 let at_s = inputs.unix_s;
                 let kept = Record::Maintained { instance: instance.clone(), at_s };
                 let records = if done { vec![kept, end] } else { vec![end] };
@@ -397,11 +399,13 @@
             let Status::Moving { since } = instance.status else { continue };
             let limit = drain_timeout(inputs.node.state(), &instance.pool);
             let id = instance.id.clone();
+            let known = inputs.node.state().instances.get(&id);
+            let Some(started) = known.and_then(under_way_since) else { continue };
             if instance.running == 0 {
-                let end = Record::MoveEnd { instance: id.clone() };
+                let end = Record::MoveEnd { instance: id.clone(), started };
                 self.propose(inputs.now, id, vec![end], pass);
             } else if inputs.now > since + limit {
-                let cancel = Record::MoveCancel { instance: id.clone() };
+                let cancel = Record::MoveCancel { instance: id.clone(), started };
                 self.propose(inputs.now, id, vec![cancel], pass);
             }
         }
--- a/src/record.rs
+++ b/src/record.rs
@@ -160,13 +160,15 @@
     /// Starts to move an instance; it stays in `from` and gets no new work.
     MoveStart { instance: InstanceId, from: PoolId, to: PoolId },
     /// Ends a move; the instance is in the new pool from here on.
-    MoveEnd { instance: InstanceId },
+    /// `started` is the offset of the `MoveStart` in force, so that a late record ends no later move.
+    MoveEnd { instance: InstanceId, started: Offset },
     /// Gives a move up; the instance stays where it was.
-    MoveCancel { instance: InstanceId },
+    MoveCancel { instance: InstanceId, started: Offset },
     /// Starts to drain an instance under the availability budgets.
     DrainStart { instance: InstanceId, reason: DrainReason },
     /// Ends a drain; `done` tells whether the maintenance took place.
-    DrainEnd { instance: InstanceId, done: bool },
+    /// `started` is the offset of the `DrainStart` in force.
+    DrainEnd { instance: InstanceId, started: Offset, done: bool },
     /// Last maintenance of an instance by the writer's clock, in Unix seconds; for an instance that
     /// nobody has maintained yet, where its interval is taken to have begun.
     Maintained { instance: InstanceId, at_s: u64 },
--- a/src/state.rs
+++ b/src/state.rs
@@ -265,10 +265,10 @@
             }
             Record::InstanceGone { instance } => self.instance_gone(cx, instance),
             Record::MoveStart { instance, from, to } => self.move_start(cx, instance, from, to),
-            Record::MoveEnd { instance } => self.move_end(instance, true),
-            Record::MoveCancel { instance } => self.move_end(instance, false),
+            Record::MoveEnd { instance, started } => self.move_end(instance, *started, true),
+            Record::MoveCancel { instance, started } => self.move_end(instance, *started, false),
             Record::DrainStart { instance, reason } => self.drain_start(cx, instance, *reason),
-            Record::DrainEnd { instance, .. } => self.drain_end(instance),
+            Record::DrainEnd { instance, started, .. } => self.drain_end(instance, *started),
             Record::Maintained { instance, at_s } => self.maintained(instance, *at_s),
             Record::Claim { ids } => self.claim(cx, ids),
             Record::JobSubmit { spec } => self.job_submit(cx, spec),
--- a/src/state/budget.rs
+++ b/src/state/budget.rs
@@ -179,17 +179,20 @@
     /// Every entry instance that may still send work has folded everything below `offset`. One that is
     /// cut off counts too, for it serves on by its old view.
     fn all_have_seen(&self, offset: Offset) -> bool {
-        self.holders.values().all(|h| h.seen > offset || h.departing && h.grants.is_empty())
+        self.holders
+            .values()
+            .all(|h| h.seen > offset || h.gone || h.departing && h.grants.is_empty())
     }
 
-    pub(super) fn move_end(&mut self, id: &InstanceId, entered: bool) -> Applied {
-        let started = self.instances.get(id).and_then(|i| i.moving.as_ref()).map(|(_, at)| *at);
-        if entered && started.is_some_and(|at| !self.all_have_seen(at)) {
-            return Err(Reject::MoveNotSeen { instance: id.clone() });
-        }
+    pub(super) fn move_end(&mut self, id: &InstanceId, started: Offset, entered: bool) -> Applied {
+        let seen = !entered || self.all_have_seen(started);
         let instance = self.instances.get_mut(id).ok_or_else(|| missing("instance", id))?;
-        let (to, _) =
-            instance.moving.take().ok_or_else(|| Reject::NotUnderWay { instance: id.clone() })?;
+        let Some((to, _)) = instance.moving.take_if(|(_, at)| *at == started && seen) else {
+            return Err(match instance.moving {
+                Some((_, at)) if at == started => Reject::MoveNotSeen { instance: id.clone() },
+                _ => Reject::NotUnderWay { instance: id.clone() },
+            });
+        };
         if entered {
             instance.pool = to;
         }
@@ -210,9 +213,9 @@
         Ok(Verdict::Applied)
     }
 
-    pub(super) fn drain_end(&mut self, id: &InstanceId) -> Applied {
+    pub(super) fn drain_end(&mut self, id: &InstanceId, started: Offset) -> Applied {
         let instance = self.instances.get_mut(id).ok_or_else(|| missing("instance", id))?;
-        if instance.draining.take().is_none() {
+        if instance.draining.take_if(|(_, at)| *at == started).is_none() {
             return Err(Reject::NotUnderWay { instance: id.clone() });
         }
         Ok(Verdict::Applied)
--- a/tests/fuzz/work.rs
+++ b/tests/fuzz/work.rs
@@ -590,25 +590,32 @@
             .iter()
             .filter_map(|(id, known)| known.draining.map(|(_, at)| (id.clone(), at)))
             .collect();
-        let moving: Vec<InstanceId> = state_ids(state, |s| s.moving.is_some());
+        let moving: Vec<(InstanceId, Offset)> = state
+            .instances
+            .iter()
+            .filter_map(|(id, known)| known.moving.as_ref().map(|(_, at)| (id.clone(), *at)))
+            .collect();
         for (id, fence) in draining {
             let at = self.upstream_of(&id);
             let known = &self.upstreams[at];
             let busy = known.draining || known.rebooting;
             if known.drain_fence >= fence && !busy || !known.alive {
                 if self.entries[i].is_due(self.now, format!("drain end {id}")) {
-                    self.node(i).propose(now, Record::DrainEnd { instance: id, done: true });
+                    self.node(i).propose(
+                        now,
+                        Record::DrainEnd { instance: id, started: fence, done: true },
+                    );
                 }
             } else if self.reaches_upstream(i, at) {
                 self.drain(at, fence)?;
             }
         }
-        for id in moving {
+        for (id, started) in moving {
             let at = self.upstream_of(&id);
             let known = &self.upstreams[at];
             let idle = known.execs.is_empty() && known.idle_since + 2_000 <= self.now;
             if idle && self.entries[i].is_due(self.now, format!("move end {id}")) {
-                self.node(i).propose(now, Record::MoveEnd { instance: id });
+                self.node(i).propose(now, Record::MoveEnd { instance: id, started });
             }
         }
         Ok(())
@@ -664,14 +671,6 @@
     }
 }
 
-fn state_ids(
-    state: &jacinthhook::state::State,
-    wanted: impl Fn(&jacinthhook::state::Instance) -> bool,
-) -> Vec<InstanceId> {
-    let chosen = state.instances.iter().filter(|(_, instance)| wanted(instance));
-    chosen.map(|(id, _)| id.clone()).collect()
-}
-
 /// A call of a run.
 pub fn call(service: &str, key: Option<u8>, request_id: Option<String>) -> Call {
     Call {
--- a/tests/state_fuzz.rs
+++ b/tests/state_fuzz.rs
@@ -138,9 +138,11 @@
             from: pick(g, &POOLS).into(),
             to: pick(g, &POOLS).into(),
         },
-        14 => Record::MoveEnd { instance: instance(g) },
+        14 => Record::MoveEnd { instance: instance(g), started: offset(g) },
         15 => Record::DrainStart { instance: instance(g), reason: DrainReason::Maintenance },
-        16 => Record::DrainEnd { instance: instance(g), done: bool::arbitrary(g) },
+        16 => {
+            Record::DrainEnd { instance: instance(g), started: offset(g), done: bool::arbitrary(g) }
+        }
         17 => Record::Claim { ids: vec![ClaimId::from(u8::arbitrary(g) % 4)] },
         18 | 19 => Record::JobSubmit { spec: spec(g) },
         20 | 21 => Record::JobClaim { job: job(g), attempt, upstream: instance(g) },
@@ -290,6 +292,21 @@
     }
 }
 
+/// Most ends of moves and drains name the start in force, as those of an instance in step do.
+fn name_start(state: &State, record: &mut Record) {
+    match record {
+        Record::MoveEnd { instance, started } if *started % 4 > 0 => {
+            let moving = state.instances.get(instance).and_then(|i| i.moving.as_ref());
+            *started = moving.map_or(*started, |(_, at)| *at);
+        }
+        Record::DrainEnd { instance, started, .. } if *started % 4 > 0 => {
+            let draining = state.instances.get(instance).and_then(|i| i.draining);
+            *started = draining.map_or(*started, |(_, at)| at);
+        }
+        _ => {}
+    }
+}
+
 fn run(steps: Vec<Step>) -> bool {
     let mut state = State::new();
     let mut oracle = Oracle::default();
@@ -302,7 +319,8 @@
     let mut last = first;
     for step in steps {
         let before = state.clone();
-        if let Step::Append { writer, record } = step {
+        if let Step::Append { writer, mut record } = step {
+            name_start(&state, &mut record);
             let incarnation = u64::from(writer);
             let seq = seqs.entry(incarnation).or_insert(0);
             *seq += 1;
