--- a/tests/look.rs
+++ b/tests/look.rs
@@ -130,21 +130,30 @@
     assert_eq!((removed.event, &removed.fields[0].1), (Event::Published, &Value::Number(1)));
 }
 
+fn move_started(fold: &Fold) -> u64 {
+    let moving = fold.state.instances["u2"].moving.as_ref();
+    moving.map(|(_, started)| *started).expect("it moves")
+}
+
 #[test]
 fn look_at_drain_and_move() {
     let mut fold = Fold::new();
     let start = Record::DrainStart { instance: "u1".into(), reason: DrainReason::Maintenance };
     assert_eq!(fold.one(start).event, Event::DrainStarted);
-    let end = fold.one(Record::DrainEnd { instance: "u1".into(), done: true });
+    let (_, started) = fold.state.instances["u1"].draining.expect("it drains");
+    let end = fold.one(Record::DrainEnd { instance: "u1".into(), started, done: true });
     assert_eq!(end.event, Event::DrainEnded);
     assert_eq!(end.fields[1], ("done", Value::Number(1)));
     let start = || Record::MoveStart { instance: "u2".into(), from: "p".into(), to: "q".into() };
     assert_eq!(fold.one(start()).event, Event::MoveStarted);
-    let cancel = Record::MoveCancel { instance: "u2".into() };
+    let started = move_started(&fold);
+    let cancel = Record::MoveCancel { instance: "u2".into(), started };
     assert_eq!(fold.one(cancel).event, Event::MoveCancelled);
     fold.apply(start());
     fold.renew(false);
-    assert_eq!(fold.one(Record::MoveEnd { instance: "u2".into() }).event, Event::MoveEnded);
+    let started = move_started(&fold);
+    let end = Record::MoveEnd { instance: "u2".into(), started };
+    assert_eq!(fold.one(end).event, Event::MoveEnded);
 }
 
 #[test]
