Fuzz isolated zones under load and starts that stall before the write

Change: steps for both; starts are judged by what their sender had heard at its last check; random numbers depend on the time, so that shrinking keeps more of a run. A failed try drew keys of running work from those numbers and counted work twice; they are counted up now.

--- a/tests/fuzz/command.rs
+++ b/tests/fuzz/command.rs
@@ -100,6 +100,14 @@
     Isolate {
         zone: u8,
     },
+    /// The next instance that starts a job is frozen between its last check and the write.
+    StallStart {
+        seconds: u8,
+    },
+    /// A zone is isolated while its units and all others are in use.
+    CutOffUnderLoad {
+        node: u8,
+    },
     HealCuts,
     PlatformDown {
         down: bool,
@@ -159,7 +167,7 @@
     fn arbitrary(g: &mut Gen) -> Cmd {
         let [a, b, c, d] = [0; 4].map(|_| u8::arbitrary(g));
         let on = d % 2 == 0;
-        match u8::arbitrary(g) % 60 {
+        match u8::arbitrary(g) % 64 {
             0..=9 => Cmd::Call { node: a, key: b % 6, id: c % 4, seconds: d % 8 },
             10..=14 => Cmd::Burst { node: a, calls: b % 12, seconds: d % 8 },
             15..=19 => Cmd::Job { node: a, idempotent: on, seconds: c % 10, bad: b % 8 == 0 },
@@ -190,6 +198,8 @@
             55 => Cmd::UpstreamBad { upstream: a, bad: on },
             56 => Cmd::Isolate { zone: a % 3 },
             57 => Cmd::Race { node: a, other: b },
+            58 if on => Cmd::StallStart { seconds: a % 60 },
+            58 => Cmd::CutOffUnderLoad { node: a },
             _ => Cmd::Wait { tenths: a },
         }
     }
--- a/tests/fuzz/run.rs
+++ b/tests/fuzz/run.rs
@@ -192,15 +192,10 @@
                     // It is frozen between its last checks and its writes.
                     self.act(awake)?;
                 }
-                let until =
-                    (self.now + Ms::from(seconds) * 1_000).max(self.entries[i].frozen_until);
-                self.entries[i].frozen_until = until;
-                self.heard_since[i] = until;
-                for peer in 0..NODES {
-                    self.linked_since[i][peer] = until;
-                    self.linked_since[peer][i] = until;
-                }
+                self.freeze(i, Ms::from(seconds) * 1_000);
             }
+            Cmd::StallStart { seconds } => self.stall = Some(Ms::from(seconds) * 1_000),
+            Cmd::CutOffUnderLoad { node } => self.cut_off_under_load(node)?,
             Cmd::Stop { node } => {
                 if let Some(i) = self.awake(node) {
                     let now = local(i, self.now);
@@ -212,6 +207,21 @@
         Ok(())
     }
 
+    /// A zone with borrowed units is cut off; the others' load takes over all units that lapse.
+    fn cut_off_under_load(&mut self, node: u8) -> Judged {
+        self.apply(&Cmd::Burst { node, calls: 10, seconds: 3 })?;
+        self.advance(1_500)?;
+        let zone = self.entries[usize::from(node) % NODES].zone as u8;
+        self.apply(&Cmd::Isolate { zone })?;
+        for other in 1..NODES as u8 {
+            self.advance(5_000)?;
+            self.apply(&Cmd::Burst { node: node.wrapping_add(other), calls: 10, seconds: 4 })?;
+        }
+        self.apply(&Cmd::Burst { node, calls: 10, seconds: 4 })?;
+        self.apply(&Cmd::Burst { node: node.wrapping_add(2), calls: 10, seconds: 4 })?;
+        self.advance(1_500)
+    }
+
     fn upstream_fault(&mut self, cmd: &Cmd) -> Judged {
         let count = self.upstreams.len();
         match *cmd {
--- a/tests/fuzz/work.rs
+++ b/tests/fuzz/work.rs
@@ -69,6 +69,8 @@
     pub start_by: Ms,
     pub deadline: Ms,
     pub run_for: Ms,
+    /// Since when its sender heard the platform at the last check.
+    pub heard_since: Ms,
 }
 
 /// Work that runs at an upstream.
@@ -137,7 +139,7 @@
             if allowed.team != super::world::key_team(key) {
                 return fail(3, format!("key k{key} stood for {}", allowed.team));
             }
-            if self.must_know(i, &format!("key k{key}")) {
+            if self.must_know(i, &format!("key k{key}"), self.heard_since[i]) {
                 return fail(3, format!("withdrawn key k{key} works at e{i}"));
             }
         }
@@ -275,6 +277,7 @@
             start_by: true_time(i, unit.min(now + START_WINDOW)),
             deadline: true_time(i, unit),
             run_for,
+            heard_since: self.heard_since[i],
         };
         self.entries[i].calls.get_mut(&call).expect("it has calls").phase = Phase::Running { unit };
         self.post(LATENCY, Event::Start(Box::new(start)));
@@ -329,13 +332,13 @@
         let upstream = &self.upstreams[start.upstream];
         self.oracle.on_pool_start(self.now, &upstream.id, &start.pool)?;
         let zone = super::world::ZONES[upstream.zone];
-        if self.must_know(start.from, &format!("zone {zone}")) {
+        if self.must_know(start.from, &format!("zone {zone}"), start.heard_since) {
             return fail(5, format!("e{} started work in {zone}, which is out", start.from));
         }
-        if self.must_know(start.from, &format!("instance {}", upstream.id)) {
+        if self.must_know(start.from, &format!("instance {}", upstream.id), start.heard_since) {
             return fail(9, format!("e{} started work at {}", start.from, upstream.id));
         }
-        let heard = self.heard_since[start.from];
+        let heard = start.heard_since;
         let shown = upstream.departing_at.map(|at| at.max(heard) + LIST_SHOWS + START_SLACK);
         if shown.is_some_and(|shown| shown <= self.now) {
             return fail(9, format!("e{} started work at departing {}", start.from, upstream.id));
@@ -348,7 +351,8 @@
             What::Request { .. } => (self.now + start.run_for).min(start.deadline),
             What::Job { .. } => self.now + start.run_for,
         };
-        let exec = self.rng.next();
+        self.execs += 1;
+        let exec = self.execs;
         let Start { from, life, team, what, upstream, .. } = start;
         let delay = end.saturating_sub(self.now);
         self.upstreams[upstream].execs.insert(exec, Exec { from, life, team, what, end });
@@ -507,8 +511,12 @@
             start_by: true_time(i, start.start_by),
             deadline: Ms::MAX,
             run_for: spec.declared_ms,
+            heard_since: self.heard_since[i],
         };
         self.post(LATENCY, Event::Start(Box::new(start)));
+        if let Some(stall) = self.stall.take() {
+            self.freeze(i, stall);
+        }
     }
 
     pub fn task_answered(&mut self, i: usize, job: &JobId, started: bool) {
--- a/tests/fuzz/world.rs
+++ b/tests/fuzz/world.rs
@@ -100,6 +100,10 @@
     lengths: Vec<(Ms, Offset)>,
     pub calls: usize,
     pub ops: u64,
+    /// The next instance that writes a job's start is frozen for this long before the write.
+    pub stall: Option<Ms>,
+    pub execs: u64,
+    seed: u64,
 }
 
 pub fn pool_name(i: usize) -> PoolId {
@@ -126,6 +130,9 @@
             lengths: Vec::new(),
             calls: 0,
             ops: 0,
+            stall: None,
+            execs: 0,
+            seed,
         };
         (0..10)
             .for_each(|i| world.add_upstream(i % 3, pool_name([0, 0, 0, 0, 1, 1, 1, 1, 2, 2][i])));
@@ -201,6 +208,17 @@
         self.list_changed();
     }
 
+    /// Freezes an instance with whatever it was about to do.
+    pub fn freeze(&mut self, i: usize, time: Ms) {
+        let until = (self.now + time).max(self.entries[i].frozen_until);
+        self.entries[i].frozen_until = until;
+        self.heard_since[i] = until;
+        for peer in 0..NODES {
+            self.linked_since[i][peer] = until;
+            self.linked_since[peer][i] = until;
+        }
+    }
+
     /// Whether the instance may be lost: some other one has a view of all that the log dropped.
     pub fn is_spare(&self, i: usize) -> bool {
         let others = self.entries.iter().enumerate().filter(|(k, _)| *k != i);
@@ -234,6 +252,9 @@
                 false => break,
             };
             self.now = self.now.max(at);
+            // Random numbers depend on the time and not on how many were drawn before, so that a step
+            // that is taken out while shrinking changes little of what comes later.
+            self.rng = Rng(self.seed ^ self.now.wrapping_mul(0x2545_f491_4f6c_dd1d));
             self.handle(event)?;
         }
         self.now = until;
@@ -519,13 +540,13 @@
         Ok(())
     }
 
-    /// Whether a restriction must be in force at an instance: its log entry was within hearing for
-    /// `IN_FORCE`, or an instance that holds it was.
-    pub fn must_know(&self, i: usize, what: &str) -> bool {
+    /// Whether a restriction must be in force for what an instance does that heard the platform since
+    /// `heard_since`: its log entry was within hearing for `IN_FORCE`, or an instance that holds it.
+    pub fn must_know(&self, i: usize, what: &str, heard_since: Ms) -> bool {
         let over = super::oracle::IN_FORCE + super::oracle::START_SLACK;
         let heard = |since: Ms| since + over <= self.now;
         let logged = self.oracle.out_since.get(what);
-        if logged.is_some_and(|at| heard(self.heard_since[i].max(*at))) {
+        if logged.is_some_and(|at| heard(heard_since.max(*at))) {
             return true;
         }
         let Some((at, holder, life)) = self.oracle.held_since.get(what) else { return false };
