--- a/src/baseline.rs
+++ b/src/baseline.rs
@@ -22,7 +22,8 @@
 
 #[derive(Clone, Debug, Default)]
 struct PlainPool {
-    queue: VecDeque<Work>,
+    /// Waiting work by team, with its order of arrival and its latest start.
+    queues: IndexMap<TeamId, VecDeque<(u64, Time, Work)>>,
     /// Free resources of each instance that may get new work.
     room: IndexMap<InstanceId, Need>,
     slots: u32,
@@ -40,6 +41,9 @@
     shares: HashMap<TeamId, u32>,
     running: HashMap<WorkId, (Work, InstanceId)>,
     total: HashMap<PoolId, Need>,
+    arrivals: u64,
+    late: Vec<WorkId>,
+    swept: Time,
 }
 
 impl Plain {
@@ -53,6 +57,9 @@
             shares: cfg.teams.iter().map(|(id, team)| (id.clone(), team.share)).collect(),
             running: HashMap::new(),
             total: HashMap::new(),
+            arrivals: 0,
+            late: Vec::new(),
+            swept: Time::ZERO,
         }
     }
 
@@ -74,57 +81,83 @@
         self.total.insert(pool.clone(), total);
     }
 
-    fn enqueue(&mut self, work: Work) {
+    fn enqueue(&mut self, work: Work, latest: Time) {
+        self.arrivals += 1;
         if let Some(pool) = self.services.get(&work.service).and_then(|id| self.pools.get_mut(id)) {
-            pool.queue.push_back(work);
+            let queue = pool.queues.entry(work.team.clone()).or_default();
+            queue.push_back((self.arrivals, latest, work));
         }
     }
 
-    fn next(&mut self) -> Option<Placed> {
-        let shares: u32 = self.shares.values().sum();
-        for (id, pool) in &mut self.pools {
-            let total = self.total.get(id).copied().unwrap_or_default();
-            let slots = f64::from(pool.slots);
-            let mut skipped = 0;
-            let found = pool.queue.iter().position(|work| {
-                let part = f64::from(self.shares.get(&work.team).copied().unwrap_or(1));
-                let used = pool.used.get(&work.team).copied().unwrap_or(0.0);
-                let limit = (slots * part / f64::from(shares)).max(1.0);
-                let taken = used + work.need.dominant_slots(&total);
-                skipped += 1;
-                self.rule == Rule::FirstCome || taken <= limit + 1e-9 || skipped > 5_000
-            });
-            let Some(at) = found.filter(|_| skipped <= 5_000) else { continue };
-            let need = pool.queue[at].need;
-            let free: Vec<usize> =
-                (0..pool.room.len()).filter(|i| need.fits(&pool.room[*i])).collect();
-            if free.is_empty() {
-                continue;
+    fn next(&mut self, now: Time) -> Option<Placed> {
+        for at in 0..self.pools.len() {
+            if let Some(placed) = self.next_in(now, at) {
+                return Some(placed);
             }
-            let index = free[self.rng.random_range(0..free.len())];
-            let Some(work) = pool.queue.remove(at) else { continue };
-            pool.room[index] = pool.room[index].minus(&need);
-            *pool.used.entry(work.team.clone()).or_default() += need.dominant_slots(&total);
-            let upstream = pool.room.get_index(index).map(|(id, _)| id.clone())?;
-            let placed = Placed { id: work.id, upstream: upstream.clone() };
-            self.running.insert(work.id, (work, upstream));
-            return Some(placed);
         }
         None
     }
 
-    fn expired(&mut self, now: Time, latest: &dyn Fn(&Work) -> Time) -> Vec<WorkId> {
-        let mut late = Vec::new();
-        for pool in self.pools.values_mut() {
-            pool.queue.retain(|work| {
-                let keep = latest(work) >= now;
-                if !keep {
-                    late.push(work.id);
-                }
-                keep
-            });
+    fn next_in(&mut self, now: Time, at: usize) -> Option<Placed> {
+        let shares: u32 = self.shares.values().sum();
+        let total = self.total.get(self.pools.get_index(at)?.0).copied().unwrap_or_default();
+        let pool = &mut self.pools[at];
+        for queue in pool.queues.values_mut() {
+            while let Some((_, _, work)) = queue.pop_front_if(|(_, latest, _)| *latest < now) {
+                self.late.push(work.id);
+            }
+        }
+        let may_start = |work: &Work| {
+            let part = f64::from(self.shares.get(&work.team).copied().unwrap_or(1));
+            let limit = (f64::from(pool.slots) * part / f64::from(shares)).max(1.0);
+            let used = pool.used.get(&work.team).copied().unwrap_or(0.0);
+            self.rule == Rule::FirstCome || used + work.need.dominant_slots(&total) <= limit + 1e-9
+        };
+        let heads = pool.queues.iter().filter_map(|(team, queue)| Some((queue.front()?, team)));
+        let first =
+            heads.filter(|((_, _, work), _)| may_start(work)).min_by_key(|(head, _)| head.0);
+        let team = first?.1.clone();
+        let need = pool.queues.get(&team)?.front()?.2.need;
+        let free: Vec<usize> = (0..pool.room.len()).filter(|i| need.fits(&pool.room[*i])).collect();
+        if free.is_empty() {
+            return None;
+        }
+        let index = free[self.rng.random_range(0..free.len())];
+        let (_, _, work) = pool.queues.get_mut(&team)?.pop_front()?;
+        pool.room[index] = pool.room[index].minus(&need);
+        *pool.used.entry(team).or_default() += need.dominant_slots(&total);
+        let upstream = pool.room.get_index(index).map(|(id, _)| id.clone())?;
+        let placed = Placed { id: work.id, upstream: upstream.clone() };
+        self.running.insert(work.id, (work, upstream));
+        Some(placed)
+    }
+
+    /// Work found to be late; behind the heads of the queues it is looked for once a second.
+    fn expired(&mut self, now: Time) -> Vec<WorkId> {
+        if now >= self.swept + Time::from_secs(1) {
+            self.swept = now;
+            for queue in self.pools.values_mut().flat_map(|pool| pool.queues.values_mut()) {
+                let late = queue.iter().filter(|(_, latest, _)| *latest < now);
+                self.late.extend(late.map(|(_, _, work)| work.id));
+                queue.retain(|(_, latest, _)| *latest >= now);
+            }
         }
-        late
+        std::mem::take(&mut self.late)
+    }
+
+    fn put_back(&mut self, id: WorkId) -> bool {
+        let Some((work, upstream)) = self.running.get(&id).cloned() else { return false };
+        self.finish(id);
+        let Some(pool) = self.services.get(&work.service).and_then(|id| self.pools.get_mut(id))
+        else {
+            return false;
+        };
+        if let Some(room) = pool.room.get_mut(&upstream) {
+            *room = Need::default();
+        }
+        let queue = pool.queues.entry(work.team.clone()).or_default();
+        queue.push_front((0, work.deadline, work));
+        true
     }
 
     fn finish(&mut self, id: WorkId) {
@@ -143,8 +176,9 @@
     fn place_again(&mut self, id: WorkId, exclude: &[InstanceId]) -> Option<Placed> {
         let (work, old) = self.running.get_mut(&id)?;
         let pool = self.pools.get_mut(self.services.get(&work.service)?)?;
+        // It gets no new work until the next list, or a failed instance would draw all of it.
         if let Some(room) = pool.room.get_mut(old) {
-            *room = room.plus(&work.need);
+            *room = Need::default();
         }
         let fits =
             |(id, room): &(&InstanceId, &Need)| !exclude.contains(id) && work.need.fits(room);
@@ -196,11 +230,13 @@
     }
 
     /// Puts work in line at an entry instance. False when it is refused.
-    pub fn enqueue(&mut self, now: Time, entry: usize, work: Work) -> bool {
+    ///
+    /// `latest` is the latest start by the plain rules; the real scheduler works it out itself.
+    pub fn enqueue(&mut self, now: Time, entry: usize, work: Work, latest: Time) -> bool {
         match self {
             Chooser::Real(scheds) => scheds[entry].enqueue(now, work).is_ok(),
             Chooser::Plain(plain) => {
-                plain.enqueue(work);
+                plain.enqueue(work, latest);
                 true
             }
         }
@@ -210,15 +246,15 @@
     pub fn next(&mut self, now: Time, entry: usize) -> Option<Placed> {
         match self {
             Chooser::Real(scheds) => scheds[entry].next(now, &mut |_| true),
-            Chooser::Plain(plain) => plain.next(),
+            Chooser::Plain(plain) => plain.next(now),
         }
     }
 
-    /// Work that cannot start in time any more; `latest` is the latest start for plain rules.
-    pub fn expired(&mut self, now: Time, latest: &dyn Fn(&Work) -> Time) -> Vec<WorkId> {
+    /// Work that cannot start in time any more.
+    pub fn expired(&mut self, now: Time) -> Vec<WorkId> {
         match self {
             Chooser::Real(scheds) => scheds.iter_mut().flat_map(|s| s.expired(now)).collect(),
-            Chooser::Plain(plain) => plain.expired(now, latest),
+            Chooser::Plain(plain) => plain.expired(now),
         }
     }
 
@@ -230,6 +266,15 @@
         }
     }
 
+    /// Puts work back in line that did not run. False when it is given up.
+    pub fn put_back(&mut self, now: Time, entry: usize, id: WorkId, ran: bool) -> bool {
+        match self {
+            Chooser::Real(scheds) => scheds[entry].put_back(now, id, ran),
+            // A plain rule knows every instance's load, so its work is refused only by failed ones.
+            Chooser::Plain(plain) => plain.put_back(id),
+        }
+    }
+
     /// Another instance for work.
     pub fn place_again(
         &mut self,
--- a/src/buffer.rs
+++ b/src/buffer.rs
@@ -17,6 +17,9 @@
 pub const MAX_SAMPLES: usize = 900;
 /// Samples over whose maximum the present need is taken; holds instances through a lull.
 const NEED_SAMPLES: usize = 10;
+/// Waiting work calls for moves as if it were worked off within this time, in seconds. Within 1 s
+/// it called for more instances than a burst needs: 1.7 times the least moves.
+const NEED_DRAIN_SECS: f64 = 4.0;
 /// Waiting work is to be worked off within this time, in seconds.
 const DRAIN_SECS: f64 = 1.0;
 /// Parts of a pool's peak, in percent, that its own slots may cover. Quantiles of the load left out
@@ -39,7 +42,7 @@
 impl Sample {
     /// Slots that would serve the running work and drain the waiting work in time.
     fn need(&self) -> f64 {
-        f64::from(self.used) + self.waiting / DRAIN_SECS
+        f64::from(self.used) + self.waiting / NEED_DRAIN_SECS
     }
 }
 
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -173,6 +173,8 @@
     pub failed_bad_job: u64,
     pub failed_tries: u64,
     pub late_unstarted: u64,
+    /// Starts that an instance refused as not run.
+    pub busy: u64,
     /// Work that ended twice, or that was refused after it had started.
     pub duplicated: u64,
     pub moves: u32,
@@ -180,6 +182,8 @@
     pub needs: Vec<Vec<f64>>,
     /// Part of the due share that each backlogged team got in a full window of 10 s.
     pub share_ratios: Vec<f64>,
+    /// The same for the guarded workers, whose jobs run for seconds.
+    pub guarded_ratios: Vec<f64>,
     /// Slot-seconds of service work completed in each second.
     pub done_per_sec: Vec<f64>,
     /// Slot-seconds of service work offered in each second.
@@ -347,15 +351,10 @@
 
 fn profile(deployment: &Deployment) -> Profile {
     let tsagaan = deployment.name == "tsagaan";
-    let order = if tsagaan {
-        vec![Class::Planned, Class::Urgent, Class::Overnight]
-    } else {
-        vec![Class::Urgent, Class::Planned, Class::Overnight]
-    };
     Profile {
         shares: IndexMap::new(),
         limits: IndexMap::new(),
-        class_order: order,
+        class_order: vec![Class::Urgent, Class::Planned, Class::Overnight],
         class_floor_percent: if tsagaan { 40 } else { 10 },
         queue_bound: 2_000,
         max_deadline: Duration::from_secs(600),
@@ -592,7 +591,7 @@
             epoch: 0,
             started: Time::ZERO,
         };
-        if self.chooser.enqueue(self.now, entry, work) {
+        if self.chooser.enqueue(self.now, entry, work, task.latest) {
             self.waiting[pool][team] += 1;
             self.tasks.insert(task.work.id, task);
             self.start_work(entry);
@@ -671,13 +670,6 @@
                 continue;
             };
             self.waiting[task.pool][task.team] -= 1;
-            let wait = (self.now - task.arrived).as_secs_f64() * 1_000.0;
-            let guarded = task.pool == self.deployment.runners.len();
-            match task.work.class {
-                Class::Urgent => self.out.urgent_waits.push(wait),
-                _ if !guarded => self.out.other_waits.push(wait),
-                _ => {}
-            }
             self.try_start(placed.id, &placed.upstream);
         }
     }
@@ -690,16 +682,16 @@
             if self.accepts(at) {
                 return self.run_on(id, at);
             }
+            self.out.busy += 1;
             let Some(task) = self.tasks.get_mut(&id) else { return };
-            task.tries += 1;
             task.exclude.push(upstream.clone());
-            let (entry, tries, exclude) = (task.entry, task.tries, task.exclude.clone());
-            if tries >= MAX_TRIES {
-                return self.give_up(id);
-            }
-            let Some(placed) = self.chooser.place_again(self.now, entry, id, &exclude) else {
-                return self.give_up(id);
+            let (entry, tries, exclude) = (task.entry, task.exclude.len(), task.exclude.clone());
+            let again = if tries < MAX_TRIES as usize {
+                self.chooser.place_again(self.now, entry, id, &exclude)
+            } else {
+                None
             };
+            let Some(placed) = again else { return self.wait_again(id) };
             upstream = placed.upstream;
         }
     }
@@ -710,7 +702,20 @@
         machine.state == State::Serving && !out && (machine.running.len() as u32) < machine.slots
     }
 
+    /// The wait of work until its first start.
+    fn note_wait(&mut self, id: WorkId) {
+        let Some(task) = self.tasks.get(&id).filter(|task| task.epoch == 0) else { return };
+        let wait = (self.now - task.arrived).as_secs_f64() * 1_000.0;
+        let guarded = task.pool == self.deployment.runners.len();
+        match task.work.class {
+            Class::Urgent => self.out.urgent_waits.push(wait),
+            Class::Planned | Class::Overnight if !guarded => self.out.other_waits.push(wait),
+            Class::Planned | Class::Overnight => {}
+        }
+    }
+
     fn run_on(&mut self, id: WorkId, at: usize) {
+        self.note_wait(id);
         let Some(task) = self.tasks.get_mut(&id) else { return };
         let machine = &mut self.machines[at];
         task.machine = Some(at);
@@ -739,6 +744,30 @@
         self.push(self.now + run, event);
     }
 
+    /// Work that no instance took waits again; it was not run.
+    fn wait_again(&mut self, id: WorkId) {
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        task.exclude.clear();
+        task.machine = None;
+        let (entry, pool, team, ran) = (task.entry, task.pool, task.team, task.epoch > 0);
+        if self.chooser.put_back(self.now, entry, id, ran) {
+            self.waiting[pool][team] += 1;
+        } else {
+            self.note_late(id);
+        }
+    }
+
+    /// Work that cannot start in time; lost if an earlier start was cut off.
+    fn note_late(&mut self, id: WorkId) -> Option<Task> {
+        let task = self.tasks.remove(&id)?;
+        if task.epoch > 0 {
+            self.out.failed_tries += 1;
+        } else {
+            self.out.late_unstarted += 1;
+        }
+        Some(task)
+    }
+
     fn give_up(&mut self, id: WorkId) {
         let Some(task) = self.tasks.remove(&id) else { return };
         self.chooser.finish(self.now, task.entry, id, Duration::ZERO, true);
@@ -798,10 +827,11 @@
         task.machine = None;
         task.exclude.push(upstream);
         let (entry, tries, bad, exclude) = (task.entry, task.tries, task.bad, task.exclude.clone());
-        if tries < MAX_TRIES
-            && let Some(placed) = self.chooser.place_again(self.now, entry, id, &exclude)
-        {
-            return self.try_start(id, &placed.upstream);
+        if tries < MAX_TRIES {
+            return match self.chooser.place_again(self.now, entry, id, &exclude) {
+                Some(placed) => self.try_start(id, &placed.upstream),
+                None => self.wait_again(id),
+            };
         }
         if bad {
             self.out.failed_bad_job += 1;
@@ -835,11 +865,8 @@
         self.tick += 1;
         self.push(self.now + TICK, Event::Tick);
         self.report_loads();
-        let tasks = &self.tasks;
-        let latest = |work: &Work| tasks.get(&work.id).map_or(Time::MAX, |task| task.latest);
-        for id in self.chooser.expired(self.now, &latest) {
-            if let Some(task) = self.tasks.remove(&id) {
-                self.out.late_unstarted += 1;
+        for id in self.chooser.expired(self.now) {
+            if let Some(task) = self.note_late(id) {
                 self.out.duplicated += u64::from(task.machine.is_some());
                 self.waiting[task.pool][task.team] -= 1;
             }
@@ -952,7 +979,12 @@
             }
             for team in backlogged {
                 let share = f64::from(self.deployment.teams[team].1) / f64::from(weight);
-                self.out.share_ratios.push(window.used[pool][team] / (used * share));
+                let ratio = window.used[pool][team] / (used * share);
+                if pool == self.deployment.runners.len() {
+                    self.out.guarded_ratios.push(ratio);
+                } else {
+                    self.out.share_ratios.push(ratio);
+                }
             }
         }
     }
--- a/src/learn.rs
+++ b/src/learn.rs
@@ -54,12 +54,43 @@
     plain: Spread,
 }
 
-/// Used part of the declared size of one kind of work, as logarithms.
+/// Used size of one kind of work, in one resource: relative to the declared size, and by itself.
+#[derive(Clone, Copy, Debug, Default)]
+struct KnownPart {
+    factor: Spread,
+    plain: Spread,
+}
+
+/// Used sizes of one kind of work.
 #[derive(Clone, Copy, Debug, Default)]
 struct KnownSize {
     reports: u32,
-    processors: Spread,
-    memory: Spread,
+    processors: KnownPart,
+    memory: KnownPart,
+}
+
+impl KnownPart {
+    fn add(&mut self, declared: u64, used: u64, weight: f64) {
+        if declared > 0 {
+            let used = bound_size(used as f64, declared);
+            self.factor.add((used / declared as f64).ln(), weight);
+            self.plain.add(used.ln(), weight);
+        }
+    }
+
+    fn predict(&self, declared: u64, trust: f64) -> u64 {
+        if declared == 0 {
+            return 0;
+        }
+        let base = (declared as f64).ln();
+        let (center, var) = if self.factor.var <= self.plain.var {
+            (base + self.factor.mean, self.factor.var)
+        } else {
+            (self.plain.mean, self.plain.var)
+        };
+        let learned = center + SIZE_MARGIN * var.sqrt();
+        bound_size((trust * learned + (1.0 - trust) * base).exp(), declared).round() as u64
+    }
 }
 
 /// Expected run time of one piece of work.
@@ -118,13 +149,9 @@
     pub fn size(&self, key: LearnKey, declared: &Need) -> Need {
         let Some(known) = self.sizes.get(&key) else { return *declared };
         let trust = f64::from(known.reports) / (f64::from(known.reports) + DECLARED_WEIGHT);
-        let scaled = |value: u64, spread: &Spread| {
-            let center = spread.mean + SIZE_MARGIN * spread.var.sqrt();
-            (value as f64 * (trust * center).exp()) as u64
-        };
         Need {
-            processors: scaled(declared.processors, &known.processors),
-            memory: scaled(declared.memory, &known.memory),
+            processors: known.processors.predict(declared.processors, trust),
+            memory: known.memory.predict(declared.memory, trust),
             ..*declared
         }
     }
@@ -136,8 +163,8 @@
         }
         let known = self.sizes.entry(key).or_default();
         let weight = (1.0 / (f64::from(known.reports) + 1.0)).max(NEWEST_WEIGHT);
-        known.processors.add(size_factor(declared.processors, used.processors), weight);
-        known.memory.add(size_factor(declared.memory, used.memory), weight);
+        known.processors.add(declared.processors, used.processors, weight);
+        known.memory.add(declared.memory, used.memory, weight);
         known.reports = known.reports.saturating_add(1);
     }
 
@@ -161,13 +188,9 @@
     }
 }
 
-/// Logarithm of used over declared, bounded; zero when nothing was declared.
-fn size_factor(declared: u64, used: u64) -> f64 {
-    if declared == 0 {
-        return 0.0;
-    }
-    let factor = used as f64 / declared as f64;
-    factor.clamp(1.0 / MAX_SIZE_FACTOR, MAX_SIZE_FACTOR).ln()
+fn bound_size(used: f64, declared: u64) -> f64 {
+    let declared = declared as f64;
+    used.clamp(declared / MAX_SIZE_FACTOR, declared * MAX_SIZE_FACTOR)
 }
 
 fn base_secs(declared: Duration) -> f64 {
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -295,22 +295,44 @@
     for (variant, rule) in RULES {
         let scenario = Scenario { rule, lends: false, ..base(Load::Full(2.5), 60) };
         let out = driver::run(deployment, &scenario, seed);
-        let mut ratios = out.share_ratios.clone();
-        ratios.sort_by(f64::total_cmp);
-        let worst = ratios.first().copied().unwrap_or(f64::NAN);
-        let below = ratios.iter().filter(|ratio| **ratio < 0.95).count() as f64;
-        let part = 100.0 * below / ratios.len().max(1) as f64;
-        values.insert(
-            (variant, "worst part of due share"),
-            (worst, own_target(variant, Target::AtLeast(0.95))),
-        );
-        values.insert((variant, "windows below 95%, percent"), (part, None));
-        values.insert((variant, "windows counted"), (ratios.len() as f64, None));
+        let target = own_target(variant, Target::AtLeast(0.95));
+        add_ratios(variant, &out.share_ratios, SERVICE_RATIOS, target, &mut values);
+        add_ratios(variant, &out.guarded_ratios, GUARDED_RATIOS, target, &mut values);
         values.insert((variant, "slots in use, percent"), (used_percent(&out), None));
     }
     values
 }
 
+/// Names of the worst part, the part of windows below 95%, and the number of windows.
+type RatioNames = [&'static str; 3];
+
+const SERVICE_RATIOS: RatioNames = [
+    "services: worst part of due share",
+    "services: windows below 95%, percent",
+    "services: windows counted",
+];
+const GUARDED_RATIOS: RatioNames = [
+    "guarded: worst part of due share",
+    "guarded: windows below 95%, percent",
+    "guarded: windows counted",
+];
+
+/// Only windows in which a pool was full are counted; a rule that leaves slots idle has few.
+fn add_ratios(
+    variant: &'static str,
+    ratios: &[f64],
+    names: RatioNames,
+    target: Option<Target>,
+    values: &mut Values,
+) {
+    let worst = ratios.iter().copied().reduce(f64::min).unwrap_or(f64::NAN);
+    let below = ratios.iter().filter(|ratio| **ratio < 0.95).count() as f64;
+    let part = 100.0 * below / ratios.len().max(1) as f64;
+    values.insert((variant, names[0]), (worst, target));
+    values.insert((variant, names[1]), (part, None));
+    values.insert((variant, names[2]), (ratios.len() as f64, None));
+}
+
 /// Part of the runners' slots in use after the start.
 fn used_percent(out: &Outcome) -> f64 {
     let done: f64 = out.done_per_sec.iter().skip(10).sum();
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -163,6 +163,16 @@
         });
     }
 
+    /// Counts an instance as full until its next report. A refusal as busy takes effect at once, so
+    /// that the same work is not placed there again and again.
+    pub fn mark_full(&mut self, now: Time, id: &InstanceId, rng: &mut ChaCha8Rng) {
+        let Some(index) = self.members.get_index_of(id) else { return };
+        self.change(index, rng, |member| {
+            member.foreign = member.total.slots.saturating_sub(member.own.slots);
+            member.reported = now;
+        });
+    }
+
     /// Finds an instance for work, without taking the resources.
     pub fn find(&mut self, now: Time, need: &Need, exclude: &[InstanceId]) -> Option<usize> {
         let racks: Vec<RackId> = exclude
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -106,7 +106,7 @@
 
 #[derive(Clone, Debug)]
 enum Stage {
-    Waiting { turn: Turn },
+    Waiting,
     Running { upstream: Option<InstanceId>, started: Time, charged: Duration },
 }
 
@@ -117,6 +117,9 @@
     team: u32,
     service: u32,
     class: usize,
+    turn: Turn,
+    /// Latest start; differs from that of its turn once it ran and was cut off.
+    latest: Time,
     /// Expected size; what is taken of an instance.
     need: Need,
     cost: f64,
@@ -314,8 +317,9 @@
         self.check_wait(now, pool, team, weight, class, turn)?;
         self.arrivals += 1;
         let typical = estimate.typical;
-        let stage = Stage::Waiting { turn };
-        let item = Item { work, pool, team, service, class, need, cost, typical, stage };
+        let stage = Stage::Waiting;
+        let item =
+            Item { work, pool, team, service, class, turn, latest, need, cost, typical, stage };
         self.add_waiting(item, turn, weight);
         Ok(())
     }
@@ -383,7 +387,8 @@
         self.learn.on_size((item.team, item.service), &item.work.need, used);
     }
 
-    /// Another instance for work that did not run where it was placed. `None` when none has room;
+    /// Another instance for work that did not run where it was placed; that instance counts as full
+    /// until its next report. `None` when none has room;
     /// the work then holds no instance until the next call or `finish`.
     pub fn place_again(&mut self, now: Time, id: WorkId, exclude: &[InstanceId]) -> Option<Placed> {
         let key = self.ids.get(&id).copied()?;
@@ -392,6 +397,7 @@
         let fleet = &mut self.pools[item.pool as usize].fleet;
         if let Some(upstream) = upstream.take() {
             fleet.give(&upstream, &item.need, &mut self.rng);
+            fleet.mark_full(now, &upstream, &mut self.rng);
         }
         let index = fleet.find(now, &item.need, exclude)?;
         let placed = fleet.take(index, &item.need, &mut self.rng);
@@ -399,6 +405,30 @@
         Some(Placed { id, upstream: placed })
     }
 
+    /// Puts work back in line at its old place, for example when every instance tried was busy.
+    /// With `ran`, it had started and was cut off: then only its deadline bounds the next start.
+    /// False when it cannot start in time any more; it is then forgotten here.
+    pub fn put_back(&mut self, now: Time, id: WorkId, ran: bool) -> bool {
+        let Some(item) = self.ids.get(&id).and_then(|key| self.items[*key as usize].clone()) else {
+            return false;
+        };
+        if is_waiting(&item) {
+            return true;
+        }
+        self.finish(now, id, Duration::ZERO, true);
+        if let (Stage::Running { upstream: Some(upstream), .. }, false) = (&item.stage, ran) {
+            self.pools[item.pool as usize].fleet.mark_full(now, upstream, &mut self.rng);
+        }
+        let latest = if ran { item.work.deadline } else { item.latest };
+        if latest < now {
+            return false;
+        }
+        let weight = self.weight(item.service, item.team);
+        let turn = item.turn;
+        self.add_waiting(Item { stage: Stage::Waiting, latest, ..item }, turn, weight);
+        true
+    }
+
     /// Work of a team that waits here.
     pub fn waiting(&self, team: &TeamId) -> u32 {
         self.teams.get_index_of(team).map_or(0, |team| self.waiting[team])
@@ -499,10 +529,10 @@
 
     fn add_waiting(&mut self, item: Item, turn: Turn, weight: u32) {
         let (pool, team, class, cost) = (item.pool, item.team, item.class, item.cost);
-        let id = item.work.id;
+        let (id, latest) = (item.work.id, item.latest);
         let key = self.store(item);
         self.ids.insert(id, key);
-        self.latest.insert((turn.0, key));
+        self.latest.insert((latest, key));
         self.waiting[team as usize] += 1;
         let pool = &mut self.pools[pool as usize];
         pool.waiting += 1;
@@ -532,8 +562,11 @@
 
     fn remove_waiting(&mut self, key: u32) {
         let Some(item) = &self.items[key as usize] else { return };
-        let Stage::Waiting { turn } = item.stage else { return };
-        self.latest.remove(&(turn.0, key));
+        if !is_waiting(item) {
+            return;
+        }
+        let turn = item.turn;
+        self.latest.remove(&(item.latest, key));
         self.waiting[item.team as usize] -= 1;
         let pool = &mut self.pools[item.pool as usize];
         pool.waiting -= 1;
@@ -658,7 +691,7 @@
 }
 
 fn is_waiting(item: &Item) -> bool {
-    matches!(item.stage, Stage::Waiting { .. })
+    matches!(item.stage, Stage::Waiting)
 }
 
 fn too_soon(retry: Duration) -> Refusal {
