Size moves by the offered load instead of the slots in use

Typical run times were 28% too high for exponential times, because the mean of a log-normal was assumed. Change: need from offered load (refused work included), averaged over 3 s, a jump counts at once; learned means are scaled by the observed ratio.

--- a/src/buffer.rs
+++ b/src/buffer.rs
@@ -15,11 +15,13 @@
 pub const SAMPLE: Duration = Duration::from_secs(1);
 /// Samples kept for a pool: 15 minutes.
 pub const MAX_SAMPLES: usize = 900;
-/// Samples over whose maximum the present need is taken; holds instances through a lull.
-const NEED_SAMPLES: usize = 10;
-/// Waiting work calls for moves as if it were worked off within this time, in seconds. Within 1 s
-/// it called for more instances than a burst needs: 1.7 times the least moves.
-const NEED_DRAIN_SECS: f64 = 4.0;
+/// Samples over which the present need is averaged; single seconds scatter.
+const NEED_SAMPLES: usize = 3;
+/// A load that is this many times the average is a burst, not scatter, and counts at once.
+const JUMP: f64 = 1.3;
+/// Waiting work calls for moves as if it were worked off within this time, in seconds. Most of it
+/// may wait; within 1 s it called for 1.7 times the least moves.
+const NEED_DRAIN_SECS: f64 = 20.0;
 /// Waiting work is to be worked off within this time, in seconds.
 const DRAIN_SECS: f64 = 1.0;
 /// Parts of a pool's peak, in percent, that its own slots may cover. Quantiles of the load left out
@@ -39,13 +41,6 @@
     pub waiting: f64,
 }
 
-impl Sample {
-    /// Slots that would serve the running work and drain the waiting work in time.
-    fn need(&self) -> f64 {
-        f64::from(self.used) + self.waiting / NEED_DRAIN_SECS
-    }
-}
-
 /// Recorded demand of all pools.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
@@ -67,11 +62,16 @@
         samples.push_back(sample);
     }
 
-    /// Slots that a pool needs now: the most of the last few samples.
+    /// Slots that a pool needs now: its offered load, refused work included, and a part of what
+    /// waits. The slots in use are no measure of it: they cannot exceed what the pool has.
     pub fn need(&self, pool: &PoolId) -> u32 {
         let Some(samples) = self.pools.get(pool) else { return 0 };
-        let recent = samples.iter().rev().take(NEED_SAMPLES).map(Sample::need);
-        recent.fold(0.0, f64::max).ceil() as u32
+        let recent = samples.iter().rev().take(NEED_SAMPLES);
+        let offered: f64 = recent.clone().map(|sample| sample.offered).sum();
+        let newest = samples.back().copied().unwrap_or_default();
+        let average = offered / recent.len().max(1) as f64;
+        let load = if newest.offered > JUMP * average { newest.offered } else { average };
+        (load + newest.waiting / NEED_DRAIN_SECS).ceil() as u32
     }
 
     /// Mean offered load of a pool in slots.
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -865,6 +865,9 @@
         self.tick += 1;
         self.push(self.now + TICK, Event::Tick);
         self.report_loads();
+        if self.advance_machines() {
+            self.list();
+        }
         for id in self.chooser.expired(self.now) {
             if let Some(task) = self.note_late(id) {
                 self.out.duplicated += u64::from(task.machine.is_some());
@@ -1006,7 +1009,6 @@
             self.zone_back = Some(self.now);
         }
         self.observe();
-        self.advance_machines();
         let view = self.view();
         self.count_budget();
         let mut plan = match self.scenario.drains {
@@ -1069,14 +1071,19 @@
         }
     }
 
-    fn advance_machines(&mut self) {
+    /// Ends restarts, outages and moves whose time has come. True when an instance serves again.
+    fn advance_machines(&mut self) -> bool {
+        let mut serving = false;
         for at in 0..self.machines.len() {
             let machine = &mut self.machines[at];
             match machine.state {
                 State::Rebooting { until, .. } if self.now >= until => {
                     machine.state = State::Rebooted;
                 }
-                State::Down { until, .. } if self.now >= until => machine.state = State::Serving,
+                State::Down { until, .. } if self.now >= until => {
+                    machine.state = State::Serving;
+                    serving = true;
+                }
                 State::Moving { since, to, until: None } if machine.running.is_empty() => {
                     let until = Some(self.now + MOVE_TIME);
                     machine.state = State::Moving { since, to, until };
@@ -1084,10 +1091,12 @@
                 State::Moving { to, until: Some(until), .. } if self.now >= until => {
                     machine.pool = to;
                     machine.state = State::Serving;
+                    serving = true;
                 }
                 _ => {}
             }
         }
+        serving
     }
 
     fn incoming(&self) -> IndexMap<InstanceId, PoolId> {
--- a/src/learn.rs
+++ b/src/learn.rs
@@ -52,6 +52,9 @@
     runs: u32,
     factor: Spread,
     plain: Spread,
+    /// Mean of run time over the predicted one. The mean of a logarithm and its variance give the
+    /// mean of a log-normal time only; for exponential times they were 28% too high.
+    scale: f64,
 }
 
 /// Used size of one kind of work, in one resource: relative to the declared size, and by itself.
@@ -124,7 +127,8 @@
         let (center, var) = predict(known, base);
         let trust = f64::from(known.runs) / (f64::from(known.runs) + DECLARED_WEIGHT);
         let blended = trust * center + (1.0 - trust) * base.ln();
-        let typical = bound((blended + var / 2.0).exp(), base);
+        let scale = 1.0 + trust * (known.scale - 1.0);
+        let typical = bound(blended.exp() * scale, base);
         let short = if known.runs < MIN_RUNS { 0.0 } else { (center - var.sqrt()).exp() };
         Estimate { typical: secs(typical), short: secs(short.min(typical)) }
     }
@@ -139,6 +143,12 @@
         let ran = bound(ran_for.as_secs_f64().max(MIN_SECS), base);
         let known = self.known.entry(key).or_default();
         let weight = (1.0 / (f64::from(known.runs) + 1.0)).max(NEWEST_WEIGHT);
+        if known.runs >= MIN_RUNS {
+            let (center, _) = predict(known, base);
+            known.scale += weight * (ran / center.exp() - known.scale);
+        } else {
+            known.scale = 1.0;
+        }
         known.factor.add((ran / base).ln(), weight);
         known.plain.add(ran.ln(), weight);
         known.runs = known.runs.saturating_add(1);
--- a/src/pools.rs
+++ b/src/pools.rs
@@ -14,7 +14,7 @@
 /// A pool has to be short for this long before an instance moves to it.
 pub const SHORT_FOR: Duration = Duration::from_secs(1);
 /// Time for which a pool that received an instance gives none away.
-pub const HOLD: Duration = Duration::from_secs(20);
+pub const HOLD: Duration = Duration::from_secs(5);
 /// Most moves under way to one pool at once, so that an overestimated need does not empty others.
 const MAX_INCOMING: u32 = 8;
 
@@ -83,11 +83,13 @@
         standings: &IndexMap<PoolId, Standing>,
     ) -> Vec<(PoolId, u32)> {
         let mut short = Vec::new();
+        // Less than three quarters of an instance is within the scatter of a load.
+        let scatter = instance_slots(view) * 3 / 4;
         for (pool, rules) in &view.pools {
             let memory = self.memory.entry(pool.clone()).or_default();
             let standing = &standings[pool];
             let missing = rules.need_slots.saturating_sub(standing.slots);
-            if missing == 0 || rules.spare {
+            if missing <= scatter || rules.spare {
                 memory.short_since = None;
                 continue;
             }
@@ -169,6 +171,12 @@
     }
 }
 
+/// Slots of the largest instance that may be lent.
+fn instance_slots(view: &FleetView) -> u32 {
+    let lendable = |i: &&InstanceView| view.pools.get(&i.home).is_some_and(|home| home.spare);
+    view.instances.iter().filter(lendable).map(|i| i.slots).max().unwrap_or(0)
+}
+
 fn standings(
     view: &FleetView,
     incoming: &IndexMap<InstanceId, PoolId>,
