--- a/src/learn.rs
+++ b/src/learn.rs
@@ -52,14 +52,48 @@
     runs: u32,
     factor: Spread,
     plain: Spread,
+    /// Mean of run time over the predicted one. The mean of a logarithm and its variance give the
+    /// mean of a log-normal time only; for exponential times they were 28% too high.
+    scale: f64,
 }
 
-/// Used part of the declared size of one kind of work, as logarithms.
+/// Used size of one kind of work, in one resource: relative to the declared size, and by itself.
+#[derive(Clone, Copy, Debug, Default)]
+struct KnownPart {
+    factor: Spread,
+    plain: Spread,
+}
+
+/// Used sizes of one kind of work.
 #[derive(Clone, Copy, Debug, Default)]
 struct KnownSize {
     reports: u32,
-    processors: Spread,
-    memory: Spread,
+    processors: KnownPart,
+    memory: KnownPart,
+}
+
+impl KnownPart {
+    fn add(&mut self, declared: u64, used: u64, weight: f64) {
+        if declared > 0 {
+            let used = bound_size(used as f64, declared);
+            self.factor.add((used / declared as f64).ln(), weight);
+            self.plain.add(used.ln(), weight);
+        }
+    }
+
+    fn predict(&self, declared: u64, trust: f64) -> u64 {
+        if declared == 0 {
+            return 0;
+        }
+        let base = (declared as f64).ln();
+        let (center, var) = if self.factor.var <= self.plain.var {
+            (base + self.factor.mean, self.factor.var)
+        } else {
+            (self.plain.mean, self.plain.var)
+        };
+        let learned = center + SIZE_MARGIN * var.sqrt();
+        bound_size((trust * learned + (1.0 - trust) * base).exp(), declared).round() as u64
+    }
 }
 
 /// Expected run time of one piece of work.
@@ -93,7 +127,8 @@
         let (center, var) = predict(known, base);
         let trust = f64::from(known.runs) / (f64::from(known.runs) + DECLARED_WEIGHT);
         let blended = trust * center + (1.0 - trust) * base.ln();
-        let typical = bound((blended + var / 2.0).exp(), base);
+        let scale = 1.0 + trust * (known.scale - 1.0);
+        let typical = bound(blended.exp() * scale, base);
         let short = if known.runs < MIN_RUNS { 0.0 } else { (center - var.sqrt()).exp() };
         Estimate { typical: secs(typical), short: secs(short.min(typical)) }
     }
@@ -108,6 +143,12 @@
         let ran = bound(ran_for.as_secs_f64().max(MIN_SECS), base);
         let known = self.known.entry(key).or_default();
         let weight = (1.0 / (f64::from(known.runs) + 1.0)).max(NEWEST_WEIGHT);
+        if known.runs >= MIN_RUNS {
+            let (center, _) = predict(known, base);
+            known.scale += weight * (ran / center.exp() - known.scale);
+        } else {
+            known.scale = 1.0;
+        }
         known.factor.add((ran / base).ln(), weight);
         known.plain.add(ran.ln(), weight);
         known.runs = known.runs.saturating_add(1);
@@ -118,13 +159,9 @@
     pub fn size(&self, key: LearnKey, declared: &Need) -> Need {
         let Some(known) = self.sizes.get(&key) else { return *declared };
         let trust = f64::from(known.reports) / (f64::from(known.reports) + DECLARED_WEIGHT);
-        let scaled = |value: u64, spread: &Spread| {
-            let center = spread.mean + SIZE_MARGIN * spread.var.sqrt();
-            (value as f64 * (trust * center).exp()) as u64
-        };
         Need {
-            processors: scaled(declared.processors, &known.processors),
-            memory: scaled(declared.memory, &known.memory),
+            processors: known.processors.predict(declared.processors, trust),
+            memory: known.memory.predict(declared.memory, trust),
             ..*declared
         }
     }
@@ -136,8 +173,8 @@
         }
         let known = self.sizes.entry(key).or_default();
         let weight = (1.0 / (f64::from(known.reports) + 1.0)).max(NEWEST_WEIGHT);
-        known.processors.add(size_factor(declared.processors, used.processors), weight);
-        known.memory.add(size_factor(declared.memory, used.memory), weight);
+        known.processors.add(declared.processors, used.processors, weight);
+        known.memory.add(declared.memory, used.memory, weight);
         known.reports = known.reports.saturating_add(1);
     }
 
@@ -161,13 +198,9 @@
     }
 }
 
-/// Logarithm of used over declared, bounded; zero when nothing was declared.
-fn size_factor(declared: u64, used: u64) -> f64 {
-    if declared == 0 {
-        return 0.0;
-    }
-    let factor = used as f64 / declared as f64;
-    factor.clamp(1.0 / MAX_SIZE_FACTOR, MAX_SIZE_FACTOR).ln()
+fn bound_size(used: f64, declared: u64) -> f64 {
+    let declared = declared as f64;
+    used.clamp(declared / MAX_SIZE_FACTOR, declared * MAX_SIZE_FACTOR)
 }
 
 fn base_secs(declared: Duration) -> f64 {
