Test malformed and hostile input on raw sockets

Cause: nothing showed what bad input costs and where it ends. Ruled out: nothing yet. Change: tests/bad_input.rs.

--- /dev/null
+++ b/tests/bad_input.rs
@@ -0,0 +1,144 @@
+//! Malformed and hostile input on raw sockets. Guards against input that reaches an upstream, costs
+//! unbounded memory, or gets no clear answer.
+
+mod env;
+
+use env::{DECLARATIONS, Env, raw, split_answer};
+use std::time::{Duration, Instant};
+
+/// An entry instance that takes bodies of at most 100,000 bytes.
+async fn small_limits() -> Env {
+    let mut env = Env::platform_only();
+    env.add_upstream("u-a", "a");
+    env.add_entry("entry-a", "a", "[limits]\nbody_bytes = 100000\n").await;
+    env.publish(DECLARATIONS).await;
+    env.wait_for_upstreams(1).await;
+    env
+}
+
+/// Status and body of the first answer to raw bytes; the connection must end.
+async fn send(env: &Env, bytes: &[u8]) -> (String, String) {
+    let answer = raw(env.entries[0].addr, bytes).await;
+    let (head, body) = split_answer(&answer);
+    let status = head.split(' ').nth(1).expect("a status").to_string();
+    (status, String::from_utf8_lossy(&body).into_owned())
+}
+
+fn request(line: &str, headers: &str, body: &str) -> Vec<u8> {
+    let head = format!("{line} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{headers}\r\n");
+    [head.as_bytes(), body.as_bytes()].concat()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_malformed_reaches_no_upstream() {
+    let env = small_limits().await;
+    let target = "POST /s/open/x?tag=bad";
+    let header = |len: usize| format!("x-filler: {}\r\n", "a".repeat(len));
+    let many: String = (0..200).map(|i| format!("x-{i}: 1\r\n")).collect();
+    let cases: Vec<(&str, Vec<u8>, &[&str])> = vec![
+        ("no HTTP", b"\x16\x03\x01\x02\x00\x01\r\n\r\n".to_vec(), &["400"]),
+        ("unknown method", request("BREW /s/open/x?tag=bad", "", ""), &["400", "404"]),
+        (
+            "dot segments",
+            request("POST /s/open/a/%2e%2E/b?tag=bad", "content-length: 0\r\n", ""),
+            &["400"],
+        ),
+        ("length is no number", request(target, "content-length: abc\r\n", "x"), &["400"]),
+        ("negative length", request(target, "content-length: -1\r\n", "x"), &["400"]),
+        ("length with a sign", request(target, "content-length: +1\r\n", "x"), &["400"]),
+        (
+            "two lengths",
+            request(target, "content-length: 1\r\ncontent-length: 2\r\n", "xx"),
+            &["400"],
+        ),
+        ("unknown coding", request(target, "transfer-encoding: gzip\r\n", "x"), &["400", "501"]),
+        (
+            "broken chunk",
+            request(target, "transfer-encoding: chunked\r\n", "zz\r\nxx\r\n0\r\n\r\n"),
+            &["400"],
+        ),
+        ("head over the limit", request(target, &header(20_000), ""), &["413", "431"]),
+        ("huge head", request(target, &header(900_000), ""), &["413", "431"]),
+        ("many headers", request(target, &many, ""), &["400", "413", "431"]),
+        ("long body", request(target, "content-length: 100001\r\n", ""), &["413"]),
+        (
+            "two keys",
+            request(target, "jacinthhook-key: a.b\r\njacinthhook-key: a.c\r\n", ""),
+            &["400"],
+        ),
+    ];
+    for (what, bytes, allowed) in cases {
+        let (status, body) = send(&env, &bytes).await;
+        assert!(allowed.contains(&status.as_str()), "{what}: {status} {body}");
+    }
+    assert_eq!(env.runs("bad").await, 0);
+    // It serves on.
+    assert_eq!(env.get(0, "/s/open/x").send().await.expect("an answer").status(), 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn body_broken_off_reaches_no_upstream() {
+    use tokio::io::AsyncWriteExt;
+    let env = small_limits().await;
+    for headers in ["content-length: 1000\r\n", "transfer-encoding: chunked\r\n"] {
+        let bytes = request("POST /s/open/x?tag=cut", headers, "5\r\nhello\r\n");
+        let mut stream =
+            tokio::net::TcpStream::connect(env.entries[0].addr).await.expect("connects");
+        stream.write_all(&bytes).await.expect("sent");
+        drop(stream);
+    }
+    // A body that does not arrive by the deadline.
+    let headers = "content-length: 1000\r\njacinthhook-deadline-ms: 500\r\n";
+    let started = Instant::now();
+    let (status, body) = send(&env, &request("POST /s/open/x?tag=cut", headers, "slow")).await;
+    assert_eq!(status, "400", "{body}");
+    assert!(started.elapsed() < Duration::from_secs(10));
+    assert_eq!(env.runs("cut").await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn body_over_the_limit_in_chunks() {
+    let env = small_limits().await;
+    let mut body = String::new();
+    for _ in 0..20 {
+        body.push_str(&format!("{:x}\r\n{}\r\n", 10_000, "a".repeat(10_000)));
+    }
+    body.push_str("0\r\n\r\n");
+    let bytes = request("PUT /s/open/x", "transfer-encoding: chunked\r\n", &body);
+    let (status, body) = send(&env, &bytes).await;
+    // Its start was streamed, so the refusal does not claim that nothing ran.
+    assert_eq!(status, "413", "{body}");
+    assert!(body.contains(r#""ran":"unknown""#), "{body}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn admin_body_over_the_limit() {
+    let env = small_limits().await;
+    let body = "a".repeat(1_100_000);
+    for path in ["/v1/admin/publish", "/v1/admin/zones/out"] {
+        let answer = env.post(0, path).body(body.clone()).send().await.expect("an answer");
+        assert_eq!(env::verdict(&answer), (413, "too_large".into(), "not_run".into()));
+        let answer = env.post(0, path).body("{").send().await.expect("an answer");
+        assert_eq!(env::verdict(&answer), (400, "bad_request".into(), "not_run".into()));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_without_end_cost_bounded_memory() {
+    use tokio::io::AsyncWriteExt;
+    let env = small_limits().await;
+    let before = env.entries[0].resident_kib();
+    let piece = format!("GET /s/open/x HTTP/1.1\r\nx-filler: {}", "a".repeat(300_000));
+    let mut open = Vec::new();
+    for _ in 0..100 {
+        let stream = tokio::net::TcpStream::connect(env.entries[0].addr).await;
+        let mut stream = stream.expect("connects");
+        // The other end may refuse the head before all of it is written.
+        let _ = stream.write_all(piece.as_bytes()).await;
+        open.push(stream);
+    }
+    assert_eq!(env.get(0, "/s/open/x").send().await.expect("an answer").status(), 200);
+    let grown = env.entries[0].resident_kib().saturating_sub(before);
+    println!("100 open heads of 300 KB: {grown} KiB");
+    assert!(grown < 100 * 500, "{grown} KiB");
+}
