--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admin;
 pub mod answer;
 pub mod api;
+pub mod attempt;
 pub mod baseline;
 pub mod body;
 pub mod buffer;
@@ -73,6 +74,7 @@
 pub mod state;
 pub mod stop_signal;
 pub mod sync;
+pub mod tally;
 pub mod tend;
 pub mod transport;
 pub mod upstream;
