--- /dev/null
+++ b/src/baseline.rs
@@ -0,0 +1,291 @@
+//! Plain schedulers to compare with: first come first served, and a fixed split by share.
+//!
+//! They know exactly what every instance runs, which favours them over the real scheduler.
+
+use crate::config::Config;
+use crate::ids::*;
+use crate::protocol::Listed;
+use crate::sched::{Need, Placed, Sched, Work, WorkId};
+use indexmap::IndexMap;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{HashMap, VecDeque};
+
+/// Which plain rule decides.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Rule {
+    /// Work starts in order of arrival.
+    FirstCome,
+    /// Each team has a fixed part of the slots; idle parts are lent to nobody.
+    FixedSplit,
+}
+
+#[derive(Clone, Debug, Default)]
+struct PlainPool {
+    /// Waiting work by team, with its order of arrival and its latest start.
+    queues: IndexMap<TeamId, VecDeque<(u64, Time, Work)>>,
+    /// Free resources of each instance that may get new work.
+    room: IndexMap<InstanceId, Need>,
+    slots: u32,
+    /// Slots in use by team.
+    used: HashMap<TeamId, f64>,
+}
+
+/// A plain scheduler over all pools.
+#[derive(Clone, Debug)]
+pub struct Plain {
+    rule: Rule,
+    rng: ChaCha8Rng,
+    pools: IndexMap<PoolId, PlainPool>,
+    services: HashMap<ServiceId, PoolId>,
+    shares: HashMap<TeamId, u32>,
+    running: HashMap<WorkId, (Work, InstanceId)>,
+    total: HashMap<PoolId, Need>,
+    arrivals: u64,
+    late: Vec<WorkId>,
+    swept: Time,
+}
+
+impl Plain {
+    /// An empty scheduler.
+    pub fn new(rule: Rule, seed: u64, cfg: &Config) -> Plain {
+        Plain {
+            rule,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            pools: cfg.pools.keys().map(|pool| (pool.clone(), PlainPool::default())).collect(),
+            services: cfg.services.iter().map(|(id, s)| (id.clone(), s.pool.clone())).collect(),
+            shares: cfg.teams.iter().map(|(id, team)| (id.clone(), team.share)).collect(),
+            running: HashMap::new(),
+            total: HashMap::new(),
+            arrivals: 0,
+            late: Vec::new(),
+            swept: Time::ZERO,
+        }
+    }
+
+    fn set_upstreams(&mut self, pool: &PoolId, upstreams: &[Listed], size: &Need) {
+        let state = self.pools.entry(pool.clone()).or_default();
+        state.slots = upstreams.iter().map(|listed| listed.slots).sum();
+        state.room = upstreams
+            .iter()
+            .map(|listed| (listed.id.clone(), Need { slots: listed.slots, ..*size }))
+            .collect();
+        for (work, upstream) in self.running.values() {
+            if let Some(room) = state.room.get_mut(upstream) {
+                *room = room.minus(&work.need);
+            }
+        }
+        let total = upstreams
+            .iter()
+            .fold(Need::default(), |sum, listed| sum.plus(&Need { slots: listed.slots, ..*size }));
+        self.total.insert(pool.clone(), total);
+    }
+
+    fn enqueue(&mut self, work: Work, latest: Time) {
+        self.arrivals += 1;
+        if let Some(pool) = self.services.get(&work.service).and_then(|id| self.pools.get_mut(id)) {
+            let queue = pool.queues.entry(work.team.clone()).or_default();
+            queue.push_back((self.arrivals, latest, work));
+        }
+    }
+
+    fn next(&mut self, now: Time) -> Option<Placed> {
+        for at in 0..self.pools.len() {
+            if let Some(placed) = self.next_in(now, at) {
+                return Some(placed);
+            }
+        }
+        None
+    }
+
+    fn next_in(&mut self, now: Time, at: usize) -> Option<Placed> {
+        let shares: u32 = self.shares.values().sum();
+        let total = self.total.get(self.pools.get_index(at)?.0).copied().unwrap_or_default();
+        let pool = &mut self.pools[at];
+        for queue in pool.queues.values_mut() {
+            while let Some((_, _, work)) = queue.pop_front_if(|(_, latest, _)| *latest < now) {
+                self.late.push(work.id);
+            }
+        }
+        let may_start = |work: &Work| {
+            let part = f64::from(self.shares.get(&work.team).copied().unwrap_or(1));
+            let limit = (f64::from(pool.slots) * part / f64::from(shares)).max(1.0);
+            let used = pool.used.get(&work.team).copied().unwrap_or(0.0);
+            self.rule == Rule::FirstCome || used + work.need.dominant_slots(&total) <= limit + 1e-9
+        };
+        let heads = pool.queues.iter().filter_map(|(team, queue)| Some((queue.front()?, team)));
+        let first =
+            heads.filter(|((_, _, work), _)| may_start(work)).min_by_key(|(head, _)| head.0);
+        let team = first?.1.clone();
+        let need = pool.queues.get(&team)?.front()?.2.need;
+        let free: Vec<usize> = (0..pool.room.len()).filter(|i| need.fits(&pool.room[*i])).collect();
+        if free.is_empty() {
+            return None;
+        }
+        let index = free[self.rng.random_range(0..free.len())];
+        let (_, _, work) = pool.queues.get_mut(&team)?.pop_front()?;
+        pool.room[index] = pool.room[index].minus(&need);
+        *pool.used.entry(team).or_default() += need.dominant_slots(&total);
+        let upstream = pool.room.get_index(index).map(|(id, _)| id.clone())?;
+        let placed = Placed { id: work.id, upstream: upstream.clone() };
+        self.running.insert(work.id, (work, upstream));
+        Some(placed)
+    }
+
+    /// Work found to be late; behind the heads of the queues it is looked for once a second.
+    fn expired(&mut self, now: Time) -> Vec<WorkId> {
+        if now >= self.swept + Time::from_secs(1) {
+            self.swept = now;
+            for queue in self.pools.values_mut().flat_map(|pool| pool.queues.values_mut()) {
+                let late = queue.iter().filter(|(_, latest, _)| *latest < now);
+                self.late.extend(late.map(|(_, _, work)| work.id));
+                queue.retain(|(_, latest, _)| *latest >= now);
+            }
+        }
+        std::mem::take(&mut self.late)
+    }
+
+    fn put_back(&mut self, id: WorkId) -> bool {
+        let Some((work, upstream)) = self.running.get(&id).cloned() else { return false };
+        self.finish(id);
+        let Some(pool) = self.services.get(&work.service).and_then(|id| self.pools.get_mut(id))
+        else {
+            return false;
+        };
+        if let Some(room) = pool.room.get_mut(&upstream) {
+            *room = Need::default();
+        }
+        let queue = pool.queues.entry(work.team.clone()).or_default();
+        queue.push_front((0, work.deadline, work));
+        true
+    }
+
+    fn finish(&mut self, id: WorkId) {
+        let Some((work, upstream)) = self.running.remove(&id) else { return };
+        let Some(pool_id) = self.services.get(&work.service) else { return };
+        let total = self.total.get(pool_id).copied().unwrap_or_default();
+        let Some(pool) = self.pools.get_mut(pool_id) else { return };
+        if let Some(room) = pool.room.get_mut(&upstream) {
+            *room = room.plus(&work.need);
+        }
+        if let Some(used) = pool.used.get_mut(&work.team) {
+            *used = (*used - work.need.dominant_slots(&total)).max(0.0);
+        }
+    }
+
+    fn place_again(&mut self, id: WorkId, exclude: &[InstanceId]) -> Option<Placed> {
+        let (work, old) = self.running.get_mut(&id)?;
+        let pool = self.pools.get_mut(self.services.get(&work.service)?)?;
+        // It gets no new work until the next list, or a failed instance would draw all of it.
+        if let Some(room) = pool.room.get_mut(old) {
+            *room = Need::default();
+        }
+        let fits =
+            |(id, room): &(&InstanceId, &Need)| !exclude.contains(id) && work.need.fits(room);
+        let found = pool.room.iter().find(fits).map(|(id, _)| id.clone());
+        let upstream = found.unwrap_or_else(|| "".into());
+        *old = upstream.clone();
+        let room = pool.room.get_mut(&upstream)?;
+        *room = room.minus(&work.need);
+        Some(Placed { id, upstream })
+    }
+}
+
+/// The scheduler of a run: one real one for each entry instance, or one plain one for all.
+#[derive(Clone, Debug)]
+pub enum Chooser {
+    Real(Vec<Sched>),
+    Plain(Box<Plain>),
+}
+
+impl Chooser {
+    /// Real schedulers, one for each given zone.
+    pub fn real(seed: u64, zones: &[ZoneId], cfg: &Config) -> Chooser {
+        let one = |(at, zone): (usize, &ZoneId)| {
+            let mut sched = Sched::new(seed + at as u64, zone.clone());
+            sched.set_config(cfg);
+            sched
+        };
+        Chooser::Real(zones.iter().enumerate().map(one).collect())
+    }
+
+    /// A plain scheduler.
+    pub fn plain(rule: Rule, seed: u64, cfg: &Config) -> Chooser {
+        Chooser::Plain(Box::new(Plain::new(rule, seed, cfg)))
+    }
+
+    /// Sets the instances of a pool at every entry instance.
+    pub fn set_upstreams(&mut self, now: Time, pool: &PoolId, list: &[Listed], size: &Need) {
+        match self {
+            Chooser::Real(scheds) => {
+                for sched in scheds {
+                    sched.set_upstreams(now, pool, list);
+                    for listed in list {
+                        sched.set_sizes(pool, &listed.id, *size);
+                    }
+                }
+            }
+            Chooser::Plain(plain) => plain.set_upstreams(pool, list, size),
+        }
+    }
+
+    /// Puts work in line at an entry instance. False when it is refused.
+    ///
+    /// `latest` is the latest start by the plain rules; the real scheduler works it out itself.
+    pub fn enqueue(&mut self, now: Time, entry: usize, work: Work, latest: Time) -> bool {
+        match self {
+            Chooser::Real(scheds) => scheds[entry].enqueue(now, work).is_ok(),
+            Chooser::Plain(plain) => {
+                plain.enqueue(work, latest);
+                true
+            }
+        }
+    }
+
+    /// Next work of an entry instance.
+    pub fn next(&mut self, now: Time, entry: usize) -> Option<Placed> {
+        match self {
+            Chooser::Real(scheds) => scheds[entry].next(now, &mut |_| true),
+            Chooser::Plain(plain) => plain.next(now),
+        }
+    }
+
+    /// Work that cannot start in time any more.
+    pub fn expired(&mut self, now: Time) -> Vec<WorkId> {
+        match self {
+            Chooser::Real(scheds) => scheds.iter_mut().flat_map(|s| s.expired(now)).collect(),
+            Chooser::Plain(plain) => plain.expired(now),
+        }
+    }
+
+    /// Ends work.
+    pub fn finish(&mut self, now: Time, entry: usize, id: WorkId, ran: Time, failed: bool) {
+        match self {
+            Chooser::Real(scheds) => scheds[entry].finish(now, id, ran, failed),
+            Chooser::Plain(plain) => plain.finish(id),
+        }
+    }
+
+    /// Puts work back in line that did not run. False when it is given up.
+    pub fn put_back(&mut self, now: Time, entry: usize, id: WorkId, ran: bool) -> bool {
+        match self {
+            Chooser::Real(scheds) => scheds[entry].put_back(now, id, ran),
+            // A plain rule knows every instance's load, so its work is refused only by failed ones.
+            Chooser::Plain(plain) => plain.put_back(id),
+        }
+    }
+
+    /// Another instance for work.
+    pub fn place_again(
+        &mut self,
+        now: Time,
+        entry: usize,
+        id: WorkId,
+        exclude: &[InstanceId],
+    ) -> Option<Placed> {
+        match self {
+            Chooser::Real(scheds) => scheds[entry].place_again(now, id, exclude),
+            Chooser::Plain(plain) => plain.place_again(id, exclude),
+        }
+    }
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,10 +3,12 @@
 //! Lock order: `node`, `desk`, `health`, `retry`. No lock is held across an await.
 
 use crate::dispatch::Desk;
+use crate::event::Log;
 use crate::health::Health;
 use crate::hold::Holds;
 use crate::ids::*;
 use crate::kind::{Kind, Refusal};
+use crate::metrics::Metrics;
 use crate::node::{Fate, Node, NodeConfig};
 use crate::operators::Commands;
 use crate::peer::{Peers, Seen};
@@ -52,6 +54,9 @@
     /// No client for upstreams.
     #[snafu(display("client of upstreams: {source}"))]
     UpstreamClient { source: CallError },
+    /// Two metrics have one name.
+    #[snafu(display("metrics: {source}"))]
+    Metrics { source: prometheus::Error },
 }
 
 fn platform_options(settings: &Settings) -> TransportOptions {
@@ -73,6 +78,8 @@
 /// One running entry instance.
 pub struct Entry {
     pub settings: Settings,
+    pub log: Log,
+    pub metrics: Arc<Metrics>,
     /// Port that callers connect to; needed to close a caller's connection.
     pub http_port: u16,
     pub node: Mutex<Node>,
@@ -90,6 +97,8 @@
     /// Last word of each peer about itself.
     heard: Mutex<HashMap<Incarnation, (Instant, Seen)>>,
     platform_heard: Mutex<Instant>,
+    /// When a request was last refused because of the stop.
+    refused: Mutex<Instant>,
     /// Wakes the task that appends to the log.
     pub append: Notify,
     id: EntryId,
@@ -122,7 +131,10 @@
         let (seed, zone) = (cfg.seed, cfg.zone.clone());
         let platform = platform_options(&settings);
         let upstream = upstream_options(&settings);
+        let metrics = Arc::new(Metrics::new().context(MetricsSnafu)?);
         Ok(Entry {
+            log: Log::stderr(&settings).with_metrics(metrics.clone()),
+            metrics,
             http_port,
             desk: Mutex::new(Desk::new(seed, zone.clone())),
             health: Mutex::new(Health::new(seed)),
@@ -137,6 +149,7 @@
             commands: Commands::new(),
             heard: Mutex::default(),
             platform_heard: Mutex::new(Instant::now()),
+            refused: Mutex::new(Instant::now()),
             append: Notify::new(),
             id: cfg.id.clone(),
             incarnation: cfg.incarnation,
@@ -285,6 +298,11 @@
         self.stage() == Stage::Serving && node.has_view()
     }
 
+    /// Time since a request was refused because of the stop.
+    pub fn quiet_for(&self) -> Duration {
+        self.refused.lock().elapsed()
+    }
+
     /// Changes with the stage.
     pub fn stages(&self) -> watch::Receiver<Stage> {
         self.stage.subscribe()
@@ -304,6 +322,7 @@
         // Counted before the check: whoever sees the stage and then no work in flight misses none.
         let counted = self.count();
         if self.stage() >= Stage::Refusing {
+            *self.refused.lock() = Instant::now();
             return Err(Refusal::new(Kind::Stopping));
         }
         if *self.in_flight.borrow() > self.settings.requests as usize {
--- a/src/learn.rs
+++ b/src/learn.rs
@@ -4,6 +4,7 @@
 //! work, the declared value times a learned factor and the typical value itself; the one with the
 //! smaller spread is used.
 
+use crate::fair::Need;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -12,6 +13,11 @@
 
 /// A learned value is at most this many times the declared one, or this part of it.
 const MAX_FACTOR: f64 = 64.0;
+/// A learned size is at most this many times the declared one, or this part of it. Sizes are bounded
+/// more tightly than run times: memory that is lent out twice stops the jobs on the instance.
+const MAX_SIZE_FACTOR: f64 = 4.0;
+/// Margin over the mean size, in standard deviations.
+const SIZE_MARGIN: f64 = 1.0;
 /// Finished runs that count as much as the declaration.
 const DECLARED_WEIGHT: f64 = 4.0;
 /// Finished runs before a learned run time may refuse work; a declaration alone never does.
@@ -46,6 +52,48 @@
     runs: u32,
     factor: Spread,
     plain: Spread,
+    /// Mean of run time over the predicted one. The mean of a logarithm and its variance give the
+    /// mean of a log-normal time only; for exponential times they were 28% too high.
+    scale: f64,
+}
+
+/// Used size of one kind of work, in one resource: relative to the declared size, and by itself.
+#[derive(Clone, Copy, Debug, Default)]
+struct KnownPart {
+    factor: Spread,
+    plain: Spread,
+}
+
+/// Used sizes of one kind of work.
+#[derive(Clone, Copy, Debug, Default)]
+struct KnownSize {
+    reports: u32,
+    processors: KnownPart,
+    memory: KnownPart,
+}
+
+impl KnownPart {
+    fn add(&mut self, declared: u64, used: u64, weight: f64) {
+        if declared > 0 {
+            let used = bound_size(used as f64, declared);
+            self.factor.add((used / declared as f64).ln(), weight);
+            self.plain.add(used.ln(), weight);
+        }
+    }
+
+    fn predict(&self, declared: u64, trust: f64) -> u64 {
+        if declared == 0 {
+            return 0;
+        }
+        let base = (declared as f64).ln();
+        let (center, var) = if self.factor.var <= self.plain.var {
+            (base + self.factor.mean, self.factor.var)
+        } else {
+            (self.plain.mean, self.plain.var)
+        };
+        let learned = center + SIZE_MARGIN * var.sqrt();
+        bound_size((trust * learned + (1.0 - trust) * base).exp(), declared).round() as u64
+    }
 }
 
 /// Expected run time of one piece of work.
@@ -61,6 +109,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Learn {
     known: HashMap<LearnKey, Known>,
+    sizes: HashMap<LearnKey, KnownSize>,
 }
 
 impl Learn {
@@ -78,7 +127,8 @@
         let (center, var) = predict(known, base);
         let trust = f64::from(known.runs) / (f64::from(known.runs) + DECLARED_WEIGHT);
         let blended = trust * center + (1.0 - trust) * base.ln();
-        let typical = bound((blended + var / 2.0).exp(), base);
+        let scale = 1.0 + trust * (known.scale - 1.0);
+        let typical = bound(blended.exp() * scale, base);
         let short = if known.runs < MIN_RUNS { 0.0 } else { (center - var.sqrt()).exp() };
         Estimate { typical: secs(typical), short: secs(short.min(typical)) }
     }
@@ -93,11 +143,41 @@
         let ran = bound(ran_for.as_secs_f64().max(MIN_SECS), base);
         let known = self.known.entry(key).or_default();
         let weight = (1.0 / (f64::from(known.runs) + 1.0)).max(NEWEST_WEIGHT);
+        if known.runs >= MIN_RUNS {
+            let (center, _) = predict(known, base);
+            known.scale += weight * (ran / center.exp() - known.scale);
+        } else {
+            known.scale = 1.0;
+        }
         known.factor.add((ran / base).ln(), weight);
         known.plain.add(ran.ln(), weight);
         known.runs = known.runs.saturating_add(1);
     }
 
+    /// Expected size of work that declares `declared`. Slots and accelerators are taken as declared:
+    /// they are handed out whole.
+    pub fn size(&self, key: LearnKey, declared: &Need) -> Need {
+        let Some(known) = self.sizes.get(&key) else { return *declared };
+        let trust = f64::from(known.reports) / (f64::from(known.reports) + DECLARED_WEIGHT);
+        Need {
+            processors: known.processors.predict(declared.processors, trust),
+            memory: known.memory.predict(declared.memory, trust),
+            ..*declared
+        }
+    }
+
+    /// Takes in the size that work was reported to use at its most.
+    pub fn on_size(&mut self, key: LearnKey, declared: &Need, used: &Need) {
+        if self.sizes.len() >= MAX_KINDS && !self.sizes.contains_key(&key) {
+            return;
+        }
+        let known = self.sizes.entry(key).or_default();
+        let weight = (1.0 / (f64::from(known.reports) + 1.0)).max(NEWEST_WEIGHT);
+        known.processors.add(declared.processors, used.processors, weight);
+        known.memory.add(declared.memory, used.memory, weight);
+        known.reports = known.reports.saturating_add(1);
+    }
+
     /// Kinds of work known.
     pub fn len(&self) -> usize {
         self.known.len()
@@ -118,6 +198,11 @@
     }
 }
 
+fn bound_size(used: f64, declared: u64) -> f64 {
+    let declared = declared as f64;
+    used.clamp(declared / MAX_SIZE_FACTOR, declared * MAX_SIZE_FACTOR)
+}
+
 fn base_secs(declared: Duration) -> f64 {
     let declared = if declared.is_zero() { DEFAULT_RUN } else { declared };
     declared.as_secs_f64().max(MIN_SECS)
--- a/src/pools.rs
+++ b/src/pools.rs
@@ -2,7 +2,8 @@
 //! or its own minimum needs.
 //!
 //! A lent instance stays where it is until it is needed elsewhere. Returning it at once would move
-//! it twice for each burst. A pool that gave an instance away, or got one, keeps the rest for
+//! it twice for each burst. Only instances whose home is a spare pool move: others may be of another
+//! kind. A pool that gave an instance away, or got one, keeps the rest for
 //! `HOLD`, which rules out moves to and fro.
 
 use crate::fleet::*;
@@ -13,7 +14,7 @@
 /// A pool has to be short for this long before an instance moves to it.
 pub const SHORT_FOR: Duration = Duration::from_secs(1);
 /// Time for which a pool that received an instance gives none away.
-pub const HOLD: Duration = Duration::from_secs(20);
+pub const HOLD: Duration = Duration::from_secs(5);
 /// Most moves under way to one pool at once, so that an overestimated need does not empty others.
 const MAX_INCOMING: u32 = 8;
 
@@ -82,11 +83,13 @@
         standings: &IndexMap<PoolId, Standing>,
     ) -> Vec<(PoolId, u32)> {
         let mut short = Vec::new();
+        // Less than three quarters of an instance is within the scatter of a load.
+        let scatter = instance_slots(view) * 3 / 4;
         for (pool, rules) in &view.pools {
             let memory = self.memory.entry(pool.clone()).or_default();
             let standing = &standings[pool];
             let missing = rules.need_slots.saturating_sub(standing.slots);
-            if missing == 0 || rules.spare {
+            if missing <= scatter || rules.spare {
                 memory.short_since = None;
                 continue;
             }
@@ -132,9 +135,13 @@
         let Some(rules) = view.pools.get(&instance.pool) else { return false };
         let standing = &standings[&instance.pool];
         let received = self.memory.get(&instance.pool).and_then(|memory| memory.received);
+        let lendable = view.pools.get(&instance.home).is_some_and(|home| home.spare);
         let held = !rules.spare && received.is_some_and(|received| now < received + HOLD);
         let need = if rules.spare { 0 } else { rules.need_slots };
-        !held && standing.serving > rules.min_instances && standing.slots >= need + instance.slots
+        lendable
+            && !held
+            && standing.serving > rules.min_instances
+            && standing.slots >= need + instance.slots
     }
 
     fn note(
@@ -164,6 +171,12 @@
     }
 }
 
+/// Slots of the largest instance that may be lent.
+fn instance_slots(view: &FleetView) -> u32 {
+    let lendable = |i: &&InstanceView| view.pools.get(&i.home).is_some_and(|home| home.spare);
+    view.instances.iter().filter(lendable).map(|i| i.slots).max().unwrap_or(0)
+}
+
 fn standings(
     view: &FleetView,
     incoming: &IndexMap<InstanceId, PoolId>,
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -72,6 +72,8 @@
     pub waiting: u32,
     /// Expected slot-seconds of the work waiting here.
     pub waiting_cost: f64,
+    /// Expected slot-seconds of all work that was ever offered here, refused work included.
+    pub offered_cost: f64,
     /// Typical run time in seconds.
     pub run_secs: f64,
 }
@@ -98,12 +100,13 @@
     own_slots: u32,
     waiting: u32,
     waiting_cost: f64,
+    offered_cost: f64,
     run_secs: f64,
 }
 
 #[derive(Clone, Debug)]
 enum Stage {
-    Waiting { turn: Turn },
+    Waiting,
     Running { upstream: Option<InstanceId>, started: Time, charged: Duration },
 }
 
@@ -114,6 +117,11 @@
     team: u32,
     service: u32,
     class: usize,
+    turn: Turn,
+    /// Latest start; differs from that of its turn once it ran and was cut off.
+    latest: Time,
+    /// Expected size; what is taken of an instance.
+    need: Need,
     cost: f64,
     typical: Duration,
     stage: Stage,
@@ -130,6 +138,8 @@
     team_shares: HashMap<TeamId, u32>,
     waiting: Vec<u32>,
     pools: IndexMap<PoolId, Pool>,
+    /// Pool that each instance was last listed in.
+    homes: HashMap<InstanceId, usize>,
     cursor: usize,
     items: Vec<Option<Item>>,
     vacant: Vec<u32>,
@@ -155,6 +165,7 @@
             own_slots: 0,
             waiting: 0,
             waiting_cost: 0.0,
+            offered_cost: 0.0,
             run_secs: FIRST_RUN_SECS,
         }
     }
@@ -217,6 +228,7 @@
             team_shares: HashMap::new(),
             waiting: Vec::new(),
             pools: IndexMap::new(),
+            homes: HashMap::new(),
             cursor: 0,
             items: Vec::new(),
             vacant: Vec::new(),
@@ -253,14 +265,16 @@
     /// was set last.
     pub fn set_upstreams(&mut self, now: Time, pool: &PoolId, upstreams: &[Listed]) {
         let index = self.pool_index(pool) as usize;
-        for (at, other) in self.pools.values_mut().enumerate() {
-            if at != index {
-                for listed in upstreams {
-                    other.fleet.close(&listed.id, &mut self.rng);
-                }
+        for listed in upstreams {
+            let before = self.homes.insert(listed.id.clone(), index);
+            if let Some(before) = before.filter(|before| *before != index) {
+                self.pools[before].fleet.close(&listed.id, &mut self.rng);
             }
         }
         self.pools[index].fleet.set(now, upstreams, &mut self.rng);
+        if self.homes.len() > 2 * self.members() {
+            self.homes.retain(|id, pool| self.pools[*pool].fleet.contains(id));
+        }
     }
 
     /// Sets the resources of an instance besides its slots; unknown ones are not limited.
@@ -272,10 +286,8 @@
 
     /// Takes in how much an instance runs in all, whoever started it. Reports may lag.
     pub fn on_load(&mut self, now: Time, upstream: &InstanceId, running: u32) {
-        for pool in self.pools.values_mut() {
-            if pool.fleet.contains(upstream) {
-                pool.fleet.on_load(now, upstream, running, &mut self.rng);
-            }
+        if let Some(pool) = self.homes.get(upstream) {
+            self.pools[*pool].fleet.on_load(now, upstream, running, &mut self.rng);
         }
     }
 
@@ -296,15 +308,18 @@
         let estimate = self.learn.estimate((team, service), work.declared);
         let class = class_index(work.class);
         let latest = start_by(now, work.class, work.deadline, estimate.short, urgent_start);
-        let total = self.pools[pool as usize].fleet.total();
-        let cost = work.need.dominant_slots(total) * estimate.typical.as_secs_f64();
+        let need = self.learn.size((team, service), &work.need);
+        let state = &mut self.pools[pool as usize];
+        let cost = need.dominant_slots(state.fleet.total()) * estimate.typical.as_secs_f64();
+        state.offered_cost += cost;
         let turn = (latest, self.arrivals);
         let weight = self.weight(service, team);
         self.check_wait(now, pool, team, weight, class, turn)?;
         self.arrivals += 1;
         let typical = estimate.typical;
-        let stage = Stage::Waiting { turn };
-        let item = Item { work, pool, team, service, class, cost, typical, stage };
+        let stage = Stage::Waiting;
+        let item =
+            Item { work, pool, team, service, class, turn, latest, need, cost, typical, stage };
         self.add_waiting(item, turn, weight);
         Ok(())
     }
@@ -347,14 +362,14 @@
         let Stage::Running { upstream, started, charged } = &item.stage else { return };
         let weight = self.weight(item.service, item.team);
         let pool = &mut self.pools[item.pool as usize];
-        let slots = item.work.need.dominant_slots(pool.fleet.total());
+        let slots = item.need.dominant_slots(pool.fleet.total());
         let used = now.saturating_sub(*started).as_secs_f64();
         pool.fair.charge(item.team, weight, slots * (used - charged.as_secs_f64()));
         if let Some(upstream) = upstream {
-            pool.fleet.give(upstream, &item.work.need, &mut self.rng);
+            pool.fleet.give(upstream, &item.need, &mut self.rng);
         }
-        pool.own_slots = pool.own_slots.saturating_sub(item.work.need.slots);
-        pool.running[item.class] = pool.running[item.class].saturating_sub(item.work.need.slots);
+        pool.own_slots = pool.own_slots.saturating_sub(item.need.slots);
+        pool.running[item.class] = pool.running[item.class].saturating_sub(item.need.slots);
         pool.fair.end(item.team);
         pool.unpark_team(item.team, weight);
         if !failed {
@@ -364,7 +379,16 @@
         self.forget(key);
     }
 
-    /// Another instance for work that did not run where it was placed. `None` when none has room;
+    /// Takes in the most that running work was reported to use. Its own place stays as it is; later
+    /// work of its kind is sized by it.
+    pub fn on_usage(&mut self, id: WorkId, used: &Need) {
+        let Some(key) = self.ids.get(&id).copied() else { return };
+        let Some(item) = self.items[key as usize].as_ref() else { return };
+        self.learn.on_size((item.team, item.service), &item.work.need, used);
+    }
+
+    /// Another instance for work that did not run where it was placed; that instance counts as full
+    /// until its next report. `None` when none has room;
     /// the work then holds no instance until the next call or `finish`.
     pub fn place_again(&mut self, now: Time, id: WorkId, exclude: &[InstanceId]) -> Option<Placed> {
         let key = self.ids.get(&id).copied()?;
@@ -372,14 +396,39 @@
         let Stage::Running { upstream, .. } = &mut item.stage else { return None };
         let fleet = &mut self.pools[item.pool as usize].fleet;
         if let Some(upstream) = upstream.take() {
-            fleet.give(&upstream, &item.work.need, &mut self.rng);
+            fleet.give(&upstream, &item.need, &mut self.rng);
+            fleet.mark_full(now, &upstream, &mut self.rng);
         }
-        let index = fleet.find(now, &item.work.need, exclude)?;
-        let placed = fleet.take(index, &item.work.need, &mut self.rng);
+        let index = fleet.find(now, &item.need, exclude)?;
+        let placed = fleet.take(index, &item.need, &mut self.rng);
         *upstream = Some(placed.clone());
         Some(Placed { id, upstream: placed })
     }
 
+    /// Puts work back in line at its old place, for example when every instance tried was busy.
+    /// With `ran`, it had started and was cut off: then only its deadline bounds the next start.
+    /// False when it cannot start in time any more; it is then forgotten here.
+    pub fn put_back(&mut self, now: Time, id: WorkId, ran: bool) -> bool {
+        let Some(item) = self.ids.get(&id).and_then(|key| self.items[*key as usize].clone()) else {
+            return false;
+        };
+        if is_waiting(&item) {
+            return true;
+        }
+        self.finish(now, id, Duration::ZERO, true);
+        if let (Stage::Running { upstream: Some(upstream), .. }, false) = (&item.stage, ran) {
+            self.pools[item.pool as usize].fleet.mark_full(now, upstream, &mut self.rng);
+        }
+        let latest = if ran { item.work.deadline } else { item.latest };
+        if latest < now {
+            return false;
+        }
+        let weight = self.weight(item.service, item.team);
+        let turn = item.turn;
+        self.add_waiting(Item { stage: Stage::Waiting, latest, ..item }, turn, weight);
+        true
+    }
+
     /// Work of a team that waits here.
     pub fn waiting(&self, team: &TeamId) -> u32 {
         self.teams.get_index_of(team).map_or(0, |team| self.waiting[team])
@@ -394,10 +443,16 @@
             own: pool.own_slots,
             waiting: pool.waiting,
             waiting_cost: pool.waiting_cost,
+            offered_cost: pool.offered_cost,
             run_secs: pool.run_secs,
         }
     }
 
+    /// Instances known in all pools.
+    fn members(&self) -> usize {
+        self.pools.values().map(|pool| pool.fleet.len()).sum()
+    }
+
     fn set_pool_rules(&mut self, pool: u32, profile: &Profile) {
         let pool = &mut self.pools[pool as usize];
         pool.order = profile.class_order.iter().map(|class| class_index(*class)).collect();
@@ -474,10 +529,10 @@
 
     fn add_waiting(&mut self, item: Item, turn: Turn, weight: u32) {
         let (pool, team, class, cost) = (item.pool, item.team, item.class, item.cost);
-        let id = item.work.id;
+        let (id, latest) = (item.work.id, item.latest);
         let key = self.store(item);
         self.ids.insert(id, key);
-        self.latest.insert((turn.0, key));
+        self.latest.insert((latest, key));
         self.waiting[team as usize] += 1;
         let pool = &mut self.pools[pool as usize];
         pool.waiting += 1;
@@ -507,8 +562,11 @@
 
     fn remove_waiting(&mut self, key: u32) {
         let Some(item) = &self.items[key as usize] else { return };
-        let Stage::Waiting { turn } = item.stage else { return };
-        self.latest.remove(&(turn.0, key));
+        if !is_waiting(item) {
+            return;
+        }
+        let turn = item.turn;
+        self.latest.remove(&(item.latest, key));
         self.waiting[item.team as usize] -= 1;
         let pool = &mut self.pools[item.pool as usize];
         pool.waiting -= 1;
@@ -549,7 +607,7 @@
             return;
         }
         *charged += CHARGE_STEP;
-        let (pool, team, service, need) = (item.pool, item.team, item.service, item.work.need);
+        let (pool, team, service, need) = (item.pool, item.team, item.service, item.need);
         self.charges.push(Reverse((due + CHARGE_STEP, id)));
         let weight = self.weight(service, team);
         let pool = &mut self.pools[pool as usize];
@@ -578,8 +636,8 @@
             let (team, class) = pool.fair.pick(&order[..len], pool.slots())?;
             let (_, waiting) = pool.queues.get(&team)?.head(class)?;
             let item = self.items[waiting.key as usize].as_ref()?;
-            let Some(index) = pool.fleet.find(now, &item.work.need, &[]) else {
-                if item.work.need == Need::SLOT {
+            let Some(index) = pool.fleet.find(now, &item.need, &[]) else {
+                if item.need == Need::SLOT {
                     return None;
                 }
                 pool.park(now, team);
@@ -619,7 +677,7 @@
         let weight = self.weight(item.service, item.team);
         let item = self.items[key as usize].as_mut()?;
         let pool = &mut self.pools[item.pool as usize];
-        let need = item.work.need;
+        let need = item.need;
         let upstream = pool.fleet.take(index, &need, &mut self.rng);
         let charged = item.typical.min(CHARGE_STEP);
         let slots = need.dominant_slots(pool.fleet.total());
@@ -633,7 +691,7 @@
 }
 
 fn is_waiting(item: &Item) -> bool {
-    matches!(item.stage, Stage::Waiting { .. })
+    matches!(item.stage, Stage::Waiting)
 }
 
 fn too_soon(retry: Duration) -> Refusal {
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -2,17 +2,21 @@
 //! free ports. All end with the test.
 #![allow(dead_code)] // Each test program uses a part.
 
+pub mod link;
+
 use reqwest::{Client, Method, RequestBuilder, Response};
 use serde_json::Value;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Child, ChildStdout, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 /// Longest wait for something that happens soon; a busy machine needs some of it.
 pub const SOON: Duration = Duration::from_secs(20);
+/// Longest wait for an answer; longer than the longest deadline of `DECLARATIONS`.
+pub const ANSWERED: Duration = Duration::from_secs(30);
 /// Longest wait for something that waits for a lapsed lease of 15 s.
 pub const AFTER_LEASE: Duration = Duration::from_secs(60);
 
@@ -45,6 +49,8 @@
 /// A child process that is killed at the end.
 pub struct Process {
     child: Child,
+    /// Kept open: a process whose output is closed ends with a failure.
+    _output: BufReader<ChildStdout>,
     pub addr: SocketAddr,
     pub line: String,
 }
@@ -57,11 +63,12 @@
         let mut child = child.expect("the binary starts");
         let stdout = child.stdout.take().expect("its output is piped");
         let mut line = String::new();
-        BufReader::new(stdout).read_line(&mut line).expect("a first line");
+        let mut output = BufReader::new(stdout);
+        output.read_line(&mut line).expect("a first line");
         let words = line.split([' ', ',', '\n']);
         let addr = words.filter_map(|word| word.parse().ok()).next();
         let addr = addr.unwrap_or_else(|| panic!("no address in {line:?} of {args:?}"));
-        Process { child, addr, line }
+        Process { child, _output: output, addr, line }
     }
 
     pub fn id(&self) -> u32 {
@@ -197,10 +204,14 @@
 
     /// Starts an entry instance, registers it as the platform would, and waits until it is ready.
     pub async fn add_entry(&mut self, id: &str, zone: &str, more: &str) {
+        self.add_entry_at(id, zone, self.platform.addr, more).await;
+    }
+
+    /// As `add_entry`, with another way to the platform.
+    pub async fn add_entry_at(&mut self, id: &str, zone: &str, platform: SocketAddr, more: &str) {
         let settings = format!(
             "[entry]\nid = {id}\nzone = {zone}\nhttp_addr = 127.0.0.1:0\npeer_addr = 127.0.0.1:0\n\
-             platform_addr = {}\nentry_instances = 2\n{more}",
-            self.platform.addr
+             platform_addr = {platform}\nentry_instances = 2\n{more}\n[log]\nlevel = error\n"
         );
         let file = self.file(&format!("{id}.ini"), &settings);
         let process = Process::start(&["serve", &file]);
@@ -275,8 +286,24 @@
         }
     }
 
+    /// Waits until all entry instances together hold this many units of a team.
+    pub async fn wait_for_units(&self, team: &str, units: u64) {
+        wait_until("units granted", SOON, async || {
+            let status = self.json(0, "/v1/admin/status").await;
+            let teams = status["teams"].as_array().expect("teams");
+            let found = teams.iter().find(|t| t["team"] == team).expect("the team");
+            found["granted"].as_u64() >= Some(units)
+        })
+        .await;
+    }
+
+    /// Requests to one entry instance that do not borrow the fleet.
+    pub fn caller(&self, at: usize) -> Caller {
+        Caller { http: self.http.clone(), addr: self.entries[at].addr }
+    }
+
     pub fn request(&self, at: usize, method: Method, path: &str) -> RequestBuilder {
-        self.http.request(method, self.entries[at].url(path)).timeout(SOON)
+        self.caller(at).request(method, path)
     }
 
     pub fn get(&self, at: usize, path: &str) -> RequestBuilder {
@@ -310,6 +337,20 @@
     }
 }
 
+/// A caller of one entry instance.
+#[derive(Clone)]
+pub struct Caller {
+    http: Client,
+    addr: SocketAddr,
+}
+
+impl Caller {
+    pub fn request(&self, method: Method, path: &str) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.addr);
+        self.http.request(method, url).timeout(ANSWERED)
+    }
+}
+
 impl Drop for Env {
     fn drop(&mut self) {
         // A directory that stays behind does no harm.
