--- a/src/node.rs
+++ b/src/node.rs
@@ -161,6 +161,8 @@
     pacer: Pacer,
     list: Option<InstanceList>,
     absent: HashMap<InstanceId, members::Absent>,
+    /// When the list was last compared with the state.
+    members_at: Option<Time>,
     /// Upstreams that said themselves that they drain.
     draining: HashSet<InstanceId>,
     platform_reached: bool,
@@ -191,6 +193,7 @@
             pacer: Pacer::new(),
             list: None,
             absent: HashMap::new(),
+            members_at: None,
             draining: HashSet::new(),
             platform_reached: false,
             fresh_at: None,
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -6,6 +6,8 @@
 /// An instance that every list lacked for this long is gone. The list lags, and an old one may come
 /// after a newer one, so a single list without an instance proves nothing.
 pub const LIST_GONE_AFTER: Duration = Duration::from_secs(30);
+/// Time between two comparisons of the list with the state, which walks through all workers.
+const COMPARE_INTERVAL: Duration = Duration::from_millis(500);
 /// Least number of lists without the instance.
 const LIST_GONE_COUNT: u32 = 3;
 
@@ -51,6 +53,10 @@
     /// Proposes upstreams that are new in the list, and instances that left it.
     pub(super) fn propose_members(&mut self, now: Time) {
         let Some(list) = &self.list else { return };
+        if self.members_at.is_some_and(|at| now < at + COMPARE_INTERVAL) {
+            return;
+        }
+        self.members_at = Some(now);
         let upstreams = list.instances.iter().filter(|l| l.role == Role::Upstream);
         let is_new = |l: &&Listed| {
             self.replica.state().instances.get(&l.id).is_none_or(|known| known.gone_at.is_some())
