Charge work in overtime by team, and plan the buffer for bursts without a zone

Cause: charging every running job each second took a placement to 329 us at p99 with 76,000 running jobs; the move pass was quadratic (164 ms at 9,500 workers); a buffer that carried bursts or the loss of a zone, but not both, refused a fifth of the work. Change: overtime is summed by team and charged every 250 ms; lendable instances are listed once.

--- a/src/buffer.rs
+++ b/src/buffer.rs
@@ -26,7 +26,7 @@
 const DRAIN_SECS: f64 = 1.0;
 /// Parts of a pool's peak, in percent, that its own slots may cover. Quantiles of the load left out
 /// everything between the quiet level and the peak, because bursts have two levels.
-const OWN_PARTS: [u32; 10] = [10, 20, 30, 40, 50, 60, 70, 80, 90, 100];
+const OWN_PARTS: [u32; 15] = [10, 20, 30, 40, 50, 60, 70, 80, 90, 100, 110, 120, 130, 140, 150];
 /// Part of the samples in which a pool may exceed its allowed wait.
 const ALLOWED_MISSES: f64 = 0.01;
 
@@ -105,8 +105,12 @@
     pub instance_slots: u32,
     /// Time from a pool being short to a lent instance serving in it.
     pub lend_after: Duration,
-    /// Longest wait that counts as carried.
+    /// Longest wait of urgent work that counts as carried.
     pub wait: Duration,
+    /// Part of the load that is urgent; it starts first.
+    pub urgent_percent: u32,
+    /// Longest wait of other work that counts as carried.
+    pub other_wait: Duration,
     /// Most slots above the mean load, in percent of it; from the profiles' `buffer_percent`.
     pub max_percent: u32,
 }
@@ -142,64 +146,54 @@
     if demand.len() == 0 {
         return None;
     }
-    let peaks: Vec<f64> = offered.iter().map(|pool| quantile_of(pool, 100)).collect();
-    let candidates = OWN_PARTS.iter().filter_map(|part| {
-        let part = f64::from(*part) / 100.0;
-        let own: Vec<u32> = peaks.iter().map(|peak| whole(peak * part, terms)).collect();
-        let shared = least_shared(&offered, &own, terms)?;
-        Some((own.iter().sum::<u32>() + shared, own, shared))
-    });
-    let (total, own, shared) = candidates.min_by_key(|(total, _, _)| *total)?;
+    // With one zone gone, this part of all slots is left.
+    let zones = f64::from(terms.zones.max(1));
+    let left = if terms.zones < 2 { 1.0 } else { (zones - 1.0) / zones };
+    let (bursts, _, _) = least_total(&offered, 1.0, terms)?;
+    let (total, own, shared) = least_total(&offered, left, terms)?;
     let mean: f64 = demand.pools.keys().map(|pool| demand.mean(pool)).sum();
-    let (shared, binding) = with_limits(&offered, total, shared, mean, terms);
-    let held = f64::from(own.iter().sum::<u32>() + shared);
-    let own = demand.pools.keys().cloned().zip(own).collect();
-    Some(Buffer { own, shared, mean, cost: held - mean, binding })
-}
-
-/// Adds what the loss of a zone needs, and cuts to the limit of the profiles.
-fn with_limits(
-    offered: &[Vec<f64>],
-    total: u32,
-    shared: u32,
-    mean: f64,
-    terms: &Terms,
-) -> (u32, Binding) {
-    let own = total - shared;
-    let after_loss = whole(zone_loss_need(offered, terms.zones), terms);
-    let wanted = total.max(after_loss);
     let limit = (mean * (1.0 + f64::from(terms.max_percent) / 100.0)) as u32;
-    let binding = if wanted > limit.max(own) {
+    let own_total = total - shared;
+    let binding = if total > limit {
         Binding::Limit
-    } else if after_loss > total {
+    } else if total > bursts {
         Binding::ZoneLoss
     } else {
         Binding::Bursts
     };
-    (wanted.min(limit.max(own)) - own, binding)
+    let shared = total.min(limit.max(own_total)) - own_total;
+    let cost = f64::from(own_total + shared) - mean;
+    let own = demand.pools.keys().cloned().zip(own).collect();
+    Some(Buffer { own, shared, mean, cost, binding })
 }
 
-/// Slots of which the rest carries nearly all samples of the summed load when one zone is gone.
-fn zone_loss_need(offered: &[Vec<f64>], zones: u32) -> f64 {
-    if zones < 2 {
-        return 0.0;
-    }
-    let len = offered.first().map_or(0, Vec::len);
-    let sums: Vec<f64> = (0..len).map(|t| offered.iter().map(|pool| pool[t]).sum()).collect();
-    quantile_of(&sums, 99) * f64::from(zones) / f64::from(zones - 1)
+/// The least slots that carry the record when a part `left` of them is in service: all slots, own
+/// slots of each pool, shared slots.
+fn least_total(offered: &[Vec<f64>], left: f64, terms: &Terms) -> Option<(u32, Vec<u32>, u32)> {
+    let peaks: Vec<f64> = offered.iter().map(|pool| quantile_of(pool, 100)).collect();
+    let candidates = OWN_PARTS.iter().filter_map(|part| {
+        let part = f64::from(*part) / 100.0;
+        let own: Vec<u32> = peaks.iter().map(|peak| whole(peak * part, terms)).collect();
+        let shared = least_shared(offered, &own, left, terms)?;
+        Some((own.iter().sum::<u32>() + shared, own, shared))
+    });
+    candidates.min_by_key(|(total, _, _)| *total)
 }
 
 /// The least shared buffer that carries the record; `None` when none does.
-fn least_shared(offered: &[Vec<f64>], own: &[u32], terms: &Terms) -> Option<u32> {
+fn least_shared(offered: &[Vec<f64>], own: &[u32], left: f64, terms: &Terms) -> Option<u32> {
     let step = terms.instance_slots.max(1);
     let most: f64 = offered.iter().map(|pool| quantile_of(pool, 100)).sum();
-    let (mut low, mut high) = (0, (most / f64::from(step)).ceil() as u32 + 1);
-    if !carries(offered, own, high * step, terms) {
+    let own: Vec<f64> = own.iter().map(|own| f64::from(*own) * left).collect();
+    let serving =
+        |shared: u32| (f64::from(shared) * left / f64::from(step)).floor() * f64::from(step);
+    let (mut low, mut high) = (0, (most / left / f64::from(step)).ceil() as u32 + 1);
+    if !carries(offered, &own, serving(high * step), terms) {
         return None;
     }
     while low < high {
         let middle = (low + high) / 2;
-        if carries(offered, own, middle * step, terms) {
+        if carries(offered, &own, serving(middle * step), terms) {
             high = middle;
         } else {
             low = middle + 1;
@@ -208,32 +202,54 @@
     Some(low * step)
 }
 
+/// Waiting slot-seconds of one pool in the replay.
+#[derive(Clone, Copy, Debug, Default)]
+struct Backlog {
+    urgent: f64,
+    other: f64,
+}
+
+impl Backlog {
+    /// One sample: urgent work is served first. False when a wait exceeds what is allowed; the work
+    /// beyond it is refused and does not burden later samples.
+    fn step(&mut self, offered: f64, slots: f64, terms: &Terms) -> bool {
+        let urgent = offered * f64::from(terms.urgent_percent) / 100.0;
+        self.urgent += urgent;
+        self.other += offered - urgent;
+        let first = self.urgent.min(slots);
+        self.urgent -= first;
+        self.other = f64::max(self.other - (slots - first), 0.0);
+        let most_urgent = terms.wait.as_secs_f64() * slots;
+        let most_other = terms.other_wait.as_secs_f64() * slots;
+        let carried = self.urgent <= most_urgent && self.other <= most_other;
+        self.urgent = self.urgent.min(most_urgent);
+        self.other = self.other.min(most_other);
+        carried
+    }
+}
+
 /// Whether own slots and a shared buffer keep nearly all samples within the allowed wait.
-fn carries(offered: &[Vec<f64>], own: &[u32], shared: u32, terms: &Terms) -> bool {
+fn carries(offered: &[Vec<f64>], own: &[f64], shared: f64, terms: &Terms) -> bool {
     let len = offered.first().map_or(0, Vec::len);
     let delay = (terms.lend_after.as_secs_f64() / SAMPLE.as_secs_f64()).ceil() as usize;
     let allowed = (ALLOWED_MISSES * (len * offered.len()) as f64) as usize;
     let mut lent = vec![0.0; own.len()];
     let mut under_way: VecDeque<Vec<f64>> = VecDeque::from(vec![vec![0.0; own.len()]; delay]);
-    let mut backlog = vec![0.0; own.len()];
+    let mut backlogs = vec![Backlog::default(); own.len()];
     let mut misses = 0;
     for t in 0..len {
         for (pool, arrived) in under_way.pop_front().into_iter().flatten().enumerate() {
             lent[pool] += arrived;
         }
         for pool in 0..own.len() {
-            let slots = f64::from(own[pool]) + lent[pool];
-            backlog[pool] = f64::max(backlog[pool] + offered[pool][t] - slots, 0.0);
-            if backlog[pool] > terms.wait.as_secs_f64() * slots {
-                misses += 1;
-                // Work beyond the allowed wait is refused; it does not burden later samples.
-                backlog[pool] = terms.wait.as_secs_f64() * slots;
-            }
+            let slots = own[pool] + lent[pool];
+            misses += usize::from(!backlogs[pool].step(offered[pool][t], slots, terms));
         }
         if misses > allowed {
             return false;
         }
         let load: Vec<f64> = offered.iter().map(|pool| pool[t]).collect();
+        let backlog: Vec<f64> = backlogs.iter().map(|b| b.urgent + b.other).collect();
         under_way.push_back(lend(&load, &backlog, own, &mut lent, &under_way, shared, terms));
     }
     true
@@ -243,20 +259,20 @@
 fn lend(
     load: &[f64],
     backlog: &[f64],
-    own: &[u32],
+    own: &[f64],
     lent: &mut [f64],
     under_way: &VecDeque<Vec<f64>>,
-    shared: u32,
+    shared: f64,
     terms: &Terms,
 ) -> Vec<f64> {
     let step = f64::from(terms.instance_slots.max(1));
     let mut coming: Vec<f64> =
         (0..own.len()).map(|pool| under_way.iter().map(|moves| moves[pool]).sum()).collect();
-    let mut free = f64::from(shared) - lent.iter().sum::<f64>() - coming.iter().sum::<f64>();
+    let mut free = shared - lent.iter().sum::<f64>() - coming.iter().sum::<f64>();
     let mut starts = vec![0.0; own.len()];
     for pool in 0..own.len() {
         let need = load[pool] + backlog[pool] / DRAIN_SECS;
-        let mut missing = need - f64::from(own[pool]) - lent[pool] - coming[pool];
+        let mut missing = need - own[pool] - lent[pool] - coming[pool];
         while missing > 0.0 {
             if free < step && !reclaim(load, own, lent, pool, step) {
                 break;
@@ -271,10 +287,9 @@
 }
 
 /// Takes one lent instance from a pool that does not need it.
-fn reclaim(load: &[f64], own: &[u32], lent: &mut [f64], but: usize, step: f64) -> bool {
-    let unneeded = |pool: &usize| {
-        lent[*pool] >= step && load[*pool] + step <= f64::from(own[*pool]) + lent[*pool]
-    };
+fn reclaim(load: &[f64], own: &[f64], lent: &mut [f64], but: usize, step: f64) -> bool {
+    let unneeded =
+        |pool: &usize| lent[*pool] >= step && load[*pool] + step <= own[*pool] + lent[*pool];
     let donor = (0..own.len()).filter(|pool| *pool != but).find(unneeded);
     if let Some(donor) = donor {
         lent[donor] -= step;
--- a/src/decision_cost.rs
+++ b/src/decision_cost.rs
@@ -138,8 +138,13 @@
 }
 
 fn time_sched(size: &Size, seed: u64, add: &mut dyn FnMut(&'static str, f64, f64)) {
-    let (Some(mut admission), Some(mut placement), Some(mut finish), Some(mut cancel)) =
-        (Clock::new(), Clock::new(), Clock::new(), Clock::new())
+    let [
+        Some(mut admission),
+        Some(mut placement),
+        Some(mut finish),
+        Some(mut cancel),
+        Some(mut timer),
+    ] = std::array::from_fn(|_| Clock::new())
     else {
         return;
     };
@@ -175,6 +180,9 @@
         if let Some(placed) = placement.time(|| sched.next(now, &mut |_| true)) {
             running.push(placed.id);
         }
+        if id.is_multiple_of(500) {
+            timer.time(|| drop(sched.expired(now)));
+        }
         if id.is_multiple_of(10) {
             let victim = id - rng.random_range(0..u64::from(size.queued));
             cancel.time(|| sched.cancel(victim));
@@ -184,6 +192,7 @@
     placement.report("placement", add);
     finish.report("end of work", add);
     cancel.report("cancellation", add);
+    timer.report("timer call each 10 ms", add);
 }
 
 fn build(size: &Size) -> Sched {
@@ -289,6 +298,8 @@
         instance_slots: SLOTS,
         lend_after: Duration::from_secs(3),
         wait: Duration::from_millis(1_400),
+        urgent_percent: 50,
+        other_wait: Duration::from_secs(10),
         max_percent: 1_000,
     };
     for pass in 0..PASSES {
--- a/src/fair.rs
+++ b/src/fair.rs
@@ -1,11 +1,12 @@
 //! Which team and class of a pool goes next, by weighted shares.
 //!
 //! Each team has a tag: slot-seconds used, divided by its weight. The team with the lowest tag is
-//! furthest below its share. Work is charged in steps of at most `CHARGE_STEP` as it runs, so a
-//! wrong estimate distorts the tag by at most one step. A work's slot-seconds are those of its
+//! furthest below its share. Work is charged at most `PREPAID` when it starts; what it runs longer is
+//! charged as it runs, so a wrong estimate distorts the tag by at most that time. A work's slot-seconds are those of its
 //! dominant resource. Classes order the work of teams whose tags are close together; a team
 //! ahead of its share gets no precedence from its class.
 
+use crate::ids::Time;
 use crate::queue::CLASSES;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -16,8 +17,8 @@
 
 /// Units of a tag per slot-second at weight 1.
 const TAG_SCALE: f64 = 1e8;
-/// Longest run time charged at once.
-pub const CHARGE_STEP: Duration = Duration::from_secs(1);
+/// Longest run time charged at the start of work.
+pub const PREPAID: Duration = Duration::from_secs(1);
 /// Lead, in seconds of the full pool, within which class decides before share. Over a window of
 /// 10 s a lead of 0.2 s is 2% of a share, below the 5% allowed.
 const CLASS_LEAD_SECS: f64 = 0.2;
@@ -89,6 +90,9 @@
     ready: u8,
     weight: u32,
     running: u32,
+    /// Slots of work that runs longer than was charged for, charged up to `flushed`.
+    overtime: f64,
+    flushed: Time,
 }
 
 impl Account {
@@ -185,6 +189,41 @@
         self.set_tag(team, tag);
     }
 
+    /// Work of a team runs on past what was charged; `since` is when that was used up.
+    pub fn add_overtime(&mut self, now: Time, team: u32, slots: f64, since: Time) {
+        let account = &mut self.accounts[team as usize];
+        let secs = now.saturating_sub(account.flushed).as_secs_f64();
+        let before = account.overtime * secs;
+        account.flushed = now;
+        account.overtime += slots;
+        let weight = account.weight;
+        self.charge(team, weight, before + slots * now.saturating_sub(since).as_secs_f64());
+    }
+
+    /// Work in overtime has ended.
+    pub fn end_overtime(&mut self, now: Time, team: u32, slots: f64) {
+        self.flush(now, team);
+        let account = &mut self.accounts[team as usize];
+        account.overtime = f64::max(account.overtime - slots, 0.0);
+    }
+
+    /// Charges all teams for work in overtime up to now.
+    pub fn flush_all(&mut self, now: Time) {
+        for team in 0..self.accounts.len() {
+            self.flush(now, team as u32);
+        }
+    }
+
+    fn flush(&mut self, now: Time, team: u32) {
+        let account = &mut self.accounts[team as usize];
+        let secs = now.saturating_sub(account.flushed).as_secs_f64();
+        account.flushed = now;
+        let (weight, slots) = (account.weight, account.overtime);
+        if slots > 0.0 {
+            self.charge(team, weight, slots * secs);
+        }
+    }
+
     /// Work of a team has ended.
     pub fn end(&mut self, team: u32) {
         let account = &mut self.accounts[team as usize];
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -509,6 +509,8 @@
         instance_slots: deployment.runner_slots,
         lend_after: Duration::from_secs(3),
         wait: Duration::from_millis(1_400),
+        urgent_percent: 50,
+        other_wait: Duration::from_secs(10),
         max_percent: 1_000,
     };
     let Some(plan) = buffer::least(&record, &terms) else { return values };
--- a/src/pools.rs
+++ b/src/pools.rs
@@ -54,11 +54,14 @@
     ) -> Plan {
         let mut plan = Plan::default();
         let mut standings = standings(view, incoming);
+        let lendable: Vec<&InstanceView> =
+            view.instances.iter().filter(|instance| is_lendable(view, instance)).collect();
         let mut taken: Vec<InstanceId> = Vec::new();
         for (pool, missing) in self.short_pools(now, view, &standings) {
             let mut left = missing;
             while left > 0 && standings[&pool].incoming < MAX_INCOMING {
-                let Some(donor) = self.choose(now, view, &standings, &pool, &taken) else {
+                let Some(donor) = self.choose(now, view, &lendable, &standings, &pool, &taken)
+                else {
                     plan.wait(&pool, WaitReason::NothingToLend { short: left });
                     break;
                 };
@@ -107,14 +110,13 @@
         &self,
         now: Time,
         view: &'a FleetView,
+        lendable: &[&'a InstanceView],
         standings: &IndexMap<PoolId, Standing>,
         to: &PoolId,
         taken: &[InstanceId],
     ) -> Option<&'a InstanceView> {
         let gives = |instance: &&InstanceView| {
-            instance.status == Status::Serving
-                && instance.pool != *to
-                && view.zone_state(&instance.zone) == ZoneState::In
+            instance.pool != *to
                 && !taken.contains(&instance.id)
                 && self.can_give(now, view, standings, instance)
         };
@@ -122,7 +124,7 @@
             let spare = view.pools.get(&instance.pool).is_some_and(|pool| pool.spare);
             (instance.planned, !spare, instance.running, instance.id.clone())
         };
-        view.instances.iter().filter(gives).min_by_key(cost)
+        lendable.iter().copied().filter(gives).min_by_key(cost)
     }
 
     fn can_give(
@@ -135,13 +137,9 @@
         let Some(rules) = view.pools.get(&instance.pool) else { return false };
         let standing = &standings[&instance.pool];
         let received = self.memory.get(&instance.pool).and_then(|memory| memory.received);
-        let lendable = view.pools.get(&instance.home).is_some_and(|home| home.spare);
         let held = !rules.spare && received.is_some_and(|received| now < received + HOLD);
         let need = if rules.spare { 0 } else { rules.need_slots };
-        lendable
-            && !held
-            && standing.serving > rules.min_instances
-            && standing.slots >= need + instance.slots
+        !held && standing.serving > rules.min_instances && standing.slots >= need + instance.slots
     }
 
     fn note(
@@ -171,6 +169,13 @@
     }
 }
 
+/// Whether an instance serves in a zone in service, and its home is a spare pool.
+fn is_lendable(view: &FleetView, instance: &InstanceView) -> bool {
+    instance.status == Status::Serving
+        && view.pools.get(&instance.home).is_some_and(|home| home.spare)
+        && view.zone_state(&instance.zone) == ZoneState::In
+}
+
 /// Slots of the largest instance that may be lent.
 fn instance_slots(view: &FleetView) -> u32 {
     let lendable = |i: &&InstanceView| view.pools.get(&i.home).is_some_and(|home| home.spare);
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -5,7 +5,7 @@
 //! what `next` returns.
 
 use crate::config::{Config, Profile};
-use crate::fair::{CHARGE_STEP, Fair};
+use crate::fair::{Fair, PREPAID};
 use crate::ids::*;
 use crate::kind::{Kind, Refusal};
 use crate::learn::Learn;
@@ -28,6 +28,15 @@
 /// A team at its limit, or whose next work fits nowhere, is asked again after this time, or when
 /// some of its work ends.
 const PARK: Duration = Duration::from_millis(10);
+/// Longest time between two charges of work in overtime.
+const FLUSH_STEP: Duration = Duration::from_millis(250);
+/// Pools charged for overtime in one call of `expired`.
+const FLUSHES_A_CALL: usize = 32;
+/// Work that enters overtime in one call; the rest follows in the next calls. Unbounded, a
+/// millisecond's worth of 76,000 running jobs took a placement to 329 us at p99.
+const CHARGES_A_CALL: usize = 1;
+/// The same for a call of `expired`, which no request waits for.
+const CHARGES_A_TIMER_CALL: usize = 1_024;
 /// Weight of the newest run in a pool's typical run time.
 const RUN_WEIGHT: f64 = 0.05;
 /// A pool's typical run time before any work has ended, in seconds.
@@ -98,6 +107,7 @@
     parked: Vec<(Time, u32)>,
     running: [u32; CLASSES],
     own_slots: u32,
+    flushed: Time,
     waiting: u32,
     waiting_cost: f64,
     offered_cost: f64,
@@ -107,7 +117,13 @@
 #[derive(Clone, Debug)]
 enum Stage {
     Waiting,
-    Running { upstream: Option<InstanceId>, started: Time, charged: Duration },
+    /// `overtime` holds the slots charged as the work runs, once it runs past `charged`.
+    Running {
+        upstream: Option<InstanceId>,
+        started: Time,
+        charged: Duration,
+        overtime: Option<f64>,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -163,6 +179,7 @@
             parked: Vec::new(),
             running: [0; CLASSES],
             own_slots: 0,
+            flushed: Time::ZERO,
             waiting: 0,
             waiting_cost: 0.0,
             offered_cost: 0.0,
@@ -339,7 +356,7 @@
     ///
     /// `allow` is called only for work that has an instance, and work that it allows is returned.
     pub fn next(&mut self, now: Time, allow: &mut dyn FnMut(&Work) -> bool) -> Option<Placed> {
-        self.sweep(now);
+        self.sweep(now, CHARGES_A_CALL);
         for _ in 0..self.pools.len() {
             self.cursor = (self.cursor + 1) % self.pools.len();
             if let Some(placed) = self.next_in(now, self.cursor, allow) {
@@ -349,9 +366,11 @@
         None
     }
 
-    /// Work that cannot start in time any more. It was not run and is forgotten here.
+    /// Work that cannot start in time any more. It was not run and is forgotten here. To be called
+    /// at least every 100 ms: it also charges work that runs longer than expected.
     pub fn expired(&mut self, now: Time) -> Vec<WorkId> {
-        self.sweep(now);
+        self.sweep(now, CHARGES_A_TIMER_CALL);
+        self.flush(now);
         std::mem::take(&mut self.late)
     }
 
@@ -359,12 +378,15 @@
     pub fn finish(&mut self, now: Time, id: WorkId, ran_for: Duration, failed: bool) {
         let Some(key) = self.ids.get(&id).copied() else { return };
         let Some(item) = self.items[key as usize].clone() else { return };
-        let Stage::Running { upstream, started, charged } = &item.stage else { return };
+        let Stage::Running { upstream, started, charged, overtime } = &item.stage else { return };
         let weight = self.weight(item.service, item.team);
         let pool = &mut self.pools[item.pool as usize];
         let slots = item.need.dominant_slots(pool.fleet.total());
         let used = now.saturating_sub(*started).as_secs_f64();
-        pool.fair.charge(item.team, weight, slots * (used - charged.as_secs_f64()));
+        match overtime {
+            Some(slots) => pool.fair.end_overtime(now, item.team, *slots),
+            None => pool.fair.charge(item.team, weight, slots * (used - charged.as_secs_f64())),
+        }
         if let Some(upstream) = upstream {
             pool.fleet.give(upstream, &item.need, &mut self.rng);
         }
@@ -579,7 +601,7 @@
     }
 
     /// Sets work aside that is too late, and charges work that runs on.
-    fn sweep(&mut self, now: Time) {
+    fn sweep(&mut self, now: Time, charges: usize) {
         while let Some((latest, key)) = self.latest.first().copied() {
             if latest >= now {
                 break;
@@ -589,30 +611,39 @@
             self.forget(key);
             self.late.extend(id);
         }
-        while let Some(Reverse((due, id))) = self.charges.peek().copied() {
-            if due > now {
-                break;
+        for _ in 0..charges {
+            match self.charges.peek().copied() {
+                Some(Reverse((due, id))) if due <= now => {
+                    self.charges.pop();
+                    self.charge_on(now, due, id);
+                }
+                _ => break,
             }
-            self.charges.pop();
-            self.charge_on(due, id);
         }
     }
 
-    fn charge_on(&mut self, due: Time, id: WorkId) {
+    /// Work that runs past what was charged for it is charged as it runs.
+    fn charge_on(&mut self, now: Time, due: Time, id: WorkId) {
         let Some(key) = self.ids.get(&id).copied() else { return };
         let Some(item) = self.items[key as usize].as_mut() else { return };
-        let Stage::Running { started, charged, .. } = &mut item.stage else { return };
-        // An entry of an earlier life of the same id charges nothing.
-        if *started + *charged != due {
+        let Stage::Running { started, charged, overtime, .. } = &mut item.stage else { return };
+        // An entry of an earlier start of the same work charges nothing.
+        if *started + *charged != due || overtime.is_some() {
             return;
         }
-        *charged += CHARGE_STEP;
-        let (pool, team, service, need) = (item.pool, item.team, item.service, item.need);
-        self.charges.push(Reverse((due + CHARGE_STEP, id)));
-        let weight = self.weight(service, team);
-        let pool = &mut self.pools[pool as usize];
-        let slots = need.dominant_slots(pool.fleet.total());
-        pool.fair.charge(team, weight, slots * CHARGE_STEP.as_secs_f64());
+        let pool = &mut self.pools[item.pool as usize];
+        let slots = item.need.dominant_slots(pool.fleet.total());
+        *overtime = Some(slots);
+        pool.fair.add_overtime(now, item.team, slots, due);
+    }
+
+    /// Charges work in overtime, some pools at a time to keep each call short.
+    fn flush(&mut self, now: Time) {
+        let due = |pool: &Pool| now >= pool.flushed + FLUSH_STEP;
+        for pool in self.pools.values_mut().filter(|pool| due(pool)).take(FLUSHES_A_CALL) {
+            pool.flushed = now;
+            pool.fair.flush_all(now);
+        }
     }
 
     fn next_in(
@@ -679,12 +710,17 @@
         let pool = &mut self.pools[item.pool as usize];
         let need = item.need;
         let upstream = pool.fleet.take(index, &need, &mut self.rng);
-        let charged = item.typical.min(CHARGE_STEP);
+        let charged = item.typical.min(PREPAID);
         let slots = need.dominant_slots(pool.fleet.total());
         pool.fair.start(item.team, weight, slots * charged.as_secs_f64());
         pool.own_slots += need.slots;
         pool.running[item.class] += need.slots;
-        item.stage = Stage::Running { upstream: Some(upstream.clone()), started: now, charged };
+        item.stage = Stage::Running {
+            upstream: Some(upstream.clone()),
+            started: now,
+            charged,
+            overtime: None,
+        };
         self.charges.push(Reverse((now + charged, item.work.id)));
         Some(Placed { id: item.work.id, upstream })
     }
