--- a/src/buffer.rs
+++ b/src/buffer.rs
@@ -21,7 +21,7 @@
 const JUMP: f64 = 1.3;
 /// Waiting work calls for moves as if it were worked off within this time, in seconds. Most of it
 /// may wait; within 1 s it called for 1.7 times the least moves.
-const NEED_DRAIN_SECS: f64 = 20.0;
+const NEED_DRAIN_SECS: f64 = 60.0;
 /// Waiting work is to be worked off within this time, in seconds.
 const DRAIN_SECS: f64 = 1.0;
 /// Parts of a pool's peak, in percent, that its own slots may cover. Quantiles of the load left out
@@ -70,7 +70,7 @@
         let offered: f64 = recent.clone().map(|sample| sample.offered).sum();
         let newest = samples.back().copied().unwrap_or_default();
         let average = offered / recent.len().max(1) as f64;
-        let load = if newest.offered > JUMP * average { newest.offered } else { average };
+        let load = if newest.offered > JUMP * average { jumped(samples) } else { average };
         (load + newest.waiting / NEED_DRAIN_SECS).ceil() as u32
     }
 
@@ -96,6 +96,13 @@
     }
 }
 
+/// Load after a jump: the newest sample, evened out with the one before when that had the burst too.
+fn jumped(samples: &VecDeque<Sample>) -> f64 {
+    let mut newest = samples.iter().rev().map(|sample| sample.offered);
+    let (last, before) = (newest.next().unwrap_or(0.0), newest.next().unwrap_or(0.0));
+    if before * JUMP > last { (last + before) / 2.0 } else { last }
+}
+
 /// What a buffer has to carry.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Terms {
--- a/src/pools.rs
+++ b/src/pools.rs
@@ -87,7 +87,7 @@
     ) -> Vec<(PoolId, u32)> {
         let mut short = Vec::new();
         // Less than three quarters of an instance is within the scatter of a load.
-        let scatter = instance_slots(view) * 3 / 4;
+        let scatter = instance_slots(view);
         for (pool, rules) in &view.pools {
             let memory = self.memory.entry(pool.clone()).or_default();
             let standing = &standings[pool];
