--- a/src/controller.rs
+++ b/src/controller.rs
@@ -3,12 +3,12 @@
 //! Any entry instance may do it: the log rejects a second record for the same step, and a restart
 //! carries the id of its drain. Only the one whose turn it is does, so that the others write nothing.
 
-use crate::buffer::{self, Demand, Sample, Terms};
+use crate::buffer::{self, Demand, Sample};
 use crate::fleet::*;
 use crate::ids::*;
 use crate::maintenance;
 use crate::node::{Node, START_WINDOW};
-use crate::pools::{HOLD, Pools};
+use crate::pools::Pools;
 use crate::protocol::{InstanceList, Listed, Presence, RebootState};
 use crate::record::Record;
 use crate::sched::PoolLoad;
@@ -21,8 +21,6 @@
 pub const PASS_INTERVAL: Duration = Duration::from_secs(1);
 /// A step that the log has not confirmed is proposed again after this time.
 const PROPOSE_AGAIN: Duration = Duration::from_secs(5);
-/// Time between two calculations of the buffer, which reads the demand of a quarter of an hour.
-const BUFFER_INTERVAL: Duration = Duration::from_secs(60);
 /// A zone that operators take out gives running jobs this long.
 const ZONE_OUT_NOTICE: Duration = Duration::from_secs(30);
 /// Records about instances without a known maintenance in one pass.
@@ -99,8 +97,8 @@
     pools: Pools,
     demand: Demand,
     sampled: Option<Time>,
-    buffer_at: Option<Time>,
-    own_slots: IndexMap<PoolId, u32>,
+    /// Slot-seconds of work that each pool had been offered here at the last sample.
+    offered: IndexMap<PoolId, f64>,
     marks: HashMap<InstanceId, Mark>,
     zones_out: HashMap<ZoneId, Time>,
     zones_back: HashMap<ZoneId, Time>,
@@ -131,18 +129,23 @@
 
     /// Takes a sample of the demand; every entry instance does, so that its turn finds a record.
     pub fn observe(&mut self, inputs: &Inputs<'_>) {
-        if self.sampled.is_some_and(|at| inputs.now < at + buffer::SAMPLE) {
+        let elapsed = self.sampled.map(|at| inputs.now.saturating_sub(at));
+        if elapsed.is_some_and(|elapsed| elapsed < buffer::SAMPLE) {
             return;
         }
         self.sampled = Some(inputs.now);
+        let seconds = elapsed.unwrap_or(buffer::SAMPLE).as_secs_f64();
         let used = used_slots(inputs);
-        // Each entry instance sees the work that waits at itself; callers are spread over all.
+        // Each entry instance sees the work that comes to itself; callers are spread over all.
         let entries = inputs.node.state().holders.values().filter(|h| !h.expired).count().max(1);
         for pool in inputs.node.state().config.pools.keys() {
             let load = inputs.loads.get(pool).copied().unwrap_or_default();
-            let used = used.get(pool).copied().unwrap_or(0).max(load.own);
-            let waiting = load.waiting_cost * entries as f64;
-            let sample = Sample { offered: f64::from(used) + waiting, used, waiting };
+            let before = self.offered.insert(pool.clone(), load.offered_cost).unwrap_or(0.0);
+            let sample = Sample {
+                offered: (load.offered_cost - before) / seconds * entries as f64,
+                used: used.get(pool).copied().unwrap_or(0).max(load.own),
+                waiting: load.waiting_cost * entries as f64,
+            };
             self.demand.observe(pool, sample);
         }
     }
@@ -152,7 +155,6 @@
         let state = inputs.node.state();
         self.update_zones(inputs.now, state);
         self.update_marks(inputs);
-        self.update_buffer(inputs);
         let jobs = jobs_by_upstream(state);
         let view = self.view(inputs, &jobs);
         let moving = state.instances.iter().filter_map(|(id, instance)| {
@@ -209,26 +211,6 @@
         }
     }
 
-    fn update_buffer(&mut self, inputs: &Inputs<'_>) {
-        if self.buffer_at.is_some_and(|at| inputs.now < at + BUFFER_INTERVAL) {
-            return;
-        }
-        self.buffer_at = Some(inputs.now);
-        let config = &inputs.node.state().config;
-        let slots = inputs.list.instances.iter().map(|listed| listed.slots).max().unwrap_or(1);
-        let waits = config.profiles.values().map(|profile| profile.urgent_start);
-        let terms = Terms {
-            zones: config.zones.len() as u32,
-            instance_slots: slots,
-            lend_after: HOLD,
-            wait: waits.min().unwrap_or(HOLD),
-            max_percent: config.profiles.values().map(|p| p.buffer_percent).max().unwrap_or(0),
-        };
-        if let Some(buffer) = buffer::least(&self.demand, &terms) {
-            self.own_slots = buffer.own;
-        }
-    }
-
     fn view(&self, inputs: &Inputs<'_>, jobs: &HashMap<InstanceId, JobsThere>) -> FleetView {
         let state = inputs.node.state();
         let listed: HashMap<&InstanceId, &Listed> =
@@ -256,7 +238,6 @@
     fn pool_view(&self, state: &State, pool: &PoolId) -> PoolView {
         let rules = state.config.pools.get(pool);
         let profiles: Vec<_> = state.pool_profiles(pool).collect();
-        let own = self.own_slots.get(pool).copied().unwrap_or(0);
         PoolView {
             spare: rules.is_some_and(|pool| pool.spare),
             min_instances: rules.map_or(0, |pool| pool.min_instances),
@@ -273,7 +254,7 @@
                 .unwrap_or(u32::MAX),
             drain_timeout: drain_timeout(state, pool),
             maintenance_interval: maintenance_interval(state, pool),
-            need_slots: self.demand.need(pool).max(own),
+            need_slots: self.demand.need(pool),
         }
     }
 
--- a/tests/controller.rs
+++ b/tests/controller.rs
@@ -23,7 +23,9 @@
     now: Time,
     unix_s: u64,
     running: HashMap<InstanceId, u32>,
-    waiting: f64,
+    /// Slot-seconds of work that come to this entry instance in a second.
+    offered: f64,
+    offered_cost: f64,
 }
 
 fn section(name: &str, values: &[(&str, &str)]) -> SectionChange {
@@ -91,7 +93,8 @@
             now: Duration::from_secs(1),
             unix_s: 100 * DAY_S,
             running: HashMap::new(),
-            waiting: 0.0,
+            offered: 0.0,
+            offered_cost: 0.0,
         };
         fleet.append(1, vec![declarations()]);
         for i in 0..RUNNERS + 3 {
@@ -146,7 +149,8 @@
             (runner(i), Report { at: self.now, running, answered: true })
         };
         let reports = (0..RUNNERS + 3).map(report).collect();
-        let load = PoolLoad { waiting_cost: self.waiting, ..PoolLoad::default() };
+        self.offered_cost += self.offered;
+        let load = PoolLoad { offered_cost: self.offered_cost, ..PoolLoad::default() };
         let loads = IndexMap::from([("loans".into(), load)]);
         let inputs = Inputs {
             now: self.now,
@@ -281,7 +285,7 @@
 #[test]
 fn plan_move_ends_when_empty_and_heard() {
     let mut fleet = Fleet::new();
-    fleet.waiting = 60.0;
+    fleet.offered = 60.0;
     for i in 0..RUNNERS {
         fleet.running.insert(runner(i), 8);
     }
