--- a/src/pools.rs
+++ b/src/pools.rs
@@ -56,10 +56,12 @@
         let mut standings = standings(view, incoming);
         let lendable: Vec<&InstanceView> =
             view.instances.iter().filter(|instance| is_lendable(view, instance)).collect();
+        let step = instance_slots(view);
         let mut taken: Vec<InstanceId> = Vec::new();
         for (pool, missing) in self.short_pools(now, view, &standings) {
             let mut left = missing;
-            while left > 0 && standings[&pool].incoming < MAX_INCOMING {
+            // Rounded to whole instances: rounding up moved one too many for half of the bursts.
+            while left * 2 > step && standings[&pool].incoming < MAX_INCOMING {
                 let Some(donor) = self.choose(now, view, &lendable, &standings, &pool, &taken)
                 else {
                     plan.wait(&pool, WaitReason::NothingToLend { short: left });
@@ -87,7 +89,7 @@
     ) -> Vec<(PoolId, u32)> {
         let mut short = Vec::new();
         // Less than three quarters of an instance is within the scatter of a load.
-        let scatter = instance_slots(view);
+        let scatter = instance_slots(view) * 3 / 4;
         for (pool, rules) in &view.pools {
             let memory = self.memory.entry(pool.clone()).or_default();
             let standing = &standings[pool];
