--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,6 @@
 pub mod admin;
 pub mod answer;
 pub mod api;
-pub mod attempt;
 pub mod baseline;
 pub mod body;
 pub mod buffer;
