--- a/src/state/grants.rs
+++ b/src/state/grants.rs
@@ -149,7 +149,10 @@
     /// `reserve_percent` of the profiles, since the limit holds across services.
     pub fn reserve_limit(&self, team: &TeamId) -> u32 {
         let percent = self.config.profiles.values().map(|p| p.reserve_percent).max().unwrap_or(0);
-        (u64::from(self.limit(team)) * u64::from(percent.min(100)) / 100) as u32
+        let limit = self.limit(team);
+        let reserved = (u64::from(limit) * u64::from(percent.min(100)) / 100) as u32;
+        // One unit stays free of reserves, or no job of the team could ever be claimed.
+        reserved.min(limit.saturating_sub(1))
     }
 
     fn reserved(&self, team: &TeamId) -> u32 {
