Box the unread rest of a body

Cause: clippy refuses the size difference between the variants of proxy::Tried. Ruled out: allowing the lint. Change: CallerBody::rest is boxed. Conclusion: no change in behaviour.

--- a/src/body.rs
+++ b/src/body.rs
@@ -20,7 +20,7 @@
     /// The whole body, or its first `HOLD_LEN` bytes.
     pub held: Bytes,
     /// What follows; `None` when `held` is the whole body.
-    pub rest: Option<Rest<'r>>,
+    pub rest: Option<Box<Rest<'r>>>,
 }
 
 /// The part of a body that has not been read yet.
@@ -50,7 +50,7 @@
     match (left, ended) {
         (0, _) => Ok(CallerBody { held, rest: None }),
         (_, true) => Err(broken(io::ErrorKind::UnexpectedEof.into())),
-        (_, false) => Ok(CallerBody { held, rest: Some(Rest { stream, left, length }) }),
+        (_, false) => Ok(CallerBody { held, rest: Some(Box::new(Rest { stream, left, length })) }),
     }
 }
 
@@ -100,7 +100,7 @@
     }
 
     /// Passes on the rest of a body until it ends, breaks off, or the attempt ends.
-    pub async fn run(mut self, mut rest: Rest<'_>) -> Result<(), Refusal> {
+    pub async fn run(mut self, mut rest: Box<Rest<'_>>) -> Result<(), Refusal> {
         while rest.left > 0 {
             let (data, ended) = read_up_to(&mut rest.stream, CHUNK_LEN).await.map_err(broken)?;
             rest.left = rest.left.saturating_sub(data.len() as u64);
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -491,7 +491,7 @@
     attempt: impl Future<Output = Result<AttemptAnswer, AttemptFailure>> + Send,
     feeder: Feeder,
     held: Bytes,
-    rest: Rest<'r>,
+    rest: Box<Rest<'r>>,
 ) -> Tried<'r> {
     tokio::pin!(attempt);
     tokio::select! {
