Refuse upstream answers that do not tell their end, and allow one drain in the smallest pool

Cause: an answer with neither a length nor chunks ends with its connection, so a broken one looked complete to the caller. In the policy driver 10% of a small pool rounded down to no instance, so that run_rollout never ended. Ruled out: passing such answers on with the connection closed at the end, since the caller cannot tell a break from the end either. Change: the attempt fails as lost before its head; the driver's budget allows one instance of its smallest pool. Conclusion: whatever a caller gets whole was whole at the upstream.

--- a/src/driver.rs
+++ b/src/driver.rs
@@ -351,6 +351,13 @@
     -mean * (1.0 - rng.random::<f64>()).ln()
 }
 
+/// Instances of the smallest pool. Budgets are rounded down, and each pool is to allow one.
+fn smallest_pool(deployment: &Deployment) -> u32 {
+    let runners = deployment.runners.iter().copied();
+    let others = [deployment.guarded_workers, deployment.spare_instances];
+    runners.chain(others).min().unwrap_or(1).max(1)
+}
+
 fn profile(deployment: &Deployment) -> Profile {
     let tsagaan = deployment.name == "tsagaan";
     Profile {
@@ -361,7 +368,7 @@
         queue_bound: 2_000,
         max_deadline: Duration::from_secs(600),
         urgent_start: Duration::from_millis(1_400),
-        unavailable_percent: 10,
+        unavailable_percent: 100_u32.div_ceil(smallest_pool(deployment)),
         unavailable_per_rack: 1,
         drain_timeout: Duration::from_secs(10),
         maintenance_interval: Duration::from_secs(1_814_400),
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -11,7 +11,7 @@
 use futures::Stream;
 use parking_lot::Mutex;
 use reqwest::header::{self, HeaderMap, HeaderName, HeaderValue};
-use reqwest::{Client, Method, RequestBuilder, Response, StatusCode, Url};
+use reqwest::{Client, Method, RequestBuilder, Response, StatusCode, Url, Version};
 use rocket::http::RawStr;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -259,10 +259,11 @@
         let client = self.client(target).map_err(|e| failure(e, false))?;
         let caller_gone = Arc::new(AtomicBool::new(false));
         let wait = request.timeout;
+        let to_head = request.method == Method::HEAD;
         let built = build(client.request(request.method.clone(), url), request, &caller_gone);
         let id = self.ids.draw();
         match timeout(wait, transport::exchange(&id, built)).await {
-            Ok(Ok(response)) => accept(response),
+            Ok(Ok(response)) => accept(response, to_head),
             Ok(Err(e)) => Err(failure(e, caller_gone.load(Ordering::SeqCst))),
             Err(_) => {
                 let message = format!("no answer within {} ms", wait.as_millis());
@@ -491,7 +492,7 @@
     }
 }
 
-fn accept(response: Response) -> Result<AttemptAnswer, AttemptFailure> {
+fn accept(response: Response, to_head: bool) -> Result<AttemptAnswer, AttemptFailure> {
     let signs = signs(response.headers());
     let not_run = response.headers().get(RAN_HEADER).is_some_and(|v| v == "not_run");
     if not_run {
@@ -499,6 +500,11 @@
         return Err(AttemptFailure { signs, ..not_sent(Fault::Upstream, message) }
             .with_end(AttemptEnd::NotRun));
     }
+    if !to_head && !tells_its_end(&response) {
+        let message = "the answer has neither a length nor chunks; a cut would look complete";
+        let fault = not_sent(Fault::Upstream, message.to_string());
+        return Err(AttemptFailure { signs, ..fault }.with_end(AttemptEnd::LostBeforeHead));
+    }
     let length = response.headers().get(header::CONTENT_LENGTH);
     let length = length.and_then(|v| v.to_str().ok()?.parse().ok());
     Ok(AttemptAnswer {
@@ -510,6 +516,15 @@
     })
 }
 
+/// Whether the end of an answer can be told from a connection that broke.
+fn tells_its_end(response: &Response) -> bool {
+    let headers = response.headers();
+    let framed = headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING);
+    let bodiless = matches!(response.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    framed || bodiless || response.version() > Version::HTTP_11
+}
+
 impl AttemptFailure {
     fn with_end(mut self, end: AttemptEnd) -> AttemptFailure {
         self.end = end;
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use common::{any_port, closed_port, upstream, upstream_with};
 use jacinthhook::health::AttemptEnd;
-use jacinthhook::protocol::{TaskRenew, TaskStart, TaskState, TaskThrottle};
+use jacinthhook::protocol::{EXCHANGE_HEADER, TaskRenew, TaskStart, TaskState, TaskThrottle};
 use jacinthhook::standin::Faults;
 use jacinthhook::standin_upstream::{UpstreamOptions, UpstreamStandin};
 use jacinthhook::upstream::*;
@@ -15,6 +15,8 @@
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 const IDLE: Duration = Duration::from_secs(5);
@@ -387,3 +389,26 @@
     assert!(client.checkpoint_task(&target, "t", 1).await.unwrap().done_ms >= 500);
     assert_eq!(client.stop_task(&target, "t", 1).await.unwrap(), TaskState::Stopped);
 }
+
+#[tokio::test]
+async fn attempt_answer_that_tells_no_end() {
+    // A body that ends with the connection looks whole when the connection breaks.
+    let (_standin, client, target) = upstream().await;
+    let listener = TcpListener::bind(any_port()).await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    let server = tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.expect("a connection");
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(socket.read_u8().await.expect("a request"));
+        }
+        let head = String::from_utf8(head).expect("text");
+        let exchange = head.lines().find(|line| line.starts_with(EXCHANGE_HEADER));
+        let answer = format!("HTTP/1.1 200 OK\r\n{}\r\n\r\ncleats", exchange.expect("an exchange"));
+        socket.write_all(answer.as_bytes()).await.expect("an open socket");
+    });
+    let failure = client.attempt(&Target { addr, ..target }, get("/loan/7")).await.unwrap_err();
+    assert_eq!(failure.end, AttemptEnd::LostBeforeHead, "{failure:?}");
+    assert!(failure.message.contains("neither a length nor chunks"), "{failure:?}");
+    server.await.expect("the server ends");
+}
