End holds whose record was rejected, and ask peers at once for a missing view

A hold on an instance that was gone and replaced was rejected by the log; each instance dropped it when it read the record and took it again from a peer that had not, for ever. In the process, peers were asked one after the other, so one that was cut off delayed the tail by its timeout, and a view was asked of them only while the platform was away. Ruled out: keeping rejected commands in the shared state, since only holds need them.

--- a/src/hold.rs
+++ b/src/hold.rs
@@ -5,7 +5,7 @@
 
 use crate::ids::*;
 use crate::record::Record;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 /// Most holds kept; more are refused.
 pub const MAX_HOLDS: usize = 10_000;
@@ -14,6 +14,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Holds {
     by_op: IndexMap<OpId, Record>,
+    /// Commands whose records were folded, valid or not. A peer that has not folded one yet may
+    /// still pass it on, and a rejected one leaves no trace in the state.
+    ended: IndexSet<OpId>,
 }
 
 impl Holds {
@@ -35,7 +38,8 @@
     /// Adds a restrictive command; false when it is known, not restrictive, or one too many.
     pub fn add(&mut self, record: Record) -> bool {
         let Some(op) = Holds::op_of(&record).cloned() else { return false };
-        if self.by_op.contains_key(&op) || self.by_op.len() >= MAX_HOLDS {
+        let known = self.by_op.contains_key(&op) || self.ended.contains(&op);
+        if known || self.by_op.len() >= MAX_HOLDS {
             return false;
         }
         self.by_op.insert(op, record);
@@ -45,6 +49,10 @@
     /// Ends a hold whose record was folded.
     pub fn end(&mut self, op: &OpId) {
         self.by_op.shift_remove(op);
+        self.ended.insert(op.clone());
+        if self.ended.len() > MAX_HOLDS {
+            self.ended.shift_remove_index(0);
+        }
     }
 
     /// All holds.
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -136,16 +136,20 @@
             entry.log.event(Event::RelayUsed, &[("next", next.into())]);
         }
         relaying = away;
-        if !away {
+        let has_view = entry.node.lock().has_view();
+        if has_view && !away {
             continue;
         }
-        for peer in entry.peer_addrs() {
-            if entry.node.lock().has_view() {
-                relay_from(&entry, &peer).await;
-            } else {
-                load_view_from(&entry, &peer).await;
-            }
-        }
+        // All at once: one that is cut off must not keep the others' tail waiting.
+        let peers = entry.peer_addrs();
+        join_all(peers.iter().map(|peer| ask_peer(&entry, peer, has_view))).await;
+    }
+}
+
+async fn ask_peer(entry: &Entry, peer: &str, has_view: bool) {
+    match has_view {
+        true => relay_from(entry, peer).await,
+        false => load_view_from(entry, peer).await,
     }
 }
 
--- a/tests/node_fuzz.rs
+++ b/tests/node_fuzz.rs
@@ -76,7 +76,7 @@
 
 #[test]
 fn node_seed_2018885() {
-    // After an isolated zone, a kill and a slow platform an entry instance has no lease or keeps holds.
+    // Peers passed on a hold whose record the log had rejected, so that it never ended.
     run_seed(2_018_885);
 }
 
