Log why no instance of a pool drains or moves

Cause: operators could not see why maintenance waits; the planners' reasons were dropped. Ruled out: an event each pass, since a wait lasts for hours; only a new reason is logged. Change: event 706 with pool and reason. Conclusion: a pool that is not maintained says so. Not proved on running processes.

--- a/src/control.rs
+++ b/src/control.rs
@@ -2,6 +2,8 @@
 
 use crate::controller::{Controller, Inputs, PASS_INTERVAL, Pass, Step, is_turn};
 use crate::entry::Entry;
+use crate::event::Event;
+use crate::fleet::Wait;
 use crate::ids::*;
 use crate::protocol::{InstanceList, Listed};
 use crate::sched::PoolLoad;
@@ -14,12 +16,15 @@
 /// Plans for as long as the entry instance runs.
 pub async fn run(entry: Arc<Entry>) {
     let mut controller = Controller::new();
+    let mut waits = Vec::new();
     let mut ticks = interval(PASS_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         let list = entry.list.lock().clone();
         let pass = plan(&entry, &mut controller, &list);
+        tell_waits(&entry, &waits, &pass.waits);
+        waits = pass.waits;
         for step in pass.steps {
             carry_out(&entry, &mut controller, &list, step).await;
         }
@@ -45,6 +50,15 @@
     }
 }
 
+/// Logs the waits that are new since the last pass.
+fn tell_waits(entry: &Entry, before: &[Wait], now: &[Wait]) {
+    for wait in now.iter().filter(|wait| !before.contains(wait)) {
+        let reason = wait.reason.to_string();
+        let fields = [("pool", (&wait.pool).into()), ("reason", reason.as_str().into())];
+        entry.log.event(Event::PlanWaits, &fields);
+    }
+}
+
 fn pool_loads<'a>(
     entry: &Entry,
     pools: impl Iterator<Item = &'a PoolId>,
--- a/src/event.rs
+++ b/src/event.rs
@@ -106,6 +106,7 @@
     MoveStarted, 703, Info, "instance from to", "An instance starts to move to another pool.", "None.";
     MoveEnded, 704, Info, "instance to", "An instance is in its new pool.", "None.";
     MoveCancelled, 705, Info, "instance", "A move was given up.", "None.";
+    PlanWaits, 706, Info, "pool reason", "No instance of a pool drains or moves to it, for the reason given.", "See docs/operators/maintenance.md.";
 }
 
 impl LogLevel {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -6,6 +6,7 @@
 use crate::ids::*;
 use crate::record::DrainReason;
 use indexmap::IndexMap;
+use std::fmt;
 use std::time::Duration;
 
 /// What an instance is doing.
@@ -173,6 +174,29 @@
     ShortTooBriefly,
 }
 
+impl fmt::Display for WaitReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            WaitReason::BudgetUsed { planned, unplanned, allowed } => write!(
+                f,
+                "budget used: {planned} down as planned, {unplanned} unplanned, {allowed} allowed"
+            ),
+            WaitReason::PoolTooSmall { size } => {
+                write!(f, "the budget allows none of {size} instances to be down")
+            }
+            WaitReason::RackBudgetUsed => f.write_str("the budgets of the racks are used"),
+            WaitReason::ZoneAway => {
+                f.write_str("an availability zone is out or came back just now")
+            }
+            WaitReason::LoadNeedsAll => f.write_str("the load needs every instance"),
+            WaitReason::NothingToLend { short } => {
+                write!(f, "short of {short} slots and no pool can lend")
+            }
+            WaitReason::ShortTooBriefly => f.write_str("short, but not for long enough to move"),
+        }
+    }
+}
+
 /// What a planner decided, and what it left alone and why.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Plan {
