Share the processes of the bench scripts

Cause: both scripts held the same lines that start and end processes. Change: bench/processes.sh. Conclusion: one place to change.

--- a/bench/in_force.sh
+++ b/bench/in_force.sh
@@ -7,24 +7,7 @@
 cd "$(dirname "$0")/.."
 commands=${1:-100}
 rest=${2:-30}
-bin=target/release/jacinthhook
-dir=$(mktemp -d)
-pids=()
-trap 'kill "${pids[@]}" 2>/dev/null || true; wait 2>/dev/null || true; rm -rf "$dir"' EXIT
-
-# Starts a process and waits for its first line, which names its address.
-start() { # NAME, ARGUMENTS...
-  local name=$1; shift
-  "$bin" "$@" >"$dir/$name.out" 2>"$dir/$name.err" &
-  pids+=($!)
-  for _ in $(seq 200); do
-    [ -s "$dir/$name.out" ] && return
-    sleep 0.05
-  done
-  cat "$dir/$name.err" >&2
-  exit 1
-}
-address() { grep -oE '127\.0\.0\.1:[0-9]+' "$dir/$1.out" | head -n 1; }
+source bench/processes.sh
 
 start platform platform --addr 127.0.0.1:0
 platform=$(address platform)
@@ -48,10 +31,7 @@
   start "entry-$i" serve "$dir/entry-$i.ini"
 done
 at=$(address entry-0)
-for _ in $(seq 100); do
-  "$bin" publish examples/derwent.ini --at "$at" --wait-ms 20000 >/dev/null 2>&1 && break
-  sleep 0.2
-done
+publish examples/derwent.ini "$at"
 
 one() { # prints the milliseconds that a command took
   local from to
--- a/bench/throughput.sh
+++ b/bench/throughput.sh
@@ -6,24 +6,7 @@
 cd "$(dirname "$0")/.."
 rounds=${1:-5}
 rate=${2:-12000}
-bin=target/release/jacinthhook
-dir=$(mktemp -d)
-pids=()
-trap 'kill "${pids[@]}" 2>/dev/null || true; wait 2>/dev/null || true; rm -rf "$dir"' EXIT
-
-# Starts a process and waits for its first line, which names its address.
-start() { # NAME, ARGUMENTS...
-  local name=$1; shift
-  "$bin" "$@" >"$dir/$name.out" 2>"$dir/$name.err" &
-  pids+=($!)
-  for _ in $(seq 200); do
-    [ -s "$dir/$name.out" ] && return
-    sleep 0.05
-  done
-  cat "$dir/$name.err" >&2
-  exit 1
-}
-address() { grep -oE '127\.0\.0\.1:[0-9]+' "$dir/$1.out" | head -n 1; }
+source bench/processes.sh
 
 start platform platform --addr 127.0.0.1:0
 start upstream upstream --id u1 --addr 127.0.0.1:0 --platform "$(address platform)" \
@@ -60,10 +43,7 @@
 class = urgent
 DECLARATIONS
 start entry serve "$dir/entry.ini"
-for _ in $(seq 100); do
-  "$bin" publish "$dir/declarations.ini" --at "$(address entry)" >/dev/null 2>&1 && break
-  sleep 0.2
-done
+publish "$dir/declarations.ini" "$(address entry)"
 # The first requests wait for units and for the first probe of the upstream.
 for _ in $(seq 100); do
   "$bin" load /s/s/x --at "$(address entry)" --connections 1 --duration-ms 100 | grep -q ' 0.0 ' || break
