--- a/src/control.rs
+++ b/src/control.rs
@@ -63,8 +63,8 @@
     entry: &Entry,
     pools: impl Iterator<Item = &'a PoolId>,
 ) -> IndexMap<PoolId, PoolLoad> {
-    let desk = entry.desk.lock();
-    pools.map(|pool| (pool.clone(), desk.sched.pool_load(pool))).collect()
+    let dispatcher = entry.dispatcher.lock();
+    pools.map(|pool| (pool.clone(), dispatcher.sched.pool_load(pool))).collect()
 }
 
 fn unix_s() -> u64 {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -39,7 +39,7 @@
 }
 
 /// The scheduler and those who wait for it.
-pub struct Desk {
+pub struct Dispatcher {
     pub sched: Sched,
     waiters: HashMap<WorkId, Waiter>,
     upstreams: HashMap<InstanceId, Listed>,
@@ -50,10 +50,10 @@
     config_position: (usize, Option<Offset>),
 }
 
-impl Desk {
-    /// A desk without work.
-    pub fn new(seed: u64, zone: ZoneId) -> Desk {
-        Desk {
+impl Dispatcher {
+    /// A dispatcher without work.
+    pub fn new(seed: u64, zone: ZoneId) -> Dispatcher {
+        Dispatcher {
             sched: Sched::new(seed, zone),
             waiters: HashMap::new(),
             upstreams: HashMap::new(),
@@ -108,7 +108,7 @@
     }
 
     fn next(&mut self, now: Time, node: &mut Node) -> Option<(Placed, Time)> {
-        let Desk { sched, waiters, .. } = self;
+        let Dispatcher { sched, waiters, .. } = self;
         let mut until = Time::ZERO;
         let mut allow = |work: &Work| match waiters.get(&work.id).map(|w| w.counted) {
             Some(Counted::Unit) => match node.take_unit(now, &work.team, work.deadline) {
@@ -176,8 +176,8 @@
 impl Drop for Waiting {
     fn drop(&mut self) {
         let waits = {
-            let mut desk = self.entry.desk.lock();
-            desk.waiters.remove(&self.id).is_some() && desk.sched.cancel(self.id)
+            let mut dispatcher = self.entry.dispatcher.lock();
+            dispatcher.waiters.remove(&self.id).is_some() && dispatcher.sched.cancel(self.id)
         };
         let turn = self.rx.try_recv();
         if !waits && let Ok(Ok(turn)) = turn {
@@ -209,9 +209,9 @@
     /// Another upstream for the same work; `None` when none has room.
     pub fn again(&self, exclude: &[InstanceId]) -> Option<Listed> {
         let now = self.entry.now();
-        let mut desk = self.entry.desk.lock();
-        let placed = desk.sched.place_again(now, self.id, exclude)?;
-        desk.upstreams.get(&placed.upstream).cloned()
+        let mut dispatcher = self.entry.dispatcher.lock();
+        let placed = dispatcher.sched.place_again(now, self.id, exclude)?;
+        dispatcher.upstreams.get(&placed.upstream).cloned()
     }
 }
 
@@ -267,9 +267,9 @@
     let now = entry.now();
     let (tx, rx) = oneshot::channel();
     let mut node = entry.node.lock();
-    let mut desk = entry.desk.lock();
-    let id = desk.next_id;
-    desk.next_id += 1;
+    let mut dispatcher = entry.dispatcher.lock();
+    let id = dispatcher.next_id;
+    dispatcher.next_id += 1;
     let work = Work {
         id,
         service: wanted.service,
@@ -279,12 +279,12 @@
         need: Need::SLOT,
         declared: wanted.declared,
     };
-    desk.sched.enqueue(now, work)?;
+    dispatcher.sched.enqueue(now, work)?;
     let (team, counted) = (wanted.team, wanted.counted);
-    desk.waiters.insert(id, Waiter { tx, team: team.clone(), counted });
-    desk.pump(now, &mut node);
-    node.set_waiting(&team, desk.sched.waiting(&team));
-    drop(desk);
+    dispatcher.waiters.insert(id, Waiter { tx, team: team.clone(), counted });
+    dispatcher.pump(now, &mut node);
+    node.set_waiting(&team, dispatcher.sched.waiting(&team));
+    drop(dispatcher);
     drop(node);
     Ok(Waiting { entry: entry.clone(), id, team, counted, rx })
 }
@@ -293,20 +293,20 @@
 fn release(entry: &Entry, id: WorkId, team: &TeamId, ran_for: Duration, failed: bool) {
     let now = entry.now();
     let mut node = entry.node.lock();
-    let mut desk = entry.desk.lock();
-    desk.sched.finish(now, id, ran_for, failed);
-    if let Some(running) = desk.running.get_mut(team) {
+    let mut dispatcher = entry.dispatcher.lock();
+    dispatcher.sched.finish(now, id, ran_for, failed);
+    if let Some(running) = dispatcher.running.get_mut(team) {
         *running = running.saturating_sub(1);
     }
-    desk.pump(now, &mut node);
-    node.set_waiting(team, desk.sched.waiting(team));
+    dispatcher.pump(now, &mut node);
+    node.set_waiting(team, dispatcher.sched.waiting(team));
 }
 
 /// Starts what may start now; called when upstreams, limits or time have changed.
 pub fn pump(entry: &Entry) {
     let now = entry.now();
     let mut node = entry.node.lock();
-    entry.desk.lock().pump(now, &mut node);
+    entry.dispatcher.lock().pump(now, &mut node);
 }
 
 /// Brings the scheduler's upstreams up to date with the view, the list and their health.
@@ -314,14 +314,14 @@
     let now = entry.now();
     let mut node = entry.node.lock();
     let pools: Vec<PoolId> = node.state().config.pools.keys().cloned().collect();
-    let mut desk = entry.desk.lock();
+    let mut dispatcher = entry.dispatcher.lock();
     for pool in &pools {
         let mut listed = node.upstreams(now, pool);
         listed.retain(|one| entry.clocks.knows(&one.id));
         let ids: Vec<InstanceId> = listed.iter().map(|one| one.id.clone()).collect();
         let usable = entry.health.lock().usable(now, &ids);
         listed.retain(|one| usable.contains(&one.id));
-        desk.set_upstreams(now, pool, &listed);
+        dispatcher.set_upstreams(now, pool, &listed);
     }
-    desk.pump(now, &mut node);
+    dispatcher.pump(now, &mut node);
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,9 +1,9 @@
 //! The tables that all tasks of one entry instance share.
 //!
-//! Lock order: `node`, `desk`, `health`, `retry`. No lock is held across an await.
+//! Lock order: `node`, `dispatcher`, `health`, `retry`. No lock is held across an await.
 
 use crate::callers::Callers;
-use crate::dispatch::Desk;
+use crate::dispatch::Dispatcher;
 use crate::event::{Event, Log};
 use crate::health::Health;
 use crate::hold::Holds;
@@ -84,7 +84,7 @@
     /// Port that callers connect to; needed to close a caller's connection.
     pub http_port: u16,
     pub node: Mutex<Node>,
-    pub desk: Mutex<Desk>,
+    pub dispatcher: Mutex<Dispatcher>,
     pub health: Mutex<Health>,
     pub retry: Mutex<Retry>,
     pub platform: Platform,
@@ -138,7 +138,7 @@
             log: Log::stderr(&settings).with_metrics(metrics.clone()),
             metrics,
             http_port,
-            desk: Mutex::new(Desk::new(seed, zone.clone())),
+            dispatcher: Mutex::new(Dispatcher::new(seed, zone.clone())),
             health: Mutex::new(Health::new(seed)),
             retry: Mutex::new(Retry::new(seed)),
             platform: Platform::new(&settings.platform_addr.to_string(), platform)
--- a/src/node/jobs.rs
+++ b/src/node/jobs.rs
@@ -69,7 +69,7 @@
             && self.now < self.units.valid_until()
     }
 
-    /// Running jobs that the log puts in this instance's hand.
+    /// Running jobs that this instance holds by the log.
     pub fn own_jobs(&self) -> Vec<JobId> {
         let me = self.cfg.incarnation;
         let mine =
@@ -113,7 +113,7 @@
         start.start_by + surely_over(START_WINDOW)
     }
 
-    /// The record that resolves a job in this instance's hand whose start nobody waits for any
+    /// The record that resolves a job that this instance holds, whose start nobody waits for any
     /// more; `None` while its task runs.
     pub fn resolve_job(&self, job: &JobId, seen: TaskSeen) -> Option<Record> {
         let known = self.state().jobs.get(job)?;
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -484,7 +484,7 @@
         expired: known.expired,
     });
     let entries = std::iter::once(own).chain(others).collect();
-    let desk = entry.desk.lock();
+    let dispatcher = entry.dispatcher.lock();
     api::Status {
         entry: entry.id().clone(),
         zone: entry.zone().clone(),
@@ -497,8 +497,8 @@
         published_at: state.sections.values().map(|section| section.version).max(),
         entries,
         zones: zones(state, &holds),
-        pools: pools(state, &desk),
-        teams: teams(state, &desk),
+        pools: pools(state, &dispatcher),
+        teams: teams(state, &dispatcher),
         instances: instances(entry, state, &holds),
         holds: holds.iter().filter_map(hold_status).collect(),
         jobs: open_jobs(state),
@@ -526,28 +526,28 @@
     state.instances.iter().filter(|(_, instance)| instance.gone_at.is_none())
 }
 
-fn pools(state: &State, desk: &dispatch::Desk) -> Vec<api::PoolStatus> {
+fn pools(state: &State, dispatcher: &dispatch::Dispatcher) -> Vec<api::PoolStatus> {
     let status = |pool: &PoolId| {
         let members: Vec<_> = live(state).filter(|(_, i)| i.pool == *pool).collect();
         api::PoolStatus {
             pool: pool.clone(),
             instances: members.len() as u32,
-            usable: desk.usable(pool),
+            usable: dispatcher.usable(pool),
             moving: members.iter().filter(|(_, i)| i.moving.is_some()).count() as u32,
             draining: members.iter().filter(|(_, i)| i.draining.is_some()).count() as u32,
-            waiting: desk.sched.pool_load(pool).waiting,
+            waiting: dispatcher.sched.pool_load(pool).waiting,
         }
     };
     state.config.pools.keys().map(status).collect()
 }
 
-fn teams(state: &State, desk: &dispatch::Desk) -> Vec<api::TeamStatus> {
+fn teams(state: &State, dispatcher: &dispatch::Dispatcher) -> Vec<api::TeamStatus> {
     let status = |team: &TeamId| api::TeamStatus {
         team: team.clone(),
         limit: state.limit(team),
         granted: state.units_in_use(team),
-        running: desk.running(team),
-        waiting: desk.sched.waiting(team),
+        running: dispatcher.running(team),
+        waiting: dispatcher.sched.waiting(team),
     };
     state.config.teams.keys().map(status).collect()
 }
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -207,7 +207,7 @@
         node.on_draining(&listed.id, status.draining);
         let fresh = node.view_age(now) <= RETRY_INTERVAL;
         let position = fresh.then(|| node.next_offset());
-        entry.desk.lock().sched.on_load(now, &listed.id, status.running);
+        entry.dispatcher.lock().sched.on_load(now, &listed.id, status.running);
         position
     };
     entry.clocks.on_answer(now, &listed.id, &status, position)
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -533,7 +533,7 @@
         dispatch::refresh_upstreams(entry);
     }
     if let Some(load) = signs.load {
-        entry.desk.lock().sched.on_load(now, &upstream.id, load);
+        entry.dispatcher.lock().sched.on_load(now, &upstream.id, load);
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -92,7 +92,7 @@
     HolderNotLapsed,
     #[snafu(display("team {team:?} is at its upper limit of {limit}"))]
     AtLimit { team: TeamId, limit: u32 },
-    #[snafu(display("job {job:?} is in another state, attempt or hand"))]
+    #[snafu(display("job {job:?} is in another state or attempt, or held by another writer"))]
     JobElsewhere { job: JobId },
     #[snafu(display("the backlog of jobs is full"))]
     BacklogFull,
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -1,4 +1,4 @@
-//! Jobs: submitted once, running in one hand at a time, ended once.
+//! Jobs: submitted once, held by one entry instance at a time, ended once.
 
 use super::{Applied, Cx, Reject, State, Verdict, missing};
 use crate::ids::*;
@@ -73,7 +73,7 @@
         self.job_totals.running.get(team).copied().unwrap_or(0)
     }
 
-    /// Whether the job runs in a hand whose lease was expired or that is gone.
+    /// Whether the lease of the job's holder was expired, or the holder is gone.
     pub fn is_orphaned(&self, job: &Job) -> bool {
         match job.state {
             JobState::Running { holder, .. } => !self.is_live(holder),
@@ -161,7 +161,7 @@
     }
 
     pub(super) fn job_release(&mut self, cx: Cx, id: &JobId, attempt: Attempt) -> Applied {
-        self.require_hand(cx, id, attempt)?;
+        self.require_holder(cx, id, attempt)?;
         let job = &mut self.jobs[id];
         job.state = JobState::Pending;
         let cancelled = job.cancel;
@@ -180,7 +180,7 @@
         attempt: Attempt,
         ending: &JobEnding,
     ) -> Applied {
-        self.require_hand(cx, id, attempt)?;
+        self.require_holder(cx, id, attempt)?;
         let team = self.jobs[id].spec.team.clone();
         self.drop_running(&team);
         self.end_job(cx, id, ending.clone());
@@ -200,8 +200,8 @@
         Ok(Verdict::Applied)
     }
 
-    /// Only the hand that the log names may speak for a running job.
-    fn require_hand(&self, cx: Cx, id: &JobId, attempt: Attempt) -> Result<(), Reject> {
+    /// Only the holder that the log names may end or release a running job.
+    fn require_holder(&self, cx: Cx, id: &JobId, attempt: Attempt) -> Result<(), Reject> {
         let job = self.jobs.get(id).ok_or_else(|| missing("job", id))?;
         match job.state {
             JobState::Running { holder, .. }
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -68,8 +68,8 @@
     }
     {
         let node = entry.node.lock();
-        let mut desk = entry.desk.lock();
-        desk.set_config_if_changed(node.state());
+        let mut dispatcher = entry.dispatcher.lock();
+        dispatcher.set_config_if_changed(node.state());
     }
     dispatch::refresh_upstreams(entry);
     entry.append.notify_one();
@@ -236,7 +236,7 @@
         }
         if ticks.is_multiple_of(REFRESH_TICKS) {
             dispatch::refresh_upstreams(&entry);
-        } else if !entry.desk.lock().is_idle() {
+        } else if !entry.dispatcher.lock().is_idle() {
             dispatch::pump(&entry);
         }
     }
--- a/src/tend.rs
+++ b/src/tend.rs
@@ -282,9 +282,9 @@
     }
 }
 
-/// Sees a job through that the log puts in this instance's hand.
+/// Looks after one job that this instance holds, until its end.
 async fn resume(entry: Arc<Entry>, job: JobId) {
-    let Some((upstream, _)) = in_hand(&entry, &job) else { return };
+    let Some((upstream, _)) = held(&entry, &job) else { return };
     match listed(&entry, &upstream) {
         Some(listed) => {
             watch(&entry, &job, &listed, None).await;
@@ -294,8 +294,8 @@
     }
 }
 
-/// Upstream and fence of a job in this instance's hand.
-fn in_hand(entry: &Entry, job: &JobId) -> Option<(InstanceId, Offset)> {
+/// Upstream and fence of a job that this instance holds.
+fn held(entry: &Entry, job: &JobId) -> Option<(InstanceId, Offset)> {
     let node = entry.node.lock();
     match &node.state().jobs.get(job)?.state {
         JobState::Running { holder, upstream, fence } if *holder == entry.incarnation() => {
@@ -326,7 +326,7 @@
 ) -> bool {
     let mut pause = WATCH_MIN;
     loop {
-        let Some((_, fence)) = in_hand(entry, job) else { return false };
+        let Some((_, fence)) = held(entry, job) else { return false };
         let target = target(entry, upstream);
         let renew = TaskRenew { fence, lease_ms: TASK_LEASE.as_millis() as u64 };
         let answer = if is_cancelled(entry, job) {
@@ -433,7 +433,7 @@
     let Some(record) = record else { return };
     let ticket = entry.propose(record);
     while entry.fate(ticket, entry.now() + FATE_WAIT).await == Fate::Pending {
-        if in_hand(entry, job).is_none() {
+        if held(entry, job).is_none() {
             return;
         }
     }
--- a/src/watcher.rs
+++ b/src/watcher.rs
@@ -146,7 +146,7 @@
     for (id, instance) in live {
         members.entry(&instance.pool).or_default().push(id.clone());
     }
-    let desk = entry.desk.lock();
+    let dispatcher = entry.dispatcher.lock();
     let health = entry.health.lock();
     let look = |pool: &PoolId| {
         let ids = members.remove(pool).unwrap_or_default();
@@ -154,7 +154,7 @@
         PoolLook {
             id: pool.clone(),
             used: state.config.services.values().any(|service| service.pool == *pool),
-            usable: desk.usable(pool),
+            usable: dispatcher.usable(pool),
             set_aside: ids.into_iter().filter(|id| !usable.contains(id)).collect(),
         }
     };
@@ -169,11 +169,15 @@
     }
     let now = entry.now();
     let node = entry.node.lock();
-    let desk = entry.desk.lock();
+    let dispatcher = entry.dispatcher.lock();
     let state = node.state();
     for team in state.config.teams.keys() {
-        metrics.set_waiting(team, desk.sched.waiting(team));
-        metrics.set_units(team, state.usable(entry.incarnation(), team).units, desk.running(team));
+        metrics.set_waiting(team, dispatcher.sched.waiting(team));
+        metrics.set_units(
+            team,
+            state.usable(entry.incarnation(), team).units,
+            dispatcher.running(team),
+        );
     }
     metrics.set_view(node.view_age(now), node.next_offset());
     metrics.set_holds(node.holds().len() as u32);
--- a/tests/controller.rs
+++ b/tests/controller.rs
@@ -211,7 +211,7 @@
 }
 
 #[test]
-fn plan_reboot_waits_for_deaf_entry_instance() {
+fn plan_reboot_waits_for_lagging_entry_instance() {
     let mut fleet = Fleet::new();
     fleet.unix_s += 19 * DAY_S;
     fleet.pass();
--- a/tests/fuzz/work.rs
+++ b/tests/fuzz/work.rs
@@ -527,7 +527,7 @@
         }
     }
 
-    /// Asks the upstream of a job in this instance's hand.
+    /// Asks the upstream of a job that this instance holds.
     fn watch_job(&mut self, i: usize, job: &JobId) {
         let me = self.entries[i].life;
         let Some(known) = self.node(i).state().jobs.get(job) else {
--- a/tests/fuzz/world.rs
+++ b/tests/fuzz/world.rs
@@ -361,7 +361,7 @@
     fn leaves(&mut self, i: usize) -> Judged {
         let life = self.entries[i].life;
         if !self.entries[i].calls.is_empty() {
-            return fail(10, format!("e{i} left with calls in hand"));
+            return fail(10, format!("e{i} left with calls open"));
         }
         let held = self.oracle.state.holders.get(&life).is_some_and(|h| !h.grants.is_empty());
         if held {
--- a/tests/state_fuzz.rs
+++ b/tests/state_fuzz.rs
@@ -174,7 +174,7 @@
 impl Oracle {
     fn judge(&mut self, before: &State, state: &State, batch: &Batch, verdict: &Verdict) {
         let record = &batch.records[0];
-        judge_hand(before, batch, verdict);
+        judge_holder(before, batch, verdict);
         self.judge_limits(state);
         self.judge_keys(state);
         self.judge_jobs(state);
@@ -248,7 +248,7 @@
 }
 
 /// Only the holder that the log names ends or releases a running job, and only its last attempt.
-fn judge_hand(before: &State, batch: &Batch, verdict: &Verdict) {
+fn judge_holder(before: &State, batch: &Batch, verdict: &Verdict) {
     let (Record::JobEnd { job, attempt, .. } | Record::JobRelease { job, attempt }) =
         &batch.records[0]
     else {
