Build the target of task calls in one place

Cause: read-through; control and tend built the same Target from a listed upstream and the generation of its connections. The comment on Report::at named the wrong moment. Ruled out: sharing the launch of entry instance and stand-ins, which needs one error type for both. Change: control calls tend::target; the comment says that the time is that of the answer. Conclusion: one piece of code for both callers.

--- a/src/control.rs
+++ b/src/control.rs
@@ -5,8 +5,9 @@
 use crate::event::Event;
 use crate::fleet::Wait;
 use crate::ids::*;
-use crate::protocol::{InstanceList, Listed};
+use crate::protocol::InstanceList;
 use crate::sched::PoolLoad;
+use crate::tend;
 use crate::upstream::Target;
 use indexmap::IndexMap;
 use std::sync::Arc;
@@ -107,7 +108,6 @@
 }
 
 fn target(entry: &Entry, list: &InstanceList, instance: &InstanceId) -> Option<Target> {
-    let listed: &Listed = list.instances.iter().find(|listed| listed.id == *instance)?;
-    let generation = entry.health.lock().generation(instance);
-    Some(Target { id: instance.clone(), addr: listed.addr.clone(), generation })
+    let listed = list.instances.iter().find(|listed| listed.id == *instance)?;
+    Some(tend::target(entry, listed))
 }
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -29,7 +29,7 @@
 /// What a probe told about an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Report {
-    /// When it was asked.
+    /// When its answer came.
     pub at: Time,
     /// Requests and tasks that it ran, whoever sent them.
     pub running: u32,
--- a/src/tend.rs
+++ b/src/tend.rs
@@ -439,7 +439,8 @@
     }
 }
 
-fn target(entry: &Entry, upstream: &Listed) -> Target {
+/// Where task calls to an upstream go, over its present connections.
+pub fn target(entry: &Entry, upstream: &Listed) -> Target {
     let generation = entry.health.lock().generation(&upstream.id);
     Target { id: upstream.id.clone(), addr: upstream.addr.clone(), generation }
 }
