Run on the users' platform: adapter, batch core, one owner a term

Cause: the users' platform speaks of its own store, workers and machines; the program spoke only its own protocol. Ruled out: folding one log on every instance (each reader pays for every byte, and a worker takes one fence for all it runs); leases of parts of limits between instances. One owner of a term decides, the store's keyed topics hold jobs, progress and the owner's beat, and a worker's own lists tell a fresh owner what runs. Change: src/platform/ translates; src/batch/ decides without I/O; src/instance/ is the process. The client of the project's own log is log_client.rs; serve and run share http_server.rs; the HTTP client of transport.rs got TCP_USER_TIMEOUT.

--- /dev/null
+++ b/src/batch/ledger.rs
@@ -0,0 +1,133 @@
+//! What the store keeps of a job's progress, one record a job.
+//!
+//! A start is stored before it is ordered, an end before it is acknowledged. A fresh owner that reads
+//! the records and then greets every worker therefore knows of all that runs.
+
+use crate::batch::job::{Held, Job, JobState, Occurrence, Phase, Task};
+use crate::batch::upkeep::MachineId;
+use crate::ids::{JobId, Time};
+use bytes::Bytes;
+use indexmap::IndexSet;
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+use std::sync::Arc;
+
+/// A record that cannot be used.
+#[derive(Debug, Snafu)]
+pub enum LedgerError {
+    /// It is not what this program writes.
+    #[snafu(display("progress of job {job}: {source}"))]
+    Malformed { job: JobId, source: serde_json::Error },
+    /// The job has other steps than the record.
+    #[snafu(display("progress of job {job} does not fit its steps"))]
+    OtherShape { job: JobId },
+}
+
+/// Keys of waves of maintenance begin with this; keys of jobs are hexadecimal.
+const WAVE_PREFIX: &str = "wave/";
+
+/// A record of the store: a key and what it is to hold; `None` drops the key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Entry {
+    pub key: Arc<str>,
+    pub value: Option<Bytes>,
+}
+
+#[derive(Deserialize, Serialize)]
+struct Progress {
+    state: JobState,
+    begun: u32,
+    started: bool,
+    open: Vec<(u32, Vec<Vec<Row>>)>,
+}
+
+/// Run, failed runs, checkpoint, worker that holds it (empty for none), done.
+#[derive(Deserialize, Serialize)]
+struct Row(u32, u32, Arc<str>, Arc<str>, bool);
+
+/// The record of a job's progress.
+pub fn encode(id: &JobId, job: &Job) -> Entry {
+    let steps = |o: &Occurrence| o.steps.iter().map(|s| s.iter().map(row).collect()).collect();
+    let open = match job.state.is_final() {
+        true => Vec::new(),
+        false => job.open.iter().map(|o| (o.number, steps(o))).collect(),
+    };
+    let progress = Progress { state: job.state, begun: job.begun, started: job.started, open };
+    // Numbers, texts and lists always encode.
+    let value = serde_json::to_vec(&progress).unwrap_or_default();
+    Entry { key: id.clone(), value: Some(value.into()) }
+}
+
+fn row(task: &Task) -> Row {
+    let worker = match &task.phase {
+        Phase::Held(held) => held.worker.clone(),
+        Phase::Waiting | Phase::Done => "".into(),
+    };
+    Row(task.run, task.failed, task.checkpoint.clone(), worker, task.phase == Phase::Done)
+}
+
+/// Sets a job to the progress of its record. Runs at workers count as confirmed: the greeting of
+/// their workers tells whether they are there.
+pub fn decode(id: &JobId, job: &mut Job, value: &[u8], now: Time) -> Result<(), LedgerError> {
+    let progress: Progress =
+        serde_json::from_slice(value).context(MalformedSnafu { job: id.clone() })?;
+    let mut open = Vec::new();
+    for (number, steps) in progress.open {
+        let mut occurrence = Occurrence::new(number, &job.spec);
+        if steps.len() != occurrence.steps.len() {
+            return OtherShapeSnafu { job: id.clone() }.fail();
+        }
+        for (tasks, rows) in occurrence.steps.iter_mut().zip(steps) {
+            if tasks.len() != rows.len() {
+                return OtherShapeSnafu { job: id.clone() }.fail();
+            }
+            for (task, row) in tasks.iter_mut().zip(rows) {
+                *task = restored(row, now);
+            }
+        }
+        open.push(occurrence);
+    }
+    job.state = progress.state;
+    job.shown = progress.state;
+    job.begun = progress.begun;
+    job.started = progress.started;
+    job.open = open;
+    job.ended_at = progress.state.is_final().then_some(now);
+    Ok(())
+}
+
+fn restored(row: Row, now: Time) -> Task {
+    let Row(run, failed, checkpoint, worker, done) = row;
+    let phase = match (done, worker.is_empty()) {
+        (true, _) => Phase::Done,
+        (false, true) => Phase::Waiting,
+        (false, false) => Phase::Held(Held {
+            worker,
+            since: now,
+            confirmed: Some(now),
+            stopping: false,
+            percent: 0,
+            at_work_since: None,
+        }),
+    };
+    Task { phase, run, failed, checkpoint, ..Task::default() }
+}
+
+/// The record of the machines whose maintenance has begun.
+pub fn encode_wave(wave: u64, begun: &IndexSet<MachineId>) -> Entry {
+    let names: Vec<&str> = begun.iter().map(|m| &**m).collect();
+    // Texts and lists always encode.
+    let value = serde_json::to_vec(&names).unwrap_or_default();
+    Entry { key: format!("{WAVE_PREFIX}{wave}").into(), value: Some(value.into()) }
+}
+
+/// The wave that a key belongs to; `None` for the key of a job.
+pub fn wave_of(key: &str) -> Option<u64> {
+    key.strip_prefix(WAVE_PREFIX)?.parse().ok()
+}
+
+/// The machines of a wave's record.
+pub fn decode_wave(value: &[u8]) -> Result<IndexSet<MachineId>, serde_json::Error> {
+    let names: Vec<Arc<str>> = serde_json::from_slice(value)?;
+    Ok(names.into_iter().collect())
+}
--- /dev/null
+++ b/src/batch/upkeep.rs
@@ -0,0 +1,170 @@
+//! Machines: maintenance in waves.
+//!
+//! A machine that is due gets no new starts until its short tasks have ended. Its lasting tasks end
+//! with it, so it goes only while each of their steps may miss one more.
+
+use crate::batch::declared::Wave;
+use crate::batch::job::{Phase, TaskId, WorkerId};
+use crate::batch::owner::Owner;
+use crate::ids::{JobId, PoolId, Time};
+use indexmap::{IndexMap, IndexSet};
+use std::sync::Arc;
+
+/// Name of a machine; it outlasts the workers that live on it.
+pub type MachineId = Arc<str>;
+/// Machines of a wave that are emptied beyond those that may be away, so that the next one is ready.
+const AHEAD: usize = 1;
+
+/// What a machine does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MachineState {
+    Up,
+    Moving,
+    Upkeep,
+    Down,
+}
+
+/// A machine as the platform lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Machine {
+    pub id: MachineId,
+    pub pool: PoolId,
+    pub state: MachineState,
+    /// The worker that lives on it.
+    pub worker: Option<WorkerId>,
+}
+
+/// A call to the platform about a machine.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Upkeep {
+    pub machine: MachineId,
+    pub wave: u64,
+}
+
+/// Progress of the waves in force.
+#[derive(Clone, Debug, Default)]
+pub struct Waves {
+    /// Machines whose maintenance has begun, by wave.
+    pub begun: IndexMap<u64, IndexSet<MachineId>>,
+}
+
+impl Waves {
+    /// Machines of a wave that are still to begin.
+    pub fn left<'a>(&'a self, wave: &'a Wave) -> impl Iterator<Item = &'a MachineId> {
+        let begun = self.begun.get(&wave.number);
+        wave.machines.iter().filter(move |m| !begun.is_some_and(|b| b.contains(*m)))
+    }
+
+    /// Notes that a machine's maintenance has begun.
+    pub fn begin(&mut self, wave: u64, machine: MachineId) {
+        self.begun.entry(wave).or_default().insert(machine);
+    }
+}
+
+impl Owner {
+    /// Machines whose maintenance may begin now. Marks those that are to be emptied.
+    pub fn plan_upkeep(&mut self, machines: &IndexMap<MachineId, Machine>) -> Vec<Upkeep> {
+        let in_force = self.in_force.clone();
+        let mut chosen = Vec::new();
+        let mut taken = StepCounts::new();
+        let mut reserved: IndexSet<WorkerId> = IndexSet::new();
+        for wave in in_force.waves.values() {
+            let away = wave
+                .machines
+                .iter()
+                .filter(|m| machines.get(*m).is_some_and(|m| m.state == MachineState::Upkeep))
+                .count();
+            let mut room = (wave.max_at_once as usize).saturating_sub(away);
+            let next: Vec<MachineId> = self.waves.left(wave).cloned().collect();
+            for id in next.into_iter().take(room + AHEAD) {
+                let Some(machine) = machines.get(&id).filter(|m| m.state == MachineState::Up)
+                else {
+                    continue;
+                };
+                let worker = machine.worker.as_ref().filter(|w| self.workers.contains_key(*w));
+                if let Some(worker) = worker {
+                    reserved.insert(worker.clone());
+                }
+                let taken_too = match worker {
+                    Some(worker) if room > 0 => self.may_take(worker, &taken),
+                    Some(_) => None,
+                    None => (room > 0).then(|| taken.clone()),
+                };
+                if let Some(with_this) = taken_too {
+                    taken = with_this;
+                    room -= 1;
+                    chosen.push(Upkeep { machine: id.clone(), wave: wave.number });
+                }
+            }
+        }
+        for (id, worker) in &mut self.workers {
+            worker.reserved = reserved.contains(id);
+        }
+        chosen
+    }
+
+    /// A machine's maintenance has begun: its worker is over, with all it ran.
+    pub fn upkeep_began(&mut self, order: &Upkeep, now: Time) {
+        self.waves.begin(order.wave, order.machine.clone());
+        self.dirty_waves.insert(order.wave);
+        let worker = self.workers.values().find(|w| w.listed.machine == order.machine);
+        if let Some(id) = worker.map(|w| w.listed.id.clone()) {
+            self.replaced(&id, now);
+        }
+    }
+
+    /// A machine does not belong to the wave, or is gone.
+    pub fn upkeep_unfit(&mut self, order: &Upkeep) {
+        self.waves.begin(order.wave, order.machine.clone());
+        self.dirty_waves.insert(order.wave);
+    }
+
+    /// Notes that an order about a machine had no answer: it may be down by now.
+    pub fn upkeep_unsure(&mut self, order: &Upkeep, now: Time) {
+        self.unsure_upkeep.insert(order.machine.clone(), now);
+    }
+
+    /// The lasting tasks that a worker takes with it, by step; `None` if it must not go now.
+    /// `taken` holds what machines chosen in the same pass take.
+    fn may_take(&self, worker: &str, taken: &StepCounts) -> Option<StepCounts> {
+        let mut all = taken.clone();
+        let Some(worker) = self.workers.get(worker) else { return Some(all) };
+        for task in worker.held.keys() {
+            if !self.step_of(task)?.lasting {
+                return None;
+            }
+            *all.entry(step_key(task)).or_insert(0) += 1;
+        }
+        let fits = worker.held.keys().all(|task| {
+            let may_miss = self.step_of(task).and_then(|step| step.may_miss);
+            let here = all.get(&step_key(task)).copied().unwrap_or(0);
+            may_miss.is_none_or(|most| self.away(task) + here <= most)
+        });
+        fits.then_some(all)
+    }
+
+    /// Tasks of a task's step that are not at work, or may have lost their machine.
+    fn away(&self, task: &TaskId) -> u32 {
+        let Some(job) = self.jobs.get(&task.job) else { return 0 };
+        let Some(open) = job.open.iter().find(|o| o.number == task.occurrence) else { return 0 };
+        let Some(tasks) = open.steps.get(task.step as usize) else { return 0 };
+        let away = tasks.iter().filter(|t| match &t.phase {
+            Phase::Held(held) => held.at_work_since.is_none() || self.may_be_down(&held.worker),
+            Phase::Waiting | Phase::Done => true,
+        });
+        away.count() as u32
+    }
+
+    fn may_be_down(&self, worker: &str) -> bool {
+        let Some(worker) = self.workers.get(worker) else { return true };
+        let asked = self.unsure_upkeep.get(&worker.listed.machine);
+        asked.is_some_and(|at| *at >= worker.last_answer)
+    }
+}
+
+/// Tasks by job, occurrence and step.
+type StepCounts = IndexMap<(JobId, u32, u32), u32>;
+
+fn step_key(task: &TaskId) -> (JobId, u32, u32) {
+    (task.job.clone(), task.occurrence, task.step)
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,6 +4,7 @@
 use crate::difference::Missing;
 use crate::exit::{Exit, Failure};
 use crate::ids::InstanceId;
+use crate::instance::process;
 use crate::load_command::{self, LoadArgs};
 use crate::measure_command::{self, MeasureArgs};
 use crate::operate::{self, Report, Run, StatusFormat, Target};
@@ -40,6 +41,7 @@
     Status(StatusArgs),
     Dev(DevArgs),
     Serve(ServeArgs),
+    Run(RunArgs),
     Load(LoadArgs),
     Measure(MeasureArgs),
     Platform(PlatformArgs),
@@ -64,6 +66,11 @@
     file: String,
 }
 
+/// Run an instance on the users' platform; its settings come from the platform.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "run")]
+struct RunArgs {}
+
 /// Check settings or declarations and report every mistake.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -309,6 +316,7 @@
         Command::Status(args) => block_on(status(args)),
         Command::Dev(args) => block_on(dev::run(args.http_addr, out)),
         Command::Serve(args) => serve(&args.file, out),
+        Command::Run(RunArgs {}) => process::run(),
         Command::Load(args) => block_on(load_command::run(args)),
         Command::Measure(args) => measure_command::run(args),
         Command::Platform(args) => block_on(standin_command::platform(args.into(), out)),
--- a/src/event.rs
+++ b/src/event.rs
@@ -107,6 +107,33 @@
     MoveEnded, 704, Info, "instance to", "An instance is in its new pool.", "None.";
     MoveCancelled, 705, Info, "instance", "A move was given up.", "None.";
     PlanWaits, 706, Info, "pool reason", "No instance of a pool drains or moves to it, for the reason given.", "See docs/operators/maintenance.md.";
+    VersionInForce, 800, Info, "version offset", "A version of the operators' declarations is in force here.", "None.";
+    StoreLost, 801, Warning, "error view_age_ms", "The platform's store does not answer this instance.", "See docs/OPERATIONS.md.";
+    StoreBack, 802, Info, "view_age_ms", "The platform's store answers again.", "None.";
+    RecordUnreadable, 803, Warning, "error", "A record of the store cannot be used and was left out.", "Look for another writer.";
+    OwnerSeen, 810, Info, "entry term", "Another instance owns the decisions.", "None.";
+    OwnerHere, 811, Info, "term", "This instance owns the decisions.", "None.";
+    OwnerNotHere, 812, Info, "term error", "This instance tried to own the decisions; another may have been first.", "None.";
+    OwnerReady, 813, Info, "term jobs workers took_ms", "The owner has read what is stored and decides.", "None.";
+    OwnerGone, 814, Warning, "term reason", "This instance no longer owns the decisions.", "None.";
+    OwnerSilent, 815, Info, "term error", "The owner did not answer this instance.", "Look whether it still runs.";
+    BatchJobAccepted, 820, Info, "job queue team view_age_ms took_ms", "A job was stored and accepted.", "None.";
+    BatchCallRefused, 821, Info, "job status reason version view_age_ms took_ms", "A call about a job was not carried out.", "See docs/OPERATIONS.md.";
+    BatchJobCancelled, 822, Info, "job status", "A caller cancelled a job.", "None.";
+    BatchJobEnded, 823, Info, "job state job_age_ms", "A job has its final state.", "None.";
+    TaskPlaced, 830, Info, "task run worker job_age_ms", "A task was placed at a worker.", "None.";
+    StartFailed, 831, Info, "task run worker answer", "A worker did not confirm a start.", "Look at the worker if it repeats.";
+    RunEnded, 832, Info, "task run worker how", "A worker listed the end of a run.", "None.";
+    RunLost, 833, Info, "task run worker reason", "A run is surely over without a listed end; the task waits again.", "None.";
+    WorkerReborn, 840, Info, "worker", "A worker started anew and runs nothing of before.", "None.";
+    WorkerLapsed, 841, Warning, "worker tasks", "A worker did not answer until its lease was over.", "Look at the worker.";
+    LookFailed, 842, Info, "worker error", "A worker did not answer with its lists.", "Look at the worker if it repeats.";
+    PaceFailed, 843, Info, "task worker", "A worker did not take a pace.", "None.";
+    WaveAsked, 850, Info, "wave machines", "Operators ask for maintenance of machines.", "None.";
+    UpkeepOrdered, 851, Info, "machine wave answer", "Maintenance of a machine was ordered.", "None.";
+    WaveComplete, 852, Info, "wave", "All machines of a wave had their maintenance.", "None.";
+    Reloaded, 860, Info, "signal", "The settings file was read again.", "None.";
+    ReloadFailed, 861, Warning, "error", "The settings file cannot be used; the earlier settings hold.", "Mend the file.";
 }
 
 impl LogLevel {
--- /dev/null
+++ b/src/instance/shared.rs
@@ -0,0 +1,235 @@
+//! Tables of one process.
+//!
+//! Lock order: `owner` before `view`, `view` before `lead`, `lead` before `recent`; no lock is held
+//! across an await.
+
+use crate::batch::declared::InForce;
+use crate::batch::owner::{Note, Owner};
+use crate::event::{Event, Log};
+use crate::ids::{EntryId, JobId, Time, ZoneId};
+use crate::instance::boottime;
+use crate::instance::config::InstanceConfig;
+use crate::metrics::Metrics;
+use crate::platform::http::Http;
+use crate::platform::runner::Runners;
+use crate::platform::store::Store;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use rand::RngExt;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// Part of the time for withdrawals in which a view must have been confirmed; the rest is for the
+/// request to be answered.
+const REVOKE_SHARE: f64 = 0.85;
+/// A job accepted here is known here at least this long; the owner reads it within a second.
+const RECENT_FOR: Duration = Duration::from_secs(10);
+
+/// Who owns the decisions.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Leader {
+    pub term: u64,
+    /// Which life of the instance.
+    pub life: u64,
+    pub name: EntryId,
+    pub zone: ZoneId,
+    /// Where it answers other instances, `IP:PORT`.
+    pub peers: String,
+}
+
+/// Operators' declarations as this instance knows them.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    pub in_force: Arc<InForce>,
+    /// When the last answer was asked for that showed that nothing is missing, since boot.
+    pub confirmed: Option<Duration>,
+}
+
+/// Tables of one process.
+pub struct Shared {
+    pub cfg: InstanceConfig,
+    /// Drawn at random at the start; tells two lives of one instance apart.
+    pub life: u64,
+    pub log: Log,
+    pub metrics: Arc<Metrics>,
+    pub http: Http,
+    pub store: Store,
+    pub runners: Runners,
+    started: Instant,
+    /// Present while this instance owns the decisions.
+    pub owner: Mutex<Option<Owner>>,
+    pub view: Mutex<View>,
+    pub lead: Mutex<Option<Leader>>,
+    /// When the owner's last read of callers' jobs was answered.
+    jobs_read: Mutex<Option<Instant>>,
+    /// Jobs accepted here a short time ago.
+    recent: Mutex<IndexMap<JobId, Instant>>,
+    /// Something changed that the owner decides on.
+    pub wake: Notify,
+    /// Ends were stored; workers wait for their acknowledgement.
+    pub stored: HashMapOfNotify,
+    /// The process was asked to stop.
+    pub stopping: AtomicBool,
+    /// The store answered this instance's last call.
+    pub store_answers: AtomicBool,
+}
+
+/// Wake-ups by worker.
+pub type HashMapOfNotify = Mutex<HashMap<Arc<str>, Arc<Notify>>>;
+
+impl Shared {
+    /// Tables of a process that has just started.
+    pub fn new(cfg: InstanceConfig, log: Log, metrics: Arc<Metrics>, http: Http) -> Shared {
+        Shared {
+            store: Store::new(http.clone(), cfg.store.clone()),
+            runners: Runners::new(http.clone()),
+            cfg,
+            life: rand::rng().random(),
+            log,
+            metrics,
+            http,
+            started: Instant::now(),
+            owner: Mutex::new(None),
+            view: Mutex::new(View::default()),
+            lead: Mutex::new(None),
+            jobs_read: Mutex::new(None),
+            recent: Mutex::new(IndexMap::new()),
+            wake: Notify::new(),
+            stored: Mutex::new(HashMap::new()),
+            stopping: AtomicBool::new(false),
+            store_answers: AtomicBool::new(false),
+        }
+    }
+
+    /// Time since the process started.
+    pub fn now(&self) -> Time {
+        self.started.elapsed()
+    }
+
+    /// What operators have in force.
+    pub fn in_force(&self) -> Arc<InForce> {
+        self.view.lock().in_force.clone()
+    }
+
+    /// Age of the view of the operators' declarations; `None` without one.
+    pub fn view_age(&self) -> Option<Duration> {
+        let confirmed = self.view.lock().confirmed?;
+        Some(boottime::now().saturating_sub(confirmed))
+    }
+
+    /// Whether the view is young enough to accept a key, which may have been withdrawn since.
+    pub fn keys_are_fresh(&self) -> bool {
+        let bound = self.cfg.bounds.revoke.mul_f64(REVOKE_SHARE);
+        self.view_age().is_some_and(|age| age < bound)
+    }
+
+    /// Notes that callers' jobs were read to their end.
+    pub fn jobs_were_read(&self) {
+        *self.jobs_read.lock() = Some(Instant::now());
+    }
+
+    /// Time since callers' jobs were read to their end.
+    pub fn jobs_age(&self) -> Duration {
+        self.jobs_read.lock().map_or(Duration::MAX, |at| at.elapsed())
+    }
+
+    /// Notes a job that was accepted here.
+    pub fn remember(&self, id: &str) {
+        let mut recent = self.recent.lock();
+        let now = Instant::now();
+        recent.retain(|_, at| now.duration_since(*at) < RECENT_FOR);
+        recent.insert(id.into(), now);
+    }
+
+    /// Whether a job was accepted here a short time ago.
+    pub fn is_recent(&self, id: &str) -> bool {
+        self.recent.lock().get(id).is_some_and(|at| at.elapsed() < RECENT_FOR)
+    }
+
+    /// The wake-up of a worker's loop.
+    pub fn worker_wake(&self, worker: &Arc<str>) -> Arc<Notify> {
+        self.stored.lock().entry(worker.clone()).or_default().clone()
+    }
+
+    /// Notes whether the store answers, and logs a change.
+    pub fn store_answered(&self, answers: bool, error: &str) {
+        if self.store_answers.swap(answers, Ordering::Relaxed) == answers {
+            return;
+        }
+        let age = self.view_age().unwrap_or_default().as_millis() as u64;
+        if answers {
+            self.log.event(Event::StoreBack, &[("view_age_ms", age.into())]);
+        } else {
+            let fields = [("error", error.into()), ("view_age_ms", age.into())];
+            self.log.event(Event::StoreLost, &fields);
+        }
+    }
+
+    /// Logs the owner's decisions.
+    pub fn log_notes(&self, notes: &[Note]) {
+        for note in notes {
+            self.log_note(note);
+        }
+    }
+
+    fn log_note(&self, note: &Note) {
+        let ms = |d: &Duration| d.as_millis() as u64;
+        match note {
+            Note::Placed { task, run, worker, waited } => {
+                let task = task.to_string();
+                let fields = [
+                    ("task", (&task).into()),
+                    ("run", (*run).into()),
+                    ("worker", worker.into()),
+                    ("job_age_ms", ms(waited).into()),
+                ];
+                self.log.event(Event::TaskPlaced, &fields);
+            }
+            Note::RunEnded { task, run, worker, how } => {
+                let (task, how) = (task.to_string(), format!("{how:?}").to_lowercase());
+                let fields = [
+                    ("task", (&task).into()),
+                    ("run", (*run).into()),
+                    ("worker", worker.into()),
+                    ("how", (&how).into()),
+                ];
+                self.log.event(Event::RunEnded, &fields);
+            }
+            Note::RunLost { task, run, worker, why } => {
+                let task = task.to_string();
+                let fields = [
+                    ("task", (&task).into()),
+                    ("run", (*run).into()),
+                    ("worker", worker.into()),
+                    ("reason", (*why).into()),
+                ];
+                self.log.event(Event::RunLost, &fields);
+            }
+            Note::JobEnded { job, state, after } => {
+                let state = format!("{state:?}").to_lowercase();
+                let fields = [
+                    ("job", job.into()),
+                    ("state", (&state).into()),
+                    ("job_age_ms", ms(after).into()),
+                ];
+                self.log.event(Event::BatchJobEnded, &fields);
+            }
+            Note::WorkerAside { worker } => {
+                self.log.event(Event::UpstreamSetAside, &[("instance", worker.into())]);
+            }
+            Note::WorkerReborn { worker } => {
+                self.log.event(Event::WorkerReborn, &[("worker", worker.into())]);
+            }
+            Note::WorkerLapsed { worker, tasks } => {
+                let fields = [("worker", worker.into()), ("tasks", (*tasks).into())];
+                self.log.event(Event::WorkerLapsed, &fields);
+            }
+            Note::BadRecord { why } => {
+                self.log.event(Event::RecordUnreadable, &[("error", why.into())]);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/instance/upkeep.rs
@@ -0,0 +1,117 @@
+//! Maintenance of machines, in one term.
+
+use crate::batch::upkeep::{Machine, MachineId};
+use crate::event::Event;
+use crate::instance::shared::Shared;
+use crate::instance::term::Term;
+use crate::platform::declared;
+use crate::platform::machines::{Holder, MachineAnswer, Machines};
+use crate::platform::store::{self, Guard, StoreError};
+use indexmap::IndexMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Time between two passes while a wave is under way; upkeep of a machine takes 2 s.
+const PASS_EVERY: Duration = Duration::from_millis(300);
+
+/// Carries out waves of maintenance.
+pub async fn run(shared: Arc<Shared>, term: Arc<Term>) {
+    let Some(address) = shared.cfg.machines.clone() else { return };
+    let machines = Machines::new(shared.http.clone(), address);
+    let mut reported: HashMap<u64, bool> = HashMap::new();
+    let mut status_number = 0;
+    // Two holders of one machine stay apart, so orders of an earlier owner get time to end.
+    sleep(shared.cfg.bounds.holder_gap).await;
+    loop {
+        sleep(PASS_EVERY).await;
+        let open = open_waves(&shared, &reported);
+        if open.is_empty() || !term.may_order() {
+            continue;
+        }
+        let Some(listed) = machines.list().await else { continue };
+        pass(&shared, &term, &machines, &listed).await;
+        for wave in open {
+            let complete = is_complete(&shared, wave, &listed);
+            if reported.get(&wave) == Some(&complete) {
+                continue;
+            }
+            if report(&shared, &term, wave, complete, &mut status_number).await {
+                reported.insert(wave, complete);
+            }
+        }
+    }
+}
+
+/// Waves in force that were not reported as complete.
+fn open_waves(shared: &Shared, reported: &HashMap<u64, bool>) -> Vec<u64> {
+    let in_force = shared.in_force();
+    in_force.waves.keys().copied().filter(|w| reported.get(w) != Some(&true)).collect()
+}
+
+async fn pass(
+    shared: &Shared,
+    term: &Term,
+    machines: &Machines,
+    listed: &IndexMap<MachineId, Machine>,
+) {
+    let chosen = {
+        let mut lock = shared.owner.lock();
+        let Some(owner) = lock.as_mut() else { return };
+        owner.plan_upkeep(listed)
+    };
+    let holder = Holder { name: shared.cfg.name.to_string(), fence: term.number };
+    for order in chosen {
+        if !term.may_order() {
+            return;
+        }
+        let answer = machines.upkeep(&order.machine, order.wave, &holder).await;
+        let word = format!("{answer:?}");
+        let fields = [
+            ("machine", (&order.machine).into()),
+            ("wave", order.wave.into()),
+            ("answer", (&word).into()),
+        ];
+        shared.log.event(Event::UpkeepOrdered, &fields);
+        let mut lock = shared.owner.lock();
+        let Some(owner) = lock.as_mut() else { return };
+        match answer {
+            MachineAnswer::Begun => owner.upkeep_began(&order, shared.now()),
+            MachineAnswer::Unfit => owner.upkeep_unfit(&order),
+            MachineAnswer::Fenced => return term.end("a later owner ordered machines"),
+            // The next pass asks again; the platform answers well if it was done.
+            MachineAnswer::Unknown => owner.upkeep_unsure(&order, shared.now()),
+            MachineAnswer::Busy | MachineAnswer::Refused => {}
+        }
+    }
+}
+
+/// Whether every machine of a wave that still exists has begun its maintenance.
+fn is_complete(shared: &Shared, wave: u64, listed: &IndexMap<MachineId, Machine>) -> bool {
+    let in_force = shared.in_force();
+    let lock = shared.owner.lock();
+    let (Some(wave), Some(owner)) = (in_force.waves.get(&wave), lock.as_ref()) else {
+        return false;
+    };
+    owner.waves.left(wave).all(|m| !listed.contains_key(m))
+}
+
+async fn report(shared: &Shared, term: &Term, wave: u64, complete: bool, number: &mut u64) -> bool {
+    let (key, value) = declared::wave_status(wave, complete);
+    let guard = Guard { at: None, term: Some((term.number, *number)) };
+    match shared.store.append(store::STATUS, &[(&key, Some(&value))], guard).await {
+        Ok(_) => {
+            *number += 1;
+            if complete {
+                shared.log.event(Event::WaveComplete, &[("wave", wave.into())]);
+            }
+            true
+        }
+        Err(StoreError::Sequence { expected }) => {
+            *number = expected;
+            false
+        }
+        Err(_) => false,
+    }
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -4,6 +4,7 @@
 use crate::callers;
 use crate::control;
 use crate::entry::{Entry, EntryError, Slot, Stage};
+use crate::http_server;
 use crate::node::NodeConfig;
 use crate::operators;
 use crate::peer;
@@ -17,18 +18,12 @@
 use crate::{health_routes, jobs};
 use jsonrpsee::server::ServerHandle;
 use rand::RngExt;
-use rocket::config::{Ident, LogLevel};
-use rocket::data::Limits;
-use rocket::fairing::AdHoc;
-use rocket::shield::Shield;
 use rocket::{Build, Rocket, Shutdown};
 use snafu::{ResultExt, Snafu};
-use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
@@ -40,8 +35,6 @@
 const QUIET: Duration = Duration::from_millis(500);
 /// Longest wait for callers to turn away.
 const MAX_LINGER: Duration = Duration::from_secs(3);
-/// Time for answers that are being written when the server closes, in seconds.
-const CLOSE_GRACE_SECS: u32 = 2;
 /// Time between two looks at whether the last `Renew` is in the log.
 const LEAVE_LOOK: Duration = Duration::from_millis(20);
 
@@ -199,27 +192,7 @@
 }
 
 fn build(addr: SocketAddr, slot: Arc<Slot>) -> Rocket<Build> {
-    let shutdown = rocket::config::Shutdown {
-        ctrlc: false,
-        signals: HashSet::new(),
-        grace: CLOSE_GRACE_SECS,
-        mercy: 1,
-        force: false,
-        ..Default::default()
-    };
-    let config = rocket::Config {
-        address: addr.ip(),
-        port: addr.port(),
-        ident: Ident::none(),
-        limits: Limits::new(),
-        log_level: LogLevel::Off,
-        cli_colors: false,
-        shutdown,
-        ..rocket::Config::release_default()
-    };
-    rocket::custom(config)
-        // The default shield would add headers to the upstreams' answers.
-        .attach(Shield::new())
+    http_server::base(addr)
         .attach(callers::Activity)
         .manage(slot)
         .register("/", rocket::catchers![answer::unrouted])
@@ -234,25 +207,6 @@
     addr: SocketAddr,
     slot: Arc<Slot>,
 ) -> Result<(SocketAddr, Shutdown, JoinHandle<()>), ServeError> {
-    let (tx, rx) = oneshot::channel();
-    let report = AdHoc::on_liftoff("bound address", |rocket| {
-        Box::pin(async move {
-            let bound = SocketAddr::new(rocket.config().address, rocket.config().port);
-            // Nobody waits when the start was given up.
-            let _ = tx.send((bound, rocket.shutdown()));
-        })
-    });
-    let failed = |message: String| ServeError::Http { addr, message };
-    let rocket = build(addr, slot).attach(report);
-    let rocket = rocket.ignite().await.map_err(|e| failed(e.to_string()))?;
-    let (fail_tx, fail_rx) = oneshot::channel();
-    let task = tokio::spawn(async move {
-        if let Err(e) = rocket.launch().await {
-            let _ = fail_tx.send(e.to_string());
-        }
-    });
-    match rx.await {
-        Ok((bound, shutdown)) => Ok((bound, shutdown, task)),
-        Err(_) => Err(failed(fail_rx.await.unwrap_or_default())),
-    }
+    let launched = http_server::launch(build(addr, slot)).await;
+    launched.map_err(|message| ServeError::Http { addr, message })
 }
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -20,6 +20,9 @@
     pub idle_timeout: Duration,
     /// Most unused connections kept to one address.
     pub max_idle: usize,
+    /// How long sent bytes may stay unacknowledged before the connection ends; `None` for the
+    /// system's own bound of minutes.
+    pub user_timeout: Option<Duration>,
 }
 
 impl Default for TransportOptions {
@@ -30,6 +33,7 @@
             call_timeout: Duration::from_secs(2),
             idle_timeout: Duration::from_secs(30),
             max_idle: 64,
+            user_timeout: None,
         }
     }
 }
@@ -64,6 +68,7 @@
         .retry(reqwest::retry::never())
         .http1_only()
         .tcp_nodelay(true)
+        .tcp_user_timeout(options.user_timeout)
         .connect_timeout(options.connect_timeout)
         .pool_idle_timeout(options.idle_timeout)
         .pool_max_idle_per_host(max_idle)
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -7,6 +7,8 @@
 use std::collections::HashSet;
 use std::path::Path;
 
+mod common;
+
 /// Compares a page with what the code says, or writes it when `UPDATE_DOCS` is set.
 fn compare(page: &str, generated: &str) {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs").join(page);
@@ -120,11 +122,7 @@
 #[test]
 fn events_are_written_somewhere() {
     let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
-    let files =
-        std::fs::read_dir(dir).expect("sources").map(|entry| entry.expect("an entry").path());
-    let sources = files.filter(|path| path.extension().is_some_and(|suffix| suffix == "rs"));
-    let code: String =
-        sources.map(|path| std::fs::read_to_string(path).expect("a source")).collect();
+    let code: String = common::sources(&dir).into_iter().map(|(_, text)| text).collect();
     let words: HashSet<&str> = code.split(|c: char| !c.is_alphanumeric() && c != ':').collect();
     for event in Event::ALL {
         let name = format!("Event::{event:?}");
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,14 +1,30 @@
 //! Stand-ins and clients that the tests on real sockets share.
 #![allow(dead_code)] // Each test program uses a part.
 
-use jacinthhook::platform::Platform;
+use jacinthhook::log_client::Platform;
 use jacinthhook::standin_platform::{PlatformOptions, PlatformStandin};
 use jacinthhook::standin_upstream::{UpstreamOptions, UpstreamStandin};
 use jacinthhook::transport::TransportOptions;
 use jacinthhook::upstream::{Target, Upstreams};
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// All Rust files under a folder with their texts.
+pub fn sources(dir: &Path) -> Vec<(PathBuf, String)> {
+    let mut found = Vec::new();
+    for entry in std::fs::read_dir(dir).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            found.extend(sources(&path));
+        } else if path.extension().is_some_and(|suffix| suffix == "rs") {
+            let text = std::fs::read_to_string(&path).expect("a source");
+            found.push((path, text));
+        }
+    }
+    found
+}
+
 /// Port 0 of the loopback interface: the system picks a free port.
 pub fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use common::{any_port, closed_port, impatient, options, platform};
-use jacinthhook::platform::{Platform, PlatformError};
+use jacinthhook::log_client::{Platform, PlatformError};
 use jacinthhook::protocol::{Listed, Presence, Role};
 use jacinthhook::record::MAX_ENTRY_LEN;
 use jacinthhook::standin::Faults;
