Move machines with the demand, end leases of silent workers, store jobs in groups

With a slow store, one append a job filled the partition's queue (503). Pools did not follow the demand, which goes from queue to queue; seats were the largest price. Ruled out: shorter leases (they would lapse at each change of owner); a lower bound for an owner that is cut off (it cannot know); more appends at once (the partition takes one at a time). Change: the lease of a worker that does not answer stays as it is; the earlier owner is asked whether it is over, which bounds its leases by one lease; one append of callers' jobs an instance at a time; idle machines move to pools that are short, from standby first, and back when unwanted for 2.5 s; tasks are packed so that machines become idle; a wave begins with machines that hold the fewest tasks.

--- a/src/batch.rs
+++ b/src/batch.rs
@@ -4,6 +4,7 @@
 pub mod declared;
 pub mod job;
 pub mod ledger;
+pub mod moves;
 pub mod order;
 pub mod owner;
 pub mod place;
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -9,6 +9,7 @@
     Held, Job, JobSpec, JobState, Occurrence, Phase, QueueId, Step, TaskId, WorkerId,
 };
 use crate::batch::ledger::{self, Entry, LedgerError};
+use crate::batch::moves::Moves;
 use crate::batch::order::{Ended, How, Look, Orders, Pace, Start, StartAnswer, Stop, WorkerClock};
 use crate::batch::upkeep::Waves;
 use crate::batch::worker::{Listed, Worker};
@@ -89,6 +90,7 @@
     /// What each team has running or ordered.
     used: IndexMap<TeamId, Need>,
     pub waves: Waves,
+    pub(super) moves: Moves,
     /// When an order about a machine had no answer.
     pub(super) unsure_upkeep: IndexMap<Arc<str>, Time>,
     dirty: IndexSet<JobId>,
@@ -114,6 +116,7 @@
             workers: IndexMap::new(),
             used: IndexMap::new(),
             waves: Waves::default(),
+            moves: Moves::default(),
             unsure_upkeep: IndexMap::new(),
             dirty: IndexSet::new(),
             dirty_waves: IndexSet::new(),
@@ -125,9 +128,13 @@
         }
     }
 
-    /// Lease for an order sent now, by the worker's clock; `None` while its clock is not known.
+    /// Lease for an order sent now, by the worker's clock; `None` while its clock is not known. The
+    /// lease of a worker that does not answer is not extended, so that it ends some time.
     pub fn lease(&mut self, now: Time, worker: &str) -> Option<WorkerClock> {
         let worker = self.workers.get_mut(worker)?;
+        if worker.unanswered > 0 {
+            return Some(worker.lease).filter(|lease| !lease.is_zero());
+        }
         let until = worker.clock_at(now)? + LEASE.min(self.bounds.max_lease);
         worker.lease = worker.lease.max(until);
         Some(worker.lease)
@@ -167,6 +174,14 @@
         }
     }
 
+    /// The earlier owner gives no orders any more: leases that it gave end within one lease.
+    pub fn earlier_is_over(&mut self, now: Time) {
+        self.earlier_until = self.earlier_until.min(now + LEASE.mul_f64(1.05));
+        for worker in self.workers.values_mut() {
+            worker.unknown_until = worker.unknown_until.min(self.earlier_until);
+        }
+    }
+
     /// Enters the restored runs at their workers and teams; called once, after all were restored
     /// and all listed workers are known. A worker that is no longer listed may still run its tasks.
     pub fn restored(&mut self, now: Time) {
@@ -267,6 +282,7 @@
     pub fn looked(&mut self, id: &WorkerId, look: Look, now: Time) -> bool {
         let Some(worker) = self.workers.get_mut(id) else { return false };
         worker.last_answer = now;
+        worker.unanswered = 0;
         if worker.born != look.born && worker.clock.is_some() {
             // Read again with a higher fence, so that orders to its earlier life have no effect.
             worker.reborn(look.born);
@@ -283,6 +299,13 @@
         new
     }
 
+    /// A worker did not answer a look.
+    pub fn look_unanswered(&mut self, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.unanswered += 1;
+        }
+    }
+
     fn take_ends(&mut self, id: &WorkerId, ended: &[Ended], now: Time) -> bool {
         let Some(worker) = self.workers.get_mut(id) else { return false };
         let before = worker.taken;
--- a/src/batch/place.rs
+++ b/src/batch/place.rs
@@ -29,7 +29,8 @@
 }
 
 /// The best worker for a task, or none that fits. Prefers the rack of the data, other workers than
-/// the one where it last failed, racks that hold few of the step, and then the most room left.
+/// the one where it last failed, racks that hold few of the step, and then the least room left, so
+/// that machines become idle that the pool does not need.
 pub fn place(
     workers: &IndexMap<WorkerId, Worker>,
     zones_out: &IndexSet<ZoneId>,
@@ -72,7 +73,7 @@
     } else {
         0
     };
-    (avoid, far, worker.failures, rack, used_permille(worker, need))
+    (avoid, far, worker.failures, rack, 1_000u64.saturating_sub(used_permille(worker, need)))
 }
 
 /// Room that would be taken with the task there, in thousandths of the scarcer resource.
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -179,7 +179,7 @@
 }
 
 /// Indexes of the tasks of a step that may start.
-fn startable(job: &Job, open: &Occurrence, step: usize, now: Time) -> Vec<usize> {
+pub(super) fn startable(job: &Job, open: &Occurrence, step: usize, now: Time) -> Vec<usize> {
     let Some(spec) = job.spec.steps.get(step) else { return Vec::new() };
     if !spec.after.iter().all(|earlier| open.step_done(*earlier)) {
         return Vec::new();
--- a/src/batch/upkeep.rs
+++ b/src/batch/upkeep.rs
@@ -75,14 +75,13 @@
                 .filter(|m| machines.get(*m).is_some_and(|m| m.state == MachineState::Upkeep))
                 .count();
             let mut room = (wave.max_at_once as usize).saturating_sub(away);
-            let next: Vec<MachineId> = self.waves.left(wave).cloned().collect();
-            for id in next.into_iter().take(room + AHEAD) {
-                let Some(machine) = machines.get(&id).filter(|m| m.state == MachineState::Up)
-                else {
-                    continue;
-                };
+            let mut emptied = room + AHEAD;
+            for machine in self.due(wave, machines) {
                 let worker = machine.worker.as_ref().filter(|w| self.workers.contains_key(*w));
-                if let Some(worker) = worker {
+                if let Some(worker) = worker
+                    && emptied > 0
+                {
+                    emptied -= 1;
                     reserved.insert(worker.clone());
                 }
                 let taken_too = match worker {
@@ -93,16 +92,35 @@
                 if let Some(with_this) = taken_too {
                     taken = with_this;
                     room -= 1;
-                    chosen.push(Upkeep { machine: id.clone(), wave: wave.number });
+                    chosen.push(Upkeep { machine: machine.id.clone(), wave: wave.number });
                 }
             }
         }
+        for order in &chosen {
+            // No start comes between the decision and the order.
+            let worker = machines.get(&order.machine).and_then(|m| m.worker.clone());
+            reserved.extend(worker);
+        }
         for (id, worker) in &mut self.workers {
-            worker.reserved = reserved.contains(id);
+            worker.reserved =
+                reserved.contains(id) || self.moves.ordered.contains_key(&worker.listed.machine);
         }
         chosen
     }
 
+    /// Machines of a wave that can begin, those first that hold the fewest tasks.
+    fn due<'a>(&self, wave: &Wave, machines: &'a IndexMap<MachineId, Machine>) -> Vec<&'a Machine> {
+        let left = self.waves.left(wave).filter_map(|id| machines.get(id));
+        let mut due: Vec<&Machine> =
+            left.filter(|m| m.state == MachineState::Up && !self.is_moving(&m.id)).collect();
+        let worker = |m: &Machine| m.worker.as_ref().and_then(|id| self.workers.get(id));
+        // One that is being emptied already stays first, so that none is emptied in vain.
+        due.sort_by_key(|m| {
+            worker(m).map_or((false, 0), |w| (!w.reserved && !w.held.is_empty(), w.held.len()))
+        });
+        due
+    }
+
     /// A machine's maintenance has begun: its worker is over, with all it ran.
     pub fn upkeep_began(&mut self, order: &Upkeep, now: Time) {
         self.waves.begin(order.wave, order.machine.clone());
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -61,6 +61,8 @@
     /// Ends with numbers up to this were acknowledged to the worker.
     pub acked: u64,
     pub last_answer: Time,
+    /// Looks in a row without an answer.
+    pub unanswered: u32,
     /// Failures in a row without a success.
     pub failures: u32,
     /// Times set aside in a row.
@@ -89,6 +91,7 @@
             stored: 0,
             acked: 0,
             last_answer: now,
+            unanswered: 0,
             failures: 0,
             times_aside: 0,
             aside_until: Time::ZERO,
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -5,6 +5,7 @@
 pub mod config;
 pub mod follow;
 pub mod front;
+pub mod intake;
 pub mod peers;
 pub mod process;
 pub mod shared;
--- a/src/instance/front.rs
+++ b/src/instance/front.rs
@@ -6,11 +6,11 @@
 use crate::event::Event;
 use crate::http_server;
 use crate::ids::TeamId;
+use crate::instance::intake::Stored;
 use crate::instance::peers::{JobView, OwnerClient};
 use crate::instance::shared::Shared;
 use crate::instance::term::CANCEL_SUFFIX;
 use crate::platform::ingress;
-use crate::platform::store::{self, Guard, StoreError};
 use bytes::Bytes;
 use rocket::data::ToByteUnit;
 use rocket::http::Method;
@@ -30,6 +30,8 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
 /// Part of a caller's time after which a store without an answer is given up.
 const STORE_SHARE: f64 = 0.6;
+/// Value of a cancellation; its key says everything.
+const CANCELLED: &[u8] = b"1";
 /// Statuses of calls that were not carried out.
 mod status {
     pub const BAD_REQUEST: u16 = 400;
@@ -211,7 +213,7 @@
             return Err(malformed);
         };
         let wait = deadline.unwrap_or(DEFAULT_DEADLINE).mul_f64(STORE_SHARE);
-        self.store(id, &record, started + wait).await?;
+        self.store(id, record, started + wait).await?;
         // A key withdrawn in the meantime must not be answered well.
         if !queue.open && !self.shared.keys_are_fresh() {
             return Err(Refused::new(status::TIMEOUT, "keys are not known to be in force"));
@@ -230,24 +232,12 @@
         Ok(Reply::json(200, &serde_json::json!({})))
     }
 
-    /// Appends a record about a job. A repeat of the append changes nothing.
-    async fn store(&self, key: &str, value: &Bytes, until: Instant) -> Result<(), Refused> {
-        let mut unsure = false;
-        loop {
-            let records = [(key, Some(&**value))];
-            match self.shared.store.append(store::JOBS, &records, Guard::default()).await {
-                Ok(_) => return Ok(()),
-                Err(StoreError::NoAnswer) => unsure = true,
-                Err(_) if unsure => {}
-                Err(e) => {
-                    self.shared.store_answered(false, &e.to_string());
-                    return Err(Refused::new(status::UNAVAILABLE, "the store takes nothing"));
-                }
-            }
-            if Instant::now() >= until {
-                return Err(Refused::new(status::TIMEOUT, "the store does not answer"));
-            }
-            tokio::time::sleep(STORE_AGAIN).await;
+    /// Stores a record about a job.
+    async fn store(&self, key: &str, value: Bytes, until: Instant) -> Result<(), Refused> {
+        match self.shared.intake.store(key, value, until).await {
+            Stored::Yes => Ok(()),
+            Stored::No => Err(Refused::new(status::UNAVAILABLE, "the store takes nothing")),
+            Stored::Unknown => Err(Refused::new(status::TIMEOUT, "the store does not answer")),
         }
     }
 
@@ -270,7 +260,7 @@
         }
         let key = format!("{id}{CANCEL_SUFFIX}");
         let until = Instant::now() + DEFAULT_DEADLINE.mul_f64(STORE_SHARE);
-        self.store(&key, &Bytes::from_static(b"1"), until).await?;
+        self.store(&key, Bytes::from_static(CANCELLED), until).await?;
         self.shared
             .log
             .event(Event::BatchJobCancelled, &[("job", id.into()), ("status", 200u64.into())]);
@@ -300,9 +290,6 @@
     }
 }
 
-/// Pause before an append without an answer is sent again.
-const STORE_AGAIN: Duration = Duration::from_millis(50);
-
 fn json(body: String) -> Reply {
     Reply::bytes(200, body).with_header("content-type", "application/json")
 }
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -33,6 +33,10 @@
 /// The calls.
 #[rpc(server, client, namespace = "batch")]
 pub trait BatchApi {
+    /// The term in which the one asked owns the decisions; `None` where it does not.
+    #[method(name = "term")]
+    async fn term(&self) -> RpcResult<Option<u64>>;
+
     /// State of a job.
     #[method(name = "job")]
     async fn job(&self, id: String) -> RpcResult<JobView>;
@@ -48,6 +52,10 @@
 
 #[async_trait]
 impl BatchApiServer for Answers {
+    async fn term(&self) -> RpcResult<Option<u64>> {
+        Ok(*self.shared.term.lock())
+    }
+
     async fn job(&self, id: String) -> RpcResult<JobView> {
         Ok(own_job(&self.shared, &id))
     }
@@ -64,6 +72,17 @@
     Ok(server.start(Answers { shared }.into_rpc()))
 }
 
+/// Whether the owner of an earlier term gives no orders any more, by its own word. An instance that
+/// was started anew answers for its earlier life, which is over.
+pub async fn is_over(address: &str, term: u64) -> bool {
+    let url = format!("http://{address}");
+    let Ok(client) = HttpClientBuilder::default().request_timeout(ASK_TIMEOUT).build(url) else {
+        return false;
+    };
+    // Without an answer it may go on.
+    client.term().await.is_ok_and(|now| now != Some(term))
+}
+
 fn own_job(shared: &Shared, id: &str) -> JobView {
     let lock = shared.owner.lock();
     let Some(owner) = lock.as_ref() else { return JobView::Unsure };
--- a/src/instance/process.rs
+++ b/src/instance/process.rs
@@ -47,6 +47,7 @@
     let loops = [
         tokio::spawn(follow::operators(shared.clone())),
         tokio::spawn(term::succession(shared.clone())),
+        tokio::spawn(shared.intake.clone().run(shared.store.clone())),
         tokio::spawn(reload(shared.log.clone())),
     ];
     let signal = stop.next().await;
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -1,6 +1,6 @@
 //! Tables of one process.
 //!
-//! Lock order: `owner` before `view`, `view` before `lead`, `lead` before `recent`; no lock is held
+//! Lock order: `owner` before `term`, `term` before `view`, `view` before `lead`, `lead` before `recent`; no lock is held
 //! across an await.
 
 use crate::batch::declared::InForce;
@@ -9,6 +9,7 @@
 use crate::ids::{EntryId, JobId, Time, ZoneId};
 use crate::instance::boottime;
 use crate::instance::config::InstanceConfig;
+use crate::instance::intake::Intake;
 use crate::metrics::Metrics;
 use crate::platform::http::Http;
 use crate::platform::runner::Runners;
@@ -58,9 +59,12 @@
     pub http: Http,
     pub store: Store,
     pub runners: Runners,
+    pub intake: Arc<Intake>,
     started: Instant,
     /// Present while this instance owns the decisions.
     pub owner: Mutex<Option<Owner>>,
+    /// The term in which this instance gives orders.
+    pub term: Mutex<Option<u64>>,
     pub view: Mutex<View>,
     pub lead: Mutex<Option<Leader>>,
     /// When the owner's last read of callers' jobs was answered.
@@ -86,6 +90,7 @@
         Shared {
             store: Store::new(http.clone(), cfg.store.clone()),
             runners: Runners::new(http.clone()),
+            intake: Arc::new(Intake::default()),
             cfg,
             life: rand::rng().random(),
             log,
@@ -93,6 +98,7 @@
             http,
             started: Instant::now(),
             owner: Mutex::new(None),
+            term: Mutex::new(None),
             view: Mutex::new(View::default()),
             lead: Mutex::new(None),
             jobs_read: Mutex::new(None),
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -9,7 +9,7 @@
 use crate::event::Event;
 use crate::instance::follow::{self, OWNER_KEY};
 use crate::instance::shared::{Leader, Shared};
-use crate::instance::{upkeep, workers};
+use crate::instance::{peers, upkeep, workers};
 use crate::platform::store::{self, Guard, StoreError};
 use crate::platform::{ingress, registry};
 use indexmap::IndexMap;
@@ -35,6 +35,8 @@
 const COMMIT_EVERY: Duration = Duration::from_millis(25);
 /// Longest time without a pass over the waiting work.
 const PLAN_EVERY: Duration = Duration::from_millis(200);
+/// Time between two questions to the earlier owner.
+const ASK_EVERY: Duration = Duration::from_millis(200);
 /// Pause after a call that failed.
 const CALL_AGAIN: Duration = Duration::from_millis(100);
 /// Wait of a read of callers' jobs.
@@ -71,7 +73,7 @@
         let unanswered =
             newest.as_ref().filter(|l| l.life == shared.life && l.term > over && !resigned);
         if let Some(term) = unanswered.map(|l| l.term) {
-            run_term(&shared, term).await;
+            run_term(&shared, term, newest.clone()).await;
             (next, over, quiet_since) = (None, term, Instant::now());
             continue;
         }
@@ -84,7 +86,7 @@
         }
         let term = newest.as_ref().map_or(0, |l| l.term) + 1;
         if take_over(&shared, term, end).await {
-            run_term(&shared, term).await;
+            run_term(&shared, term, None).await;
             (next, over, quiet_since) = (None, term, Instant::now());
         }
     }
@@ -150,24 +152,43 @@
 }
 
 /// Owns the decisions until a later owner is there, the store is away for long, or the process stops.
-async fn run_term(shared: &Arc<Shared>, number: u64) {
+async fn run_term(shared: &Arc<Shared>, number: u64, earlier: Option<Leader>) {
     let term = Arc::new(Term {
         number,
         ended: Mutex::new(None),
         over: Notify::new(),
         stored_at: Mutex::new(Instant::now()),
     });
+    *shared.term.lock() = Some(number);
     let mut tasks = JoinSet::new();
     tasks.spawn(beat(shared.clone(), term.clone()));
     tasks.spawn(own(shared.clone(), term.clone()));
+    tasks.spawn(ask_earlier(shared.clone(), earlier));
     term.over.notified().await;
     tasks.shutdown().await;
     *shared.owner.lock() = None;
+    *shared.term.lock() = None;
     let why = term.ended.lock().clone().unwrap_or_default();
     let fields = [("term", number.into()), ("reason", (&why).into())];
     shared.log.event(Event::OwnerGone, &fields);
 }
 
+/// Asks the earlier owner whether it has stopped giving orders, until it says so.
+async fn ask_earlier(shared: Arc<Shared>, earlier: Option<Leader>) {
+    let Some(earlier) = earlier else { return };
+    loop {
+        let loaded = shared.owner.lock().is_some();
+        if loaded && peers::is_over(&earlier.peers, earlier.term).await {
+            let now = shared.now();
+            if let Some(owner) = shared.owner.lock().as_mut() {
+                owner.earlier_is_over(now);
+            }
+            return;
+        }
+        sleep(ASK_EVERY).await;
+    }
+}
+
 /// Says again and again that this instance is the owner.
 async fn beat(shared: Arc<Shared>, term: Arc<Term>) {
     let mut number = 0;
--- a/src/instance/upkeep.rs
+++ b/src/instance/upkeep.rs
@@ -1,4 +1,4 @@
-//! Maintenance of machines, in one term.
+//! Maintenance and moves of machines, in one term.
 
 use crate::batch::upkeep::{Machine, MachineId};
 use crate::event::Event;
@@ -26,12 +26,13 @@
     sleep(shared.cfg.bounds.holder_gap).await;
     loop {
         sleep(PASS_EVERY).await;
-        let open = open_waves(&shared, &reported);
-        if open.is_empty() || !term.may_order() {
+        if !term.may_order() {
             continue;
         }
+        let open = open_waves(&shared, &reported);
         let Some(listed) = machines.list().await else { continue };
         pass(&shared, &term, &machines, &listed).await;
+        move_machines(&shared, &term, &machines, &listed).await;
         for wave in open {
             let complete = is_complete(&shared, wave, &listed);
             if reported.get(&wave) == Some(&complete) {
@@ -87,6 +88,41 @@
     }
 }
 
+async fn move_machines(
+    shared: &Shared,
+    term: &Term,
+    machines: &Machines,
+    listed: &IndexMap<MachineId, Machine>,
+) {
+    let moves = {
+        let mut lock = shared.owner.lock();
+        let Some(owner) = lock.as_mut() else { return };
+        owner.plan_moves(listed, shared.now())
+    };
+    let holder = Holder { name: shared.cfg.name.to_string(), fence: term.number };
+    for order in moves {
+        let answer = machines.move_to(&order.machine, &order.to, &holder).await;
+        let word = format!("{answer:?}");
+        let fields = [
+            ("machine", (&order.machine).into()),
+            ("pool", (&order.to).into()),
+            ("answer", (&word).into()),
+        ];
+        shared.log.event(Event::MachineMoveOrdered, &fields);
+        let mut lock = shared.owner.lock();
+        let Some(owner) = lock.as_mut() else { return };
+        match answer {
+            MachineAnswer::Begun => owner.move_answered(&order, true, shared.now()),
+            MachineAnswer::Fenced => return term.end("a later owner ordered machines"),
+            // It may be under way: its worker gets no starts until the list tells.
+            MachineAnswer::Unknown => {}
+            MachineAnswer::Busy | MachineAnswer::Unfit | MachineAnswer::Refused => {
+                owner.move_answered(&order, false, shared.now());
+            }
+        }
+    }
+}
+
 /// Whether every machine of a wave that still exists has begun its maintenance.
 fn is_complete(shared: &Shared, wave: u64, listed: &IndexMap<MachineId, Machine>) -> bool {
     let in_force = shared.in_force();
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -126,10 +126,8 @@
         return Next::Unstored;
     }
     let (greeted, stored) = (worker.greeted, worker.stored);
-    let quiet = worker.held.is_empty()
-        || worker.taken > worker.stored
-        || worker.acked < stored && worker.held.is_empty();
-    let wait = if !greeted || quiet { Duration::ZERO } else { LOOK_WAIT };
+    let quiet = worker.held.is_empty() || worker.taken > stored;
+    let wait = if !greeted || quiet || worker.unanswered > 0 { Duration::ZERO } else { LOOK_WAIT };
     let target = Target {
         address: worker.listed.address.clone(),
         worker: id.clone(),
@@ -160,8 +158,10 @@
             LOOK_EVERY
         }
         Err(error) => {
-            if error == LookError::OtherWorker {
-                owner.replaced(id, shared.now());
+            match error {
+                LookError::OtherWorker => owner.replaced(id, shared.now()),
+                LookError::Lost => owner.look_unanswered(id),
+                LookError::Fenced | LookError::Refused => {}
             }
             drop(lock);
             let error = format!("{error:?}");
