Count usable seats and failed runs once, put lasting tasks first, bound leases by the greeting

Change: one task beyond the limit while under half of it is used; lasting steps first; seats are machines that take starts; the last failed run counted is stored; a worker that is over is not asked.

--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -131,6 +131,8 @@
     pub run: u32,
     /// Runs that ended failed.
     pub failed: u32,
+    /// Highest run that was counted in `failed`; a worker may list an end again.
+    pub failed_run: u32,
     /// Newest checkpoint; empty for none.
     pub checkpoint: Arc<str>,
     /// Worker of the last run that did not end well; avoided by the next start.
--- a/src/batch/ledger.rs
+++ b/src/batch/ledger.rs
@@ -41,9 +41,9 @@
     open: Vec<(u32, Vec<Vec<Row>>)>,
 }
 
-/// Run, failed runs, checkpoint, worker that holds it (empty for none), done.
+/// Run, failed runs, last of them, checkpoint, worker that holds it (empty for none), done.
 #[derive(Deserialize, Serialize)]
-struct Row(u32, u32, Arc<str>, Arc<str>, bool);
+struct Row(u32, u32, u32, Arc<str>, Arc<str>, bool);
 
 /// The record of a job's progress.
 pub fn encode(id: &JobId, job: &Job) -> Entry {
@@ -63,7 +63,8 @@
         Phase::Held(held) => held.worker.clone(),
         Phase::Waiting | Phase::Done => "".into(),
     };
-    Row(task.run, task.failed, task.checkpoint.clone(), worker, task.phase == Phase::Done)
+    let done = task.phase == Phase::Done;
+    Row(task.run, task.failed, task.failed_run, task.checkpoint.clone(), worker, done)
 }
 
 /// Sets a job to the progress of its record. Runs at workers count as confirmed: the greeting of
@@ -97,7 +98,7 @@
 }
 
 fn restored(row: Row, now: Time) -> Task {
-    let Row(run, failed, checkpoint, worker, done) = row;
+    let Row(run, failed, failed_run, checkpoint, worker, done) = row;
     let phase = match (done, worker.is_empty()) {
         (true, _) => Phase::Done,
         (false, true) => Phase::Waiting,
@@ -110,7 +111,7 @@
             at_work_since: None,
         }),
     };
-    Task { phase, run, failed, checkpoint, ..Task::default() }
+    Task { phase, run, failed, failed_run, checkpoint, ..Task::default() }
 }
 
 /// The record of the machines whose maintenance has begun.
--- a/src/batch/moves.rs
+++ b/src/batch/moves.rs
@@ -23,6 +23,8 @@
 const UNWANTED_FOR: Duration = Duration::from_millis(2_500);
 /// Fewest machines that stay in a pool, so that a first task starts without a move.
 const MIN_MACHINES: usize = 2;
+/// Looks in a row without an answer after which a worker counts as no seat.
+const MAX_UNANSWERED: u32 = 2;
 /// Time after which an ordered move that the list does not show is ordered again.
 const MOVE_AGAIN: Duration = Duration::from_secs(4);
 
@@ -46,8 +48,10 @@
 struct Seats {
     have: usize,
     want: usize,
-    /// Machines without any task.
+    /// Machines without any task that may get one.
     idle: Vec<MachineId>,
+    /// Machines without any task that get none, since their zone is out.
+    useless: Vec<MachineId>,
 }
 
 impl Owner {
@@ -71,6 +75,9 @@
         }
         if let Some(standby) = standby {
             for (pool, seat) in &mut seats {
+                for machine in seat.useless.drain(..) {
+                    moves.push(Move { machine, to: standby.clone() });
+                }
                 let keep = self.kept(pool, now).max(seat.want).max(MIN_MACHINES);
                 while seat.have > keep {
                     let Some(machine) = seat.idle.pop() else { break };
@@ -125,7 +132,10 @@
         standby: Option<&PoolId>,
     ) -> Vec<MachineId> {
         let spare = machines.values().filter(|m| {
-            Some(&m.pool) == standby && m.state == MachineState::Up && !self.is_moving(&m.id)
+            Some(&m.pool) == standby
+                && m.state == MachineState::Up
+                && !self.is_moving(&m.id)
+                && !self.in_force.zones_out.contains(&m.zone)
         });
         spare.map(|m| m.id.clone()).collect()
     }
@@ -142,14 +152,25 @@
         let coming = self.moves.ordered.iter().filter(|(id, (to, _))| {
             to == pool && machines.get(*id).is_some_and(|m| m.pool != *pool)
         });
-        let have = here.iter().filter(|m| m.state != MachineState::Down).count() + coming.count();
+        let have = here.iter().filter(|m| self.is_seat(m)).count() + coming.count();
         let idle = here.iter().filter(|m| m.state == MachineState::Up && self.is_idle(m));
-        let idle = idle.map(|m| m.id.clone()).collect();
+        let (idle, useless): (Vec<&&Machine>, Vec<_>) = idle.partition(|m| self.is_seat(m));
+        let ids = |machines: Vec<&&Machine>| machines.iter().map(|m| m.id.clone()).collect();
+        let (idle, useless) = (ids(idle), ids(useless));
         let want = self.wanted(pool, now);
         let wanted_at = self.moves.wanted_at.entry(pool.clone()).or_default();
         wanted_at.resize(wanted_at.len().max(want), Time::ZERO);
         wanted_at[..want].fill(now);
-        Seats { have, want, idle }
+        Seats { have, want, idle, useless }
+    }
+
+    /// Whether a machine takes starts, now or after what it is at.
+    fn is_seat(&self, machine: &Machine) -> bool {
+        if machine.state == MachineState::Down || self.in_force.zones_out.contains(&machine.zone) {
+            return false;
+        }
+        let worker = machine.worker.as_ref().and_then(|id| self.workers.get(id));
+        worker.is_none_or(|w| !w.listed.draining && w.unanswered <= MAX_UNANSWERED)
     }
 
     fn is_idle(&self, machine: &Machine) -> bool {
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -223,10 +223,14 @@
             let until = self.earlier_until;
             let new = || Worker::new(entry.clone(), until, now);
             let worker = self.workers.entry(id.clone()).or_insert_with(new);
-            worker.present = true;
+            if worker.over.is_some_and(|born| born != entry.born) {
+                worker.over = None;
+                worker.reborn(entry.born);
+            }
+            worker.present = worker.over.is_none();
             worker.listed = entry.clone();
         }
-        self.workers.retain(|_, w| w.present || !w.held.is_empty());
+        self.workers.retain(|id, w| w.present || !w.held.is_empty() || listed.contains_key(id));
     }
 
     /// Takes in an answer to a start.
@@ -290,6 +294,11 @@
             return false;
         }
         let greeting = !worker.greeted;
+        if greeting {
+            // Earlier owners' orders end here; the last lease of theirs is at most a whole one.
+            worker.unknown_until = Time::ZERO;
+            worker.lease = worker.lease.max(look.clock + LEASE.min(self.bounds.max_lease));
+        }
         worker.born = look.born;
         worker.clock = Some((look.clock, now));
         worker.greeted = true;
@@ -334,7 +343,8 @@
         if !end.checkpoint.is_empty() && end.run == task.run {
             task.checkpoint = end.checkpoint.clone();
         }
-        if end.how == How::Failed {
+        if end.how == How::Failed && end.run > task.failed_run {
+            task.failed_run = end.run;
             task.failed += 1;
             task.avoid = Some(worker.clone());
             self.dirty.insert(id.job.clone());
@@ -516,6 +526,7 @@
         self.lapse(id, now);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.present = false;
+            worker.over = Some(worker.listed.born);
         }
     }
 
@@ -634,9 +645,12 @@
 
     /// Makes a task that was held wait again.
     fn release(&mut self, id: &TaskId, now: Time) {
+        // A lasting task is back in the same pass, before others take its room.
+        let pause =
+            if self.step_of(id).is_some_and(|s| s.lasting) { Duration::ZERO } else { START_AGAIN };
         let Some(task) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id)) else { return };
         let Phase::Held(held) = std::mem::take(&mut task.phase) else { return };
-        task.not_before = now + START_AGAIN;
+        task.not_before = now + pause;
         task.avoid = Some(held.worker.clone());
         task.away_since = Some(now);
         self.leave(id, &held);
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -88,7 +88,7 @@
                         occurrence: open.number,
                         step,
                         tasks,
-                        order: order(job, queue, now),
+                        order: order(job, &job.spec.steps[step], queue, now),
                     });
                 }
             }
@@ -166,16 +166,21 @@
         let Some(id) = team else { return true };
         // A team that is no longer declared keeps its accepted jobs; no limit is known for it.
         let Some(declared) = self.in_force.declared.teams.get(id) else { return true };
-        within(&self.used_by(id).plus(&step.need), declared)
+        within(&self.used_by(id), &step.need, declared)
     }
 }
 
-/// Whether what a team would have running stays within its upper limit; zero is no limit.
-fn within(used: &Need, team: &Team) -> bool {
-    let ok = |used: u64, limit: u64| limit == 0 || used <= limit;
-    ok(used.processors, team.limit.processors)
-        && ok(used.memory, team.limit.memory)
-        && ok(used.accelerators.into(), team.limit.accelerators.into())
+/// Whether a team that uses `used` may use `more`; zero is no limit. A team that uses under half of
+/// its limit may exceed it by one task, or a task larger than what is left would never run. The
+/// platform allows a tenth and one task beyond the limit.
+fn within(used: &Need, more: &Need, team: &Team) -> bool {
+    let ok = |used: u64, more: u64, limit: u64| {
+        limit == 0 || used.saturating_add(more) <= limit || used < limit / 2
+    };
+    let limit = &team.limit;
+    ok(used.processors, more.processors, limit.processors)
+        && ok(used.memory, more.memory, limit.memory)
+        && ok(used.accelerators.into(), more.accelerators.into(), limit.accelerators.into())
 }
 
 /// Indexes of the tasks of a step that may start.
@@ -193,7 +198,11 @@
     waiting.map(|(index, _)| index).collect()
 }
 
-fn order(job: &Job, queue: &Queue, now: Time) -> Order {
+fn order(job: &Job, step: &Step, queue: &Queue, now: Time) -> Order {
+    if step.lasting {
+        // Each second that such a task is away counts, however old its job is.
+        return Order { late: false, priority: 0, due: Time::ZERO };
+    }
     let objective = longest_chain(job).mul_f64(queue.slack_factor) + queue.target_latency;
     let due = job.known_at + objective;
     Order { late: now > due, priority: queue.priority, due }
--- a/src/batch/upkeep.rs
+++ b/src/batch/upkeep.rs
@@ -6,7 +6,7 @@
 use crate::batch::declared::Wave;
 use crate::batch::job::{Phase, TaskId, WorkerId};
 use crate::batch::owner::Owner;
-use crate::ids::{JobId, PoolId, Time};
+use crate::ids::{JobId, PoolId, Time, ZoneId};
 use indexmap::{IndexMap, IndexSet};
 use std::sync::Arc;
 
@@ -29,6 +29,7 @@
 pub struct Machine {
     pub id: MachineId,
     pub pool: PoolId,
+    pub zone: ZoneId,
     pub state: MachineState,
     /// The worker that lives on it.
     pub worker: Option<WorkerId>,
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -39,6 +39,8 @@
     pub listed: Listed,
     /// Still in the list.
     pub present: bool,
+    /// This life is over for sure, though the list may still show it.
+    pub over: Option<u64>,
     /// Its lists were read in this term and this life, so that orders of earlier owners have no effect.
     pub greeted: bool,
     /// Raised when orders that are still on their way must no longer have effect.
@@ -81,6 +83,7 @@
             born: listed.born,
             listed,
             present: true,
+            over: None,
             greeted: false,
             fence_step: 0,
             clock: None,
@@ -143,7 +146,7 @@
     /// Whether its lists must be read now and then: something runs there, or an end waits for its
     /// acknowledgement, or it was not greeted yet.
     pub fn needs_look(&self) -> bool {
-        !self.greeted || !self.held.is_empty() || self.acked < self.taken
+        self.over.is_none() && (!self.greeted || !self.held.is_empty() || self.acked < self.taken)
     }
 
     /// Notes a run that failed, and sets the worker aside when that happens again and again.
--- a/src/platform/machines.rs
+++ b/src/platform/machines.rs
@@ -130,6 +130,7 @@
     Some(Machine {
         id: json::some_text(entry, "machine")?,
         pool: json::some_text(entry, "pool")?,
+        zone: json::some_text(entry, "zone")?,
         state,
         // Id of the worker, not of the machine.
         worker: json::some_text(entry, "id"),
--- a/tests/batch/mod.rs
+++ b/tests/batch/mod.rs
@@ -227,5 +227,7 @@
             asked_at: self.now,
         };
         self.owner.looked(id, look, self.now);
+        // As the next look does.
+        self.owner.lease(self.now, id);
     }
 }
--- a/tests/batch_upkeep.rs
+++ b/tests/batch_upkeep.rs
@@ -12,6 +12,7 @@
     let machines = world.owner.workers.values().map(|w| Machine {
         id: w.listed.machine.clone(),
         pool: w.listed.pool.clone(),
+        zone: w.listed.zone.clone(),
         state: MachineState::Up,
         worker: Some(w.listed.id.clone()),
     });
