--- /dev/null
+++ b/tests/users_platform/mod.rs
@@ -0,0 +1,257 @@
+//! A small stand-in of the users' platform: the store with keyed topics, conditional and fenced
+//! appends, and workers that run tasks for their estimate. It speaks the wire on sockets of its own.
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use rocket::data::ToByteUnit;
+use rocket::http::{Method, Status};
+use rocket::request::Request;
+use rocket::route::{Handler, Outcome, Route};
+use rocket::{Data, Response};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap};
+use std::io::Cursor;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+#[derive(Default)]
+struct Topic {
+    records: Vec<Vec<u8>>,
+    epoch: u64,
+    sequence: Option<u64>,
+}
+
+/// A run at the worker.
+struct Run {
+    run: u64,
+    until: Instant,
+    lasts: bool,
+}
+
+#[derive(Default)]
+struct Worker {
+    fence: u64,
+    lease: u64,
+    running: BTreeMap<String, Run>,
+    ended: Vec<(u64, String, u64, &'static str)>,
+    count: u64,
+    starts: HashMap<String, u32>,
+}
+
+/// State of the stand-in.
+pub struct Platform {
+    started: Instant,
+    topics: Mutex<HashMap<String, Topic>>,
+    worker: Mutex<Worker>,
+    /// Answers every call of the store with 503.
+    pub down: AtomicBool,
+}
+
+/// Time that a task runs here.
+const TASK: Duration = Duration::from_millis(150);
+
+impl Platform {
+    pub fn new() -> Arc<Platform> {
+        Arc::new(Platform {
+            started: Instant::now(),
+            topics: Mutex::default(),
+            worker: Mutex::default(),
+            down: AtomicBool::new(false),
+        })
+    }
+
+    /// Serves the store and one worker at a free port.
+    pub async fn serve(self: &Arc<Platform>) -> SocketAddr {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let routes = [Method::Get, Method::Post].map(|m| Route::new(m, "/<_..>", On(self.clone())));
+        let rocket = jacinthhook::http_server::base(any).mount("/", routes);
+        jacinthhook::http_server::launch(rocket).await.expect("a free port").0
+    }
+
+    /// Writes as an operator or a worker does.
+    pub fn put(&self, topic: &str, key: &str, value: &Value) {
+        let mut record = vec![key.len() as u8];
+        record.extend(key.as_bytes());
+        record.extend(value.to_string().as_bytes());
+        self.topics.lock().unwrap().entry(topic.into()).or_default().records.push(record);
+    }
+
+    /// How often each task was started.
+    pub fn starts(&self) -> HashMap<String, u32> {
+        self.worker.lock().unwrap().starts.clone()
+    }
+
+    fn clock(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn append(&self, query: &HashMap<String, String>, body: &[u8]) -> (u16, Vec<u8>) {
+        let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok());
+        let mut topics = self.topics.lock().unwrap();
+        let topic = topics.entry(query["topic"].clone()).or_default();
+        let end = topic.records.len() as u64;
+        if number("at").is_some_and(|at| at != end) {
+            return answer(412, &json!({ "end": end }));
+        }
+        if let (Some(epoch), Some(sequence)) = (number("epoch"), number("sequence")) {
+            if epoch < topic.epoch {
+                return answer(409, &json!({ "reason": "fenced" }));
+            }
+            let next = topic.sequence.filter(|_| epoch == topic.epoch).map(|s| s + 1);
+            match next {
+                // A repeat gets its first answer.
+                Some(next) if sequence + 1 == next => return answer(200, &json!({ "end": end })),
+                Some(next) if sequence != next => {
+                    return answer(409, &json!({ "reason": "seq", "sequence": next }));
+                }
+                _ => (topic.epoch, topic.sequence) = (epoch, Some(sequence)),
+            }
+        }
+        let mut rest = body;
+        while rest.len() >= 4 {
+            let len = u32::from_be_bytes(rest[..4].try_into().unwrap()) as usize;
+            topic.records.push(rest[4..4 + len].to_vec());
+            rest = &rest[4 + len..];
+        }
+        answer(200, &json!({ "offset": end, "end": topic.records.len() }))
+    }
+
+    async fn read(&self, query: &HashMap<String, String>) -> (u16, Vec<u8>) {
+        let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(number("waitMs"));
+        loop {
+            {
+                let mut topics = self.topics.lock().unwrap();
+                let topic = topics.entry(query["topic"].clone()).or_default();
+                let end = topic.records.len() as u64;
+                if end > number("from") || Instant::now() >= until {
+                    let mut out = end.to_be_bytes().to_vec();
+                    out.extend(0u64.to_be_bytes());
+                    for record in topic.records.iter().skip(number("from") as usize) {
+                        out.extend((record.len() as u32).to_be_bytes());
+                        out.extend(record);
+                    }
+                    return (200, out);
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    fn newest(&self, query: &HashMap<String, String>) -> (u16, Vec<u8>) {
+        let mut topics = self.topics.lock().unwrap();
+        let topic = topics.entry(query["topic"].clone()).or_default();
+        let mut newest = BTreeMap::new();
+        for (offset, record) in topic.records.iter().enumerate() {
+            let len = record[0] as usize;
+            let key = String::from_utf8(record[1..=len].to_vec()).unwrap();
+            match &record[1 + len..] {
+                [] => newest.remove(&key),
+                value => newest.insert(key, (offset, BASE64_STANDARD.encode(value))),
+            };
+        }
+        let items: Vec<Value> = newest
+            .into_iter()
+            .map(|(key, (offset, value))| json!({ "key": key, "value": value, "offset": offset }))
+            .collect();
+        let end = topic.records.len();
+        answer(200, &json!({ "items": items, "hasMore": false, "end": end }))
+    }
+
+    fn advance(&self) {
+        let mut worker = self.worker.lock().unwrap();
+        let now = Instant::now();
+        let lapsed = worker.lease < self.clock();
+        let over: Vec<(String, u64, bool)> = worker
+            .running
+            .iter()
+            .filter(|(_, r)| lapsed || (!r.lasts && now >= r.until))
+            .map(|(task, r)| (task.clone(), r.run, !r.lasts && now >= r.until))
+            .collect();
+        for (task, run, done) in over {
+            worker.running.remove(&task);
+            worker.count += 1;
+            let number = worker.count;
+            worker.ended.push((number, task, run, if done { "done" } else { "lapsed" }));
+        }
+    }
+
+    fn order(&self, path: &str, body: &Value) -> (u16, Vec<u8>) {
+        self.advance();
+        let clock = self.clock();
+        let mut worker = self.worker.lock().unwrap();
+        let fence = body["fence"].as_u64().unwrap_or(0);
+        if fence < worker.fence {
+            return answer(409, &json!({ "clockMs": clock, "reason": "fence" }));
+        }
+        worker.fence = fence;
+        worker.lease = worker.lease.max(body["deadlineMs"].as_u64().unwrap_or(0));
+        let task = body["task"].as_str().unwrap_or("").to_string();
+        let run = body["run"].as_u64().unwrap_or(0);
+        match path {
+            "/-/run-start" => {
+                if !worker.running.contains_key(&task) {
+                    *worker.starts.entry(task.clone()).or_insert(0) += 1;
+                    let lasts = body["spec"] == "lasts";
+                    worker.running.insert(task, Run { run, until: Instant::now() + TASK, lasts });
+                }
+                answer(200, &json!({ "clockMs": clock }))
+            }
+            "/-/run-stop" => {
+                if worker.running.remove(&task).is_some() {
+                    worker.count += 1;
+                    let number = worker.count;
+                    worker.ended.push((number, task, run, "stopped"));
+                }
+                answer(200, &json!({ "clockMs": clock }))
+            }
+            _ => {
+                let seen = body["ackIndex"].as_u64().unwrap_or(0);
+                worker.ended.retain(|(number, ..)| *number > seen);
+                let running: Vec<Value> =
+                    worker.running.iter().map(|(t, r)| json!([t, r.run, "", 100, 0])).collect();
+                let ended: Vec<Value> =
+                    worker.ended.iter().map(|(n, t, r, how)| json!([n, t, r, how, ""])).collect();
+                let lists = json!({
+                    "clockMs": clock, "born": 1, "running": running, "finished": ended,
+                });
+                answer(200, &lists)
+            }
+        }
+    }
+}
+
+fn answer(status: u16, body: &Value) -> (u16, Vec<u8>) {
+    (status, body.to_string().into_bytes())
+}
+
+#[derive(Clone)]
+struct On(Arc<Platform>);
+
+#[rocket::async_trait]
+impl Handler for On {
+    async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let body = data.open(8.mebibytes()).into_bytes().await.map(|b| b.into_inner());
+        let body = body.unwrap_or_default();
+        let path = req.uri().path().to_string();
+        let query: HashMap<String, String> = req
+            .uri()
+            .query()
+            .map(|q| q.segments().map(|(k, v)| (k.to_string(), v.to_string())).collect())
+            .unwrap_or_default();
+        let store_down = self.0.down.load(Ordering::Relaxed) && path.starts_with("/-/log");
+        let (status, body) = match path.as_str() {
+            _ if store_down => (503, Vec::new()),
+            "/-/log-append" => self.0.append(&query, &body),
+            "/-/log-read" => self.0.read(&query).await,
+            "/-/log-newest" => self.0.newest(&query),
+            order => self.0.order(order, &serde_json::from_slice(&body).unwrap_or_default()),
+        };
+        let mut response = Response::new();
+        response.set_status(Status::new(status));
+        response.set_sized_body(body.len(), Cursor::new(body));
+        Outcome::Success(response)
+    }
+}
