Spread lasting tasks, thin out machines that are due, take workers as over by the machine list

Ruled out: steps without a tolerance as the reason (the wave stayed late with them let go); calls that fail. Change: lasting tasks go to workers with the fewest of the step; one task of a step at a time is moved off a machine that is due; event 854 says why a machine waits; workers end when the list shows their machine away.

--- a/src/batch/moves.rs
+++ b/src/batch/moves.rs
@@ -93,16 +93,10 @@
         moves
     }
 
-    /// A machine's move has begun, or will not.
-    pub fn move_answered(&mut self, order: &Move, begun: bool, now: Time) {
-        if !begun {
-            self.moves.ordered.swap_remove(&order.machine);
-            return self.reserve_moving();
-        }
-        let worker = self.workers.values().find(|w| w.listed.machine == order.machine);
-        if let Some(id) = worker.map(|w| w.listed.id.clone()) {
-            self.replaced(&id, now);
-        }
+    /// A machine's move will not begin.
+    pub fn move_refused(&mut self, order: &Move) {
+        self.moves.ordered.swap_remove(&order.machine);
+        self.reserve_moving();
     }
 
     /// Whether a machine is about to move.
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -11,7 +11,7 @@
 use crate::batch::ledger::{self, Entry, LedgerError};
 use crate::batch::moves::Moves;
 use crate::batch::order::{Ended, How, Look, Orders, Pace, Start, StartAnswer, Stop, WorkerClock};
-use crate::batch::upkeep::Waves;
+use crate::batch::upkeep::{Wait, Waves};
 use crate::batch::worker::{Listed, Worker};
 use crate::fair::Need;
 use crate::ids::{JobId, TeamId, Time};
@@ -52,6 +52,7 @@
     WorkerAside { worker: WorkerId },
     WorkerReborn { worker: WorkerId },
     WorkerLapsed { worker: WorkerId, tasks: u64 },
+    UpkeepWaits { machine: Arc<str>, wait: Wait },
     BadRecord { why: String },
 }
 
@@ -90,6 +91,8 @@
     /// What each team has running or ordered.
     used: IndexMap<TeamId, Need>,
     pub waves: Waves,
+    /// Why machines that are due wait, as last noted.
+    pub(super) waits: IndexMap<Arc<str>, Wait>,
     pub(super) moves: Moves,
     /// When an order about a machine had no answer.
     pub(super) unsure_upkeep: IndexMap<Arc<str>, Time>,
@@ -116,6 +119,7 @@
             workers: IndexMap::new(),
             used: IndexMap::new(),
             waves: Waves::default(),
+            waits: IndexMap::new(),
             moves: Moves::default(),
             unsure_upkeep: IndexMap::new(),
             dirty: IndexSet::new(),
@@ -416,6 +420,16 @@
         }
     }
 
+    /// Orders a stop of a task's run; the task runs again elsewhere.
+    pub(super) fn stop_task(&mut self, id: &TaskId, now: Time) {
+        let Some(task) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id)) else { return };
+        let run = task.run;
+        let Phase::Held(held) = &mut task.phase else { return };
+        held.stopping = true;
+        let worker = held.worker.clone();
+        self.stop(Stop { worker, task: id.clone(), run }, now);
+    }
+
     fn stop(&mut self, stop: Stop, now: Time) {
         let last = self.stopped_at.get(&stop);
         if last.is_some_and(|at| now < *at + STOP_AGAIN) {
@@ -676,6 +690,10 @@
         *used = used.plus(room);
     }
 
+    pub(super) fn note(&mut self, note: Note) {
+        self.notes.push(note);
+    }
+
     /// What a team has running or ordered.
     pub fn used_by(&self, team: &str) -> Need {
         self.used.get(team).copied().unwrap_or_default()
--- a/src/batch/place.rs
+++ b/src/batch/place.rs
@@ -29,7 +29,7 @@
 }
 
 /// The best worker for a task, or none that fits. Prefers the rack of the data, other workers than
-/// the one where it last failed, racks that hold few of the step, and then the least room left, so
+/// the one where it last failed, workers and racks that hold few of a lasting step, and then the least room left, so
 /// that machines become idle that the pool does not need.
 pub fn place(
     workers: &IndexMap<WorkerId, Worker>,
@@ -61,11 +61,16 @@
 }
 
 /// Smaller is better.
-fn rank(worker: &Worker, wanted: &Wanted<'_>, need: &Need) -> (bool, bool, u32, u32, u64) {
+fn rank(worker: &Worker, wanted: &Wanted<'_>, need: &Need) -> (bool, bool, u32, u32, u32, u64) {
     let listed = &worker.listed;
     let far = wanted.step.home_rack.as_ref().is_some_and(|r| *r != listed.rack);
     let avoid = wanted.task.avoid.as_ref() == Some(&listed.id);
     let on_rack = wanted.racks.get(&listed.rack).copied().unwrap_or(0);
+    // A machine with more tasks of a step than the step may miss cannot have its maintenance.
+    let beside = match wanted.step.lasting {
+        true => wanted.beside.get(&listed.id).copied().unwrap_or(0),
+        false => 0,
+    };
     let rack = if wanted.step.lasting {
         on_rack
     } else if wanted.step.same_rack {
@@ -73,7 +78,8 @@
     } else {
         0
     };
-    (avoid, far, worker.failures, rack, 1_000u64.saturating_sub(used_permille(worker, need)))
+    let left = 1_000u64.saturating_sub(used_permille(worker, need));
+    (avoid, far, worker.failures, beside, rack, left)
 }
 
 /// Room that would be taken with the task there, in thousandths of the scarcer resource.
--- a/src/batch/upkeep.rs
+++ b/src/batch/upkeep.rs
@@ -5,7 +5,7 @@
 
 use crate::batch::declared::Wave;
 use crate::batch::job::{Phase, TaskId, WorkerId};
-use crate::batch::owner::Owner;
+use crate::batch::owner::{Note, Owner};
 use crate::ids::{JobId, PoolId, Time, ZoneId};
 use indexmap::{IndexMap, IndexSet};
 use std::sync::Arc;
@@ -42,6 +42,15 @@
     pub wave: u64,
 }
 
+/// Why a machine's maintenance waits though the wave has room for it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Wait {
+    /// A task that is not lasting runs there.
+    ShortTask { task: TaskId },
+    /// Of the task's step `away` others are not at work and `here` would go with the machine.
+    Tolerance { task: TaskId, away: u32, here: u32, may_miss: u32 },
+}
+
 /// Progress of the waves in force.
 #[derive(Clone, Debug, Default)]
 pub struct Waves {
@@ -64,10 +73,15 @@
 
 impl Owner {
     /// Machines whose maintenance may begin now. Marks those that are to be emptied.
-    pub fn plan_upkeep(&mut self, machines: &IndexMap<MachineId, Machine>) -> Vec<Upkeep> {
+    pub fn plan_upkeep(
+        &mut self,
+        machines: &IndexMap<MachineId, Machine>,
+        now: Time,
+    ) -> Vec<Upkeep> {
         let in_force = self.in_force.clone();
         let mut chosen = Vec::new();
         let mut taken = StepCounts::new();
+        let mut waits: Vec<(MachineId, Wait)> = Vec::new();
         let mut reserved: IndexSet<WorkerId> = IndexSet::new();
         for wave in in_force.waves.values() {
             let away = wave
@@ -85,18 +99,29 @@
                     emptied -= 1;
                     reserved.insert(worker.clone());
                 }
-                let taken_too = match worker {
-                    Some(worker) if room > 0 => self.may_take(worker, &taken),
-                    Some(_) => None,
-                    None => (room > 0).then(|| taken.clone()),
+                if room == 0 {
+                    continue;
+                }
+                let with_this = match worker {
+                    Some(worker) => self.may_take(worker, &taken),
+                    None => Ok(taken.clone()),
                 };
-                if let Some(with_this) = taken_too {
-                    taken = with_this;
-                    room -= 1;
-                    chosen.push(Upkeep { machine: machine.id.clone(), wave: wave.number });
+                match with_this {
+                    Ok(with_this) => {
+                        taken = with_this;
+                        room -= 1;
+                        chosen.push(Upkeep { machine: machine.id.clone(), wave: wave.number });
+                    }
+                    Err(wait) => waits.push((machine.id.clone(), wait)),
                 }
             }
         }
+        for (machine, wait) in waits {
+            self.thin_out(&wait, &taken, now);
+            if self.waits.insert(machine.clone(), wait.clone()).as_ref() != Some(&wait) {
+                self.note(Note::UpkeepWaits { machine, wait });
+            }
+        }
         for order in &chosen {
             // No start comes between the decision and the order.
             let worker = machines.get(&order.machine).and_then(|m| m.worker.clone());
@@ -122,12 +147,33 @@
         due
     }
 
-    /// A machine's maintenance has begun: its worker is over, with all it ran.
-    pub fn upkeep_began(&mut self, order: &Upkeep, now: Time) {
+    /// Moves one lasting task off a machine that holds more of a step than the step may miss.
+    /// `taken` holds what machines chosen in the same pass take.
+    fn thin_out(&mut self, wait: &Wait, taken: &StepCounts, now: Time) {
+        let Wait::Tolerance { task, here, may_miss, .. } = wait else { return };
+        // Counted anew: another machine of this pass may have lost a task of the step.
+        let away = self.away(task) + taken.get(&step_key(task)).copied().unwrap_or(0);
+        if here > may_miss && away < *may_miss {
+            self.stop_task(task, now);
+        }
+    }
+
+    /// A machine's maintenance has begun, now or earlier: the platform answers a repeat in the same
+    /// way, so only the list of machines tells whether its worker is over.
+    pub fn upkeep_began(&mut self, order: &Upkeep) {
         self.waves.begin(order.wave, order.machine.clone());
         self.dirty_waves.insert(order.wave);
-        let worker = self.workers.values().find(|w| w.listed.machine == order.machine);
-        if let Some(id) = worker.map(|w| w.listed.id.clone()) {
+    }
+
+    /// Workers of machines that are away for a move or maintenance are over, with all they ran.
+    pub fn machines_listed(&mut self, machines: &IndexMap<MachineId, Machine>, now: Time) {
+        let away = |m: &Machine| matches!(m.state, MachineState::Moving | MachineState::Upkeep);
+        let over = self
+            .workers
+            .values()
+            .filter(|w| w.over.is_none() && machines.get(&w.listed.machine).is_some_and(away));
+        let over: Vec<WorkerId> = over.map(|w| w.listed.id.clone()).collect();
+        for id in over {
             self.replaced(&id, now);
         }
     }
@@ -143,23 +189,28 @@
         self.unsure_upkeep.insert(order.machine.clone(), now);
     }
 
-    /// The lasting tasks that a worker takes with it, by step; `None` if it must not go now.
+    /// The lasting tasks that a worker takes with it, by step, or why it must not go now.
     /// `taken` holds what machines chosen in the same pass take.
-    fn may_take(&self, worker: &str, taken: &StepCounts) -> Option<StepCounts> {
+    fn may_take(&self, worker: &str, taken: &StepCounts) -> Result<StepCounts, Wait> {
         let mut all = taken.clone();
-        let Some(worker) = self.workers.get(worker) else { return Some(all) };
+        let Some(worker) = self.workers.get(worker) else { return Ok(all) };
         for task in worker.held.keys() {
-            if !self.step_of(task)?.lasting {
-                return None;
+            if self.step_of(task).is_none_or(|step| !step.lasting) {
+                return Err(Wait::ShortTask { task: task.clone() });
             }
             *all.entry(step_key(task)).or_insert(0) += 1;
         }
-        let fits = worker.held.keys().all(|task| {
-            let may_miss = self.step_of(task).and_then(|step| step.may_miss);
+        for task in worker.held.keys() {
+            let Some(may_miss) = self.step_of(task).and_then(|step| step.may_miss) else {
+                continue;
+            };
             let here = all.get(&step_key(task)).copied().unwrap_or(0);
-            may_miss.is_none_or(|most| self.away(task) + here <= most)
-        });
-        fits.then_some(all)
+            let away = self.away(task);
+            if away + here > may_miss {
+                return Err(Wait::Tolerance { task: task.clone(), away, here, may_miss });
+            }
+        }
+        Ok(all)
     }
 
     /// Tasks of a task's step that are not at work, or may have lost their machine.
@@ -168,7 +219,9 @@
         let Some(open) = job.open.iter().find(|o| o.number == task.occurrence) else { return 0 };
         let Some(tasks) = open.steps.get(task.step as usize) else { return 0 };
         let away = tasks.iter().filter(|t| match &t.phase {
-            Phase::Held(held) => held.at_work_since.is_none() || self.may_be_down(&held.worker),
+            Phase::Held(held) => {
+                held.stopping || held.at_work_since.is_none() || self.may_be_down(&held.worker)
+            }
             Phase::Waiting | Phase::Done => true,
         });
         away.count() as u32
@@ -177,7 +230,7 @@
     fn may_be_down(&self, worker: &str) -> bool {
         let Some(worker) = self.workers.get(worker) else { return true };
         let asked = self.unsure_upkeep.get(&worker.listed.machine);
-        asked.is_some_and(|at| *at >= worker.last_answer)
+        worker.unanswered > 0 || asked.is_some_and(|at| *at >= worker.last_answer)
     }
 }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -134,6 +134,7 @@
     UpkeepOrdered, 851, Info, "machine wave answer", "Maintenance of a machine was ordered.", "None.";
     WaveComplete, 852, Info, "wave", "All machines of a wave had their maintenance.", "None.";
     MachineMoveOrdered, 853, Info, "machine pool answer", "A machine was ordered to another pool.", "None.";
+    UpkeepWaits, 854, Info, "machine reason", "Maintenance of a machine waits though its wave has room.", "See docs/OPERATIONS.md.";
     Reloaded, 860, Info, "signal", "The settings file was read again.", "None.";
     ReloadFailed, 861, Warning, "error", "The settings file cannot be used; the earlier settings hold.", "Mend the file.";
 }
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -233,6 +233,11 @@
                 let fields = [("worker", worker.into()), ("tasks", (*tasks).into())];
                 self.log.event(Event::WorkerLapsed, &fields);
             }
+            Note::UpkeepWaits { machine, wait } => {
+                let reason = format!("{wait:?}");
+                let fields = [("machine", machine.into()), ("reason", (&reason).into())];
+                self.log.event(Event::UpkeepWaits, &fields);
+            }
             Note::BadRecord { why } => {
                 self.log.event(Event::RecordUnreadable, &[("error", why.into())]);
             }
--- a/src/instance/upkeep.rs
+++ b/src/instance/upkeep.rs
@@ -30,9 +30,11 @@
             continue;
         }
         let open = open_waves(&shared, &reported);
-        let Some(listed) = machines.list().await else { continue };
+        let Some(listed) = list(&shared, &machines).await else { continue };
         pass(&shared, &term, &machines, &listed).await;
         move_machines(&shared, &term, &machines, &listed).await;
+        // Workers whose machines have just gone are over now, not one pass later.
+        let Some(listed) = list(&shared, &machines).await else { continue };
         for wave in open {
             let complete = is_complete(&shared, wave, &listed);
             if reported.get(&wave) == Some(&complete) {
@@ -45,6 +47,16 @@
     }
 }
 
+/// Reads the machines and tells the owner.
+async fn list(shared: &Shared, machines: &Machines) -> Option<IndexMap<MachineId, Machine>> {
+    let listed = machines.list().await?;
+    if let Some(owner) = shared.owner.lock().as_mut() {
+        owner.machines_listed(&listed, shared.now());
+        shared.wake.notify_one();
+    }
+    Some(listed)
+}
+
 /// Waves in force that were not reported as complete.
 fn open_waves(shared: &Shared, reported: &HashMap<u64, bool>) -> Vec<u64> {
     let in_force = shared.in_force();
@@ -60,7 +72,7 @@
     let chosen = {
         let mut lock = shared.owner.lock();
         let Some(owner) = lock.as_mut() else { return };
-        owner.plan_upkeep(listed)
+        owner.plan_upkeep(listed, shared.now())
     };
     let holder = Holder { name: shared.cfg.name.to_string(), fence: term.number };
     for order in chosen {
@@ -78,7 +90,7 @@
         let mut lock = shared.owner.lock();
         let Some(owner) = lock.as_mut() else { return };
         match answer {
-            MachineAnswer::Begun => owner.upkeep_began(&order, shared.now()),
+            MachineAnswer::Begun => owner.upkeep_began(&order),
             MachineAnswer::Unfit => owner.upkeep_unfit(&order),
             MachineAnswer::Fenced => return term.end("a later owner ordered machines"),
             // The next pass asks again; the platform answers well if it was done.
@@ -112,12 +124,11 @@
         let mut lock = shared.owner.lock();
         let Some(owner) = lock.as_mut() else { return };
         match answer {
-            MachineAnswer::Begun => owner.move_answered(&order, true, shared.now()),
             MachineAnswer::Fenced => return term.end("a later owner ordered machines"),
-            // It may be under way: its worker gets no starts until the list tells.
-            MachineAnswer::Unknown => {}
+            // Its worker gets no starts until the list tells.
+            MachineAnswer::Begun | MachineAnswer::Unknown => {}
             MachineAnswer::Busy | MachineAnswer::Unfit | MachineAnswer::Refused => {
-                owner.move_answered(&order, false, shared.now());
+                owner.move_refused(&order);
             }
         }
     }
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -76,8 +76,9 @@
         lasting,
         tail_target: json::millis(step, "targetMs"),
         fills: json::flag(step, "fills"),
-        // Fields of value 0 are left out, so a lasting step without it may miss none.
-        may_miss: lasting.then_some(may_miss.unwrap_or(0)),
+        // A step without the field has no tolerance to keep, though fields of value 0 are left out:
+        // otherwise a machine with such a task could never have its maintenance.
+        may_miss,
     })
 }
 
