--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -80,7 +80,10 @@
         if shared.stopping.load(Ordering::Relaxed) || shared.in_force().declared.version == 0 {
             continue;
         }
-        let silence = if resigned { Duration::ZERO } else { SILENCE };
+        let silence = match &newest {
+            Some(leader) if !resigned => silence_before(leader, &shared.cfg.name, shared.life),
+            Some(_) | None => Duration::ZERO,
+        };
         if quiet_since.elapsed() < silence + stagger(&shared) {
             continue;
         }
@@ -92,6 +95,12 @@
     }
 }
 
+/// Silence of an owner after which the instance `name` in its life `life` takes over. An earlier life
+/// of the instance itself is over: nothing is to be waited for.
+pub fn silence_before(leader: &Leader, name: &str, life: u64) -> Duration {
+    if &*leader.name == name && leader.life != life { Duration::ZERO } else { SILENCE }
+}
+
 fn stagger(shared: &Shared) -> Duration {
     let sum: u64 = shared.cfg.name.bytes().map(u64::from).sum();
     STAGGER * (sum % STAGGER_STEPS) as u32
--- a/tests/instance.rs
+++ b/tests/instance.rs
@@ -253,3 +253,21 @@
     assert_eq!(other.events("OwnerReady").len(), 1);
     assert_eq!(pair[owner].events("OwnerGone")[0]["reason"], "stopping");
 }
+
+/// An instance that was the owner in an earlier life takes over at once; it waited for the silence of
+/// itself (1.5 s without an owner on both incidents).
+#[test]
+fn silence_before_earlier_life() {
+    use jacinthhook::instance::shared::Leader;
+    use jacinthhook::instance::term::silence_before;
+    let leader = Leader {
+        term: 3,
+        life: 7,
+        name: "a".into(),
+        zone: "z1".into(),
+        peers: "127.0.0.1:1".into(),
+    };
+    assert_eq!(silence_before(&leader, "a", 8), Duration::ZERO);
+    assert!(silence_before(&leader, "b", 8) > Duration::ZERO);
+    assert!(silence_before(&leader, "a", 7) > Duration::ZERO);
+}
