Drop a job's hand-in before its progress

Cause: read-through; the owner dropped the progress of a job that ended 120 s ago and kept what the caller had handed in, so that the next owner took it for a new job and ran it again. Ruled out: keeping progress for good (the store holds 400 MB). Change: the hand-in and its cancellation are dropped first; progress without a job, left by an owner that ended in between, is dropped by the next. StoreError::is_not_done was used by nothing; WorkerWakes has a proper name. Before and after: tests/instance.rs dropped_job_stays_dropped fails without the drop (four tasks started twice), passes with it; all six tests of the file pass.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -74,6 +74,12 @@
         self.taken.iter().map(|(id, _, _)| id)
     }
 
+    /// Jobs that are dropped: their hand-in must be dropped before their progress, or the next owner
+    /// takes them for new.
+    pub fn dropped(&self) -> impl Iterator<Item = &str> {
+        self.entries.iter().filter(|e| e.value.is_none()).map(|e| &*e.key)
+    }
+
     /// Whether there is nothing to store or send.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty() && self.orders == Orders::default() && self.taken.is_empty()
@@ -172,7 +178,11 @@
             return;
         }
         let id: JobId = key.into();
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            // Its hand-in was dropped and its owner ended before the progress was.
+            self.dirty.insert(id);
+            return;
+        };
         if let Err(e) = ledger::decode(&id, job, value, now) {
             self.notes.push(Note::BadRecord { why: LedgerError::to_string(&e) });
         }
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -74,7 +74,7 @@
     /// Something changed that the owner decides on.
     pub wake: Notify,
     /// Ends were stored; workers wait for their acknowledgement.
-    pub stored: HashMapOfNotify,
+    pub stored: WorkerWakes,
     /// The process was asked to stop.
     pub stopping: AtomicBool,
     /// The store answered this instance's last call.
@@ -82,7 +82,7 @@
 }
 
 /// Wake-ups by worker.
-pub type HashMapOfNotify = Mutex<HashMap<Arc<str>, Arc<Notify>>>;
+pub type WorkerWakes = Mutex<HashMap<Arc<str>, Arc<Notify>>>;
 
 impl Shared {
     /// Tables of a process that has just started.
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -391,6 +391,9 @@
             shared.log_notes(&batch.notes);
             continue;
         }
+        if let Err(e) = drop_jobs(&shared, &term, &batch).await {
+            return term.end(&e.to_string());
+        }
         if !batch.entries.is_empty() {
             number += 1;
             if let Err(e) = store_batch(&shared, &term, &batch, &mut number).await {
@@ -412,6 +415,24 @@
     Some(owner.collect())
 }
 
+/// Drops what callers handed in of jobs whose progress is dropped next.
+async fn drop_jobs(shared: &Shared, term: &Term, batch: &Batch) -> Result<(), StoreError> {
+    let keys: Vec<String> =
+        batch.dropped().flat_map(|id| [id.to_string(), format!("{id}{CANCEL_SUFFIX}")]).collect();
+    if keys.is_empty() {
+        return Ok(());
+    }
+    let records: Vec<(&str, Option<&[u8]>)> = keys.iter().map(|k| (k.as_str(), None)).collect();
+    loop {
+        match shared.store.append(store::JOBS, &records, Guard::default()).await {
+            Ok(_) => return Ok(()),
+            Err(e) if !term.may_order() => return Err(e),
+            // A repeat drops nothing more.
+            Err(_) => sleep(CALL_AGAIN).await,
+        }
+    }
+}
+
 async fn store_batch(
     shared: &Shared,
     term: &Term,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -58,13 +58,6 @@
     NoAnswer,
 }
 
-impl StoreError {
-    /// Whether the call surely has no effect, now or later.
-    pub fn is_not_done(self) -> bool {
-        self != StoreError::NoAnswer
-    }
-}
-
 impl From<Lost> for StoreError {
     fn from(lost: Lost) -> StoreError {
         match lost {
--- a/tests/instance.rs
+++ b/tests/instance.rs
@@ -39,6 +39,11 @@
 }
 
 fn start(name: &str, store: SocketAddr) -> Instance {
+    start_that_keeps(name, store, 120)
+}
+
+/// An instance that keeps jobs for so many seconds after their end.
+fn start_that_keeps(name: &str, store: SocketAddr, keep_secs: u64) -> Instance {
     let dir = std::env::temp_dir().join(format!("jacinthhook-{}-{name}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("a folder");
     let (front, ready, first) = (ports(), ports(), ports());
@@ -48,7 +53,7 @@
             "frontend": format!("127.0.0.1:{front}"), "readiness": format!("127.0.0.1:{ready}"),
         },
         "portRange": [first, first],
-        "bounds": { "maxHoldMs": 10000, "revokeMs": 5000, "status_s": 120, "graceS": 6 },
+        "bounds": { "maxHoldMs": 10000, "revokeMs": 5000, "status_s": keep_secs, "graceS": 6 },
         "platform": { "address": store.to_string() },
     });
     let file = dir.join("local.json");
@@ -271,3 +276,29 @@
     assert!(silence_before(&leader, "b", 8) > Duration::ZERO);
     assert!(silence_before(&leader, "a", 7) > Duration::ZERO);
 }
+
+/// A job that ended long ago is dropped whole: the next owner took its hand-in, which was kept, for a
+/// new job and ran it again (TWICE after a change of owner later than 120 s after the end).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn dropped_job_stays_dropped() {
+    let (platform, address) = platform().await;
+    let mut pair = [start_that_keeps("drop-a", address, 1), start_that_keeps("drop-b", address, 1)];
+    until("both are ready", async || pair[0].is_ready().await && pair[1].is_ready().await).await;
+    until("there is an owner", async || pair.iter().any(|i| !i.events("OwnerReady").is_empty()))
+        .await;
+    let owner = pair.iter().position(|i| !i.events("OwnerReady").is_empty()).expect("an owner");
+    let path = "/q/00000000000000d1";
+    assert_eq!(pair[owner].call(post(), path, "k1", JOB).await.0, 200);
+    until("the job is gone", async || {
+        platform.starts().len() == 4 && pair[1 - owner].call(get(), path, "k1", "").await.0 == 410
+    })
+    .await;
+    pair[owner].child.kill().expect("a signal");
+    let other = &pair[1 - owner];
+    until("the other owns", async || !other.events("OwnerReady").is_empty()).await;
+    let another = "/q/00000000000000d2";
+    assert_eq!(other.call(post(), another, "k1", JOB).await.0, 200);
+    until("another job runs", async || platform.starts().len() == 8).await;
+    let starts = platform.starts();
+    assert!(starts.values().all(|n| *n == 1), "{starts:?}");
+}
