Launch the stand-ins' server through http_server

Cause: read-through; standin::launch repeated http_server::launch line by line. Ruled out: one base configuration for both: the stand-ins end connections at once and keep rocket's limits. Change: standin::launch calls it. Before and after: the same behaviour; formatter and linter are clean. Conclusion: one piece of code.

--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -53,6 +53,7 @@
     let (fail_tx, fail_rx) = oneshot::channel();
     let task = tokio::spawn(async move {
         if let Err(e) = rocket.launch().await {
+            // Reading the error marks it as handled; an unread one panics when dropped.
             let _ = fail_tx.send(e.to_string());
         }
     });
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -2,13 +2,13 @@
 //! and fault switches at `PUT /faults`.
 
 use crate::connection;
+use crate::http_server;
 use crate::protocol::EXCHANGE_HEADER;
 use bytes::Bytes;
 use futures::stream::BoxStream;
 use parking_lot::Mutex;
 use rocket::config::{Ident, LogLevel};
 use rocket::data::{Data, ToByteUnit};
-use rocket::fairing::AdHoc;
 use rocket::http::{ContentType, Status};
 use rocket::request::{self, FromRequest, Request};
 use rocket::response::{self, Responder, Response, stream::ByteStream};
@@ -19,7 +19,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
 /// Most remote addresses remembered for `silence_open`.
@@ -353,24 +352,8 @@
 
 /// Launches a server and returns once it is bound.
 pub async fn launch(addr: SocketAddr, rocket: Rocket<Build>) -> Result<Running, StandinError> {
-    let (tx, rx) = oneshot::channel();
-    let report = AdHoc::on_liftoff("bound address", |rocket| {
-        Box::pin(async move {
-            let bound = SocketAddr::new(rocket.config().address, rocket.config().port);
-            let _ = tx.send((bound, rocket.shutdown()));
-        })
-    });
-    let launched = |message: String| StandinError::Launch { addr, message };
-    let rocket = rocket.attach(report).ignite().await.map_err(|e| launched(e.to_string()))?;
-    let (fail_tx, fail_rx) = oneshot::channel();
-    let task = tokio::spawn(async move {
-        if let Err(e) = rocket.launch().await {
-            // Reading the error marks it as handled; an unread one panics when dropped.
-            let _ = fail_tx.send(e.to_string());
-        }
-    });
-    match rx.await {
-        Ok((addr, shutdown)) => Ok(Running { addr, shutdown, task: Some(task) }),
-        Err(_) => Err(launched(fail_rx.await.unwrap_or_default())),
+    match http_server::launch(rocket).await {
+        Ok((addr, shutdown, task)) => Ok(Running { addr, shutdown, task: Some(task) }),
+        Err(message) => Err(StandinError::Launch { addr, message }),
     }
 }
