Grant a small demand at least one unit, and tell when requests stop waiting

An instance's portion of a limit is limit * demand / total; with ten requests listed as waiting elsewhere a demand of one was rounded to nothing, though seven units were free. The ten had ended 4 s before: an instance renews early for new demand and for unused units, not for requests that stopped waiting, so that the others planned with them until the next renewal at rest. Ruled out: the lapse of the units held by the instance that was cut off; they were free at the time. Change: a demand gets a portion of one unit at least, and a renewal is due when told requests wait no more.

--- a/src/node/units.rs
+++ b/src/node/units.rs
@@ -64,10 +64,18 @@
         }
         let teams = self.state().config.teams.keys();
         let changed = |team: &TeamId| self.waiting.get(team) != self.renewed.waiting.get(team);
-        let unmet = |team: &&TeamId| self.is_unmet(now, team) || self.is_hoarding(now, team);
+        let unmet = |team: &&TeamId| {
+            self.is_unmet(now, team) || self.is_hoarding(now, team) || self.is_over(team)
+        };
         teams.filter(unmet).any(|team| since >= UNMET_INTERVAL || changed(team))
     }
 
+    /// The last `Renew` told of requests that no longer wait; others leave them room until they hear.
+    fn is_over(&self, team: &TeamId) -> bool {
+        let told = self.renewed.waiting.get(team).copied().unwrap_or(0);
+        told > 0 && self.waiting.get(team).copied().unwrap_or(0) == 0
+    }
+
     /// More work than units.
     fn is_unmet(&self, now: Time, team: &TeamId) -> bool {
         let waiting = self.waiting.get(team).copied().unwrap_or(0);
@@ -122,7 +130,9 @@
         let total = others + u64::from(demand);
         if total > u64::from(limit) {
             let portion = u64::from(limit) * u64::from(demand) / total;
-            target = target.min((portion as u32).max(share));
+            // Others' waiting may be long over, so the portion of a demand never rounds to nothing.
+            let portion = (portion as u32).max(demand.min(1));
+            target = target.min(portion.max(share));
         }
         let grant = state.holders.get(&self.cfg.incarnation).and_then(|h| h.grants.get(team));
         let usable = state.usable(self.cfg.incarnation, team);
--- a/tests/node_fuzz.rs
+++ b/tests/node_fuzz.rs
@@ -68,6 +68,18 @@
     run_seed(2_007_721);
 }
 
+#[test]
+fn node_seed_2001134() {
+    // As 2007721: the portion of a small demand was rounded down to no unit at all.
+    run_seed(2_001_134);
+}
+
+#[test]
+fn node_seed_2023681() {
+    // As 2007721: requests that had stopped waiting kept others' units from being granted.
+    run_seed(2_023_681);
+}
+
 #[test]
 fn node_seed_2013688() {
     // After a trim, a freeze and a slow platform an entry instance lags more than 4 s behind.
@@ -97,7 +109,7 @@
         ("ignore pools", core(Mutation::IgnorePools), "point 2", 1),
         ("ignore keys", core(Mutation::IgnoreKeys), "point 3", 1),
         ("ignore withdrawn keys", core(Mutation::IgnoreWithdrawnKeys), "point 3", 5),
-        ("lease never lapses", core(Mutation::LeaseNeverLapses), "point 4", 230),
+        ("lease never lapses", core(Mutation::LeaseNeverLapses), "point 4", 308),
         ("expire at once", core(Mutation::ExpireAtOnce), "point 4", 11),
         ("ignore zones out", core(Mutation::IgnoreZonesOut), "point 5", 10),
         ("trust append answers", core(Mutation::TrustAppendAnswers), "point 6", 5),
