--- a/tests/fault.rs
+++ b/tests/fault.rs
@@ -118,7 +118,10 @@
     let job: serde_json::Value =
         submit.send().await.expect("an answer").json().await.expect("JSON");
     let path = format!("/v1/jobs/{}", job["job"].as_str().expect("an id"));
+    // The log shows a job as running before its start is sent. Frozen in between, and before entry-b
+    // could tell how long the upstream has run, its fate is rightly unknown.
     wait_until("job runs", SOON, async || env.json(1, &path).await["state"] == "running").await;
+    wait_until("task runs", SOON, async || env.runs("frozen").await == 1).await;
     let holder = env.json(1, &path).await["holder"].clone();
     let (frozen, other) = if holder == "entry-a" { (0, 1) } else { (1, 0) };
     env.entries[frozen].signal(Signal::STOP);
