Move machines ahead of the demand by the trend of what arrives

Change: batch::forecast keeps what arrived for each pool in the last two seconds, by declared run times, and carries the rate forward by its trend over the 2 s until a moved machine takes tasks. A pool wants at least as many machines. A fresh owner, which has not seen two seconds, uses the rate alone.

--- a/src/batch.rs
+++ b/src/batch.rs
@@ -2,6 +2,7 @@
 //! owner that decides. Nothing here has I/O, a clock or randomness of its own.
 
 pub mod declared;
+pub mod forecast;
 pub mod job;
 pub mod ledger;
 pub mod moves;
--- a/src/batch/moves.rs
+++ b/src/batch/moves.rs
@@ -1,10 +1,12 @@
 //! Machines follow the demand from pool to pool.
 //!
-//! A pool wants as many machines as its running and waiting tasks fill. One that is short gets
+//! A pool wants as many machines as its running and waiting tasks fill, and at least as many as the
+//! work that arrives will keep busy when a machine that is ordered now is there. One that is short gets
 //! machines from the standby pool, which cost nothing there, and then idle ones of other pools. A
 //! machine that its pool has not wanted for a while goes to the standby pool. Only machines on which
 //! nothing runs are moved, so a move throws no work away.
 
+use crate::batch::forecast::Arrivals;
 use crate::batch::job::{Job, Step, Task};
 use crate::batch::owner::Owner;
 use crate::batch::plan::startable;
@@ -44,6 +46,14 @@
     pub ordered: IndexMap<MachineId, (PoolId, Time)>,
     /// When a pool last wanted so many machines, by number of machines.
     wanted_at: IndexMap<PoolId, Vec<Time>>,
+    pub(super) arrivals: Arrivals,
+}
+
+impl Moves {
+    /// No orders, and no demand known yet.
+    pub fn new(now: Time) -> Moves {
+        Moves { arrivals: Arrivals::new(now), ..Moves::default() }
+    }
 }
 
 /// What a pool has and wants, in machines.
@@ -185,8 +195,9 @@
         wanted_at.iter().filter(|at| now < **at + UNWANTED_FOR).count()
     }
 
-    /// Machines that running and waiting tasks of a pool fill.
-    fn wanted(&self, pool: &PoolId, now: Time) -> usize {
+    /// Machines that running and waiting tasks of a pool fill, or that the demand to come will.
+    fn wanted(&mut self, pool: &PoolId, now: Time) -> usize {
+        let expected = self.moves.arrivals.expected(pool, now);
         let workers = || self.workers.values().filter(|w| w.listed.pool == *pool);
         let Some(one) = workers().map(|w| w.listed.capacity).max_by_key(|c| c.processors) else {
             // No worker tells the size of a machine; one task wants one machine.
@@ -204,7 +215,17 @@
             waiting.memory,
             one.memory,
         ));
-        machines.ceil() as usize
+        let coming = part(self.held_lasting(pool) + expected, 0, one.processors);
+        machines.max(coming).ceil() as usize
+    }
+
+    /// Thousandths of a processor that lasting tasks take up in a pool.
+    fn held_lasting(&self, pool: &PoolId) -> u64 {
+        let workers = self.workers.values().filter(|w| w.listed.pool == *pool);
+        let held = workers.flat_map(|w| w.held.iter());
+        held.filter(|(task, _)| self.step_of(task).is_some_and(|s| s.lasting))
+            .map(|(_, room)| room.processors)
+            .sum()
     }
 
     /// Whether a lasting task finds no place for a while.
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -126,7 +126,7 @@
             used: IndexMap::new(),
             waves: Waves::default(),
             waits: IndexMap::new(),
-            moves: Moves::default(),
+            moves: Moves::new(now),
             unsure_upkeep: IndexMap::new(),
             dirty: IndexSet::new(),
             dirty_waves: IndexSet::new(),
@@ -156,7 +156,7 @@
         (self.term << FENCE_STEP_BITS) | u64::from(step)
     }
 
-    /// Takes in a job that is stored. A repeat changes nothing.
+    /// Takes in a job that is stored. A repeat changes nothing. Answers whether the job is new.
     pub fn accept(
         &mut self,
         id: JobId,
@@ -164,8 +164,18 @@
         queue: QueueId,
         team: Option<TeamId>,
         now: Time,
-    ) {
+    ) -> bool {
+        let new = !self.jobs.contains_key(&id);
         self.jobs.entry(id).or_insert_with(|| Job::new(spec, queue, team, now));
+        new
+    }
+
+    /// Counts a job that was handed in just now towards the demand to come.
+    pub fn arrived(&mut self, id: &str, now: Time) {
+        let Some(job) = self.jobs.get(id) else { return };
+        if let Some(queue) = self.in_force.declared.queue(&job.queue) {
+            self.moves.arrivals.note(&queue.pool, &job.spec, now);
+        }
     }
 
     /// Sets a job, or a wave of maintenance, to its stored progress.
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -336,17 +336,19 @@
     }
 }
 
-fn take_job(shared: &Shared, owner: &mut Owner, key: &str, value: Option<&[u8]>) {
-    let Some(value) = value else { return };
+/// Takes in a job that was handed in. Answers whether it is new.
+fn take_job(shared: &Shared, owner: &mut Owner, key: &str, value: Option<&[u8]>) -> bool {
+    let Some(value) = value else { return false };
     if key.ends_with(CANCEL_SUFFIX) {
-        return;
+        return false;
     }
     match ingress::restored_job(value) {
         Ok((queue, team, spec)) => {
-            owner.accept(key.into(), Arc::new(spec), queue, team, shared.now());
+            owner.accept(key.into(), Arc::new(spec), queue, team, shared.now())
         }
         Err(error) => {
             shared.log.event(Event::RecordUnreadable, &[("error", (&error).into())]);
+            false
         }
     }
 }
@@ -367,7 +369,11 @@
                             owner.cancel(job, shared.now());
                         }
                         Some(_) => {}
-                        None => take_job(&shared, owner, &record.key, value),
+                        None => {
+                            if take_job(&shared, owner, &record.key, value) {
+                                owner.arrived(&record.key, shared.now());
+                            }
+                        }
                     }
                 }
                 drop(lock);
