Order machines at once after a change of owner, and let waves wait

Cause: a new owner ordered no machine for 3 s, so that two holders never take turns on one. Change: batch::touched. The names of machines are stored under the term before an order is sent, which fails for an owner that has been followed; a later owner leaves the named machines alone for the time that holders stay apart and orders all others at once. Maintenance is planned again after its announcement (confirm_upkeep).

--- a/src/batch.rs
+++ b/src/batch.rs
@@ -10,5 +10,6 @@
 pub mod owner;
 pub mod place;
 pub mod plan;
+pub mod touched;
 pub mod upkeep;
 pub mod worker;
--- a/src/batch/ledger.rs
+++ b/src/batch/ledger.rs
@@ -25,6 +25,8 @@
 
 /// Keys of waves of maintenance begin with this; keys of jobs are hexadecimal.
 const WAVE_PREFIX: &str = "wave/";
+/// Key of the machines that are about to get orders.
+pub const TOUCHED: &str = "machines";
 
 /// A record of the store: a key and what it is to hold; `None` drops the key.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -116,10 +118,18 @@
 
 /// The record of the machines whose maintenance has begun.
 pub fn encode_wave(wave: u64, begun: &IndexSet<MachineId>) -> Entry {
-    let names: Vec<&str> = begun.iter().map(|m| &**m).collect();
+    Entry { key: format!("{WAVE_PREFIX}{wave}").into(), value: Some(names(begun)) }
+}
+
+/// The record of the machines that are about to get orders.
+pub fn encode_touched(machines: &IndexSet<MachineId>) -> Entry {
+    Entry { key: TOUCHED.into(), value: Some(names(machines)) }
+}
+
+fn names(machines: &IndexSet<MachineId>) -> Bytes {
+    let names: Vec<&str> = machines.iter().map(|m| &**m).collect();
     // Texts and lists always encode.
-    let value = serde_json::to_vec(&names).unwrap_or_default();
-    Entry { key: format!("{WAVE_PREFIX}{wave}").into(), value: Some(value.into()) }
+    serde_json::to_vec(&names).unwrap_or_default().into()
 }
 
 /// The wave that a key belongs to; `None` for the key of a job.
@@ -127,8 +137,8 @@
     key.strip_prefix(WAVE_PREFIX)?.parse().ok()
 }
 
-/// The machines of a wave's record.
-pub fn decode_wave(value: &[u8]) -> Result<IndexSet<MachineId>, serde_json::Error> {
+/// The machines of a record.
+pub fn decode_machines(value: &[u8]) -> Result<IndexSet<MachineId>, serde_json::Error> {
     let names: Vec<Arc<str>> = serde_json::from_slice(value)?;
     Ok(names.into_iter().collect())
 }
--- a/src/batch/moves.rs
+++ b/src/batch/moves.rs
@@ -69,6 +69,7 @@
 impl Owner {
     /// Machines that are to move now. Their workers get no starts from here on.
     pub fn plan_moves(&mut self, machines: &IndexMap<MachineId, Machine>, now: Time) -> Vec<Move> {
+        self.touched.forget(now);
         self.forget_moves(machines, now);
         let pools = self.in_force.declared.pools.clone();
         let standby = pools.iter().find(|(_, p)| p.standby).map(|(id, _)| id.clone());
@@ -111,9 +112,10 @@
         self.reserve_moving();
     }
 
-    /// Whether a machine is about to move.
-    pub(super) fn is_moving(&self, machine: &str) -> bool {
-        self.moves.ordered.contains_key(machine)
+    /// Whether a machine may get an order: it is not about to move, and no earlier owner gave it one a
+    /// short time ago.
+    pub(super) fn is_free(&self, machine: &str) -> bool {
+        !self.moves.ordered.contains_key(machine) && !self.touched.is_earlier(machine)
     }
 
     fn reserve_moving(&mut self) {
@@ -140,7 +142,7 @@
         let spare = machines.values().filter(|m| {
             Some(&m.pool) == standby
                 && m.state == MachineState::Up
-                && !self.is_moving(&m.id)
+                && self.is_free(&m.id)
                 && !self.in_force.zones_out.contains(&m.zone)
         });
         spare.map(|m| m.id.clone()).collect()
@@ -186,7 +188,8 @@
             return false;
         };
         // A wave empties it; it goes back to work after its maintenance.
-        worker.present && worker.greeted && worker.held.is_empty() && !worker.reserved
+        let idle = worker.present && worker.greeted && worker.held.is_empty();
+        idle && !worker.reserved && self.is_free(&machine.id)
     }
 
     /// Machines that a pool wanted within `UNWANTED_FOR`.
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -11,6 +11,7 @@
 use crate::batch::ledger::{self, Entry, LedgerError};
 use crate::batch::moves::Moves;
 use crate::batch::order::{Ended, How, Look, Orders, Pace, Start, StartAnswer, Stop, WorkerClock};
+use crate::batch::touched::Touched;
 use crate::batch::upkeep::{Wait, Waves};
 use crate::batch::worker::{Listed, Worker};
 use crate::fair::Need;
@@ -66,6 +67,8 @@
     shown: Vec<(JobId, JobState)>,
     /// Ends that may be acknowledged once this is stored, by worker and its life.
     taken: Vec<(WorkerId, u64, u64)>,
+    /// Announcement of orders to machines that may be sent once this is stored.
+    announced: u64,
 }
 
 impl Batch {
@@ -100,6 +103,7 @@
     /// Why machines that are due wait, as last noted.
     pub(super) waits: IndexMap<Arc<str>, Wait>,
     pub(super) moves: Moves,
+    pub touched: Touched,
     /// When an order about a machine had no answer.
     pub(super) unsure_upkeep: IndexMap<Arc<str>, Time>,
     dirty: IndexSet<JobId>,
@@ -127,6 +131,7 @@
             waves: Waves::default(),
             waits: IndexMap::new(),
             moves: Moves::new(now),
+            touched: Touched::new(bounds.holder_gap, now),
             unsure_upkeep: IndexMap::new(),
             dirty: IndexSet::new(),
             dirty_waves: IndexSet::new(),
@@ -181,12 +186,19 @@
     /// Sets a job, or a wave of maintenance, to its stored progress.
     pub fn restore(&mut self, key: &str, value: &[u8], now: Time) {
         if let Some(wave) = ledger::wave_of(key) {
-            match ledger::decode_wave(value) {
+            match ledger::decode_machines(value) {
                 Ok(begun) => self.waves.begun.insert(wave, begun),
                 Err(e) => return self.notes.push(Note::BadRecord { why: e.to_string() }),
             };
             return;
         }
+        if key == ledger::TOUCHED {
+            match ledger::decode_machines(value) {
+                Ok(machines) => self.touched.restore(machines),
+                Err(e) => self.notes.push(Note::BadRecord { why: e.to_string() }),
+            }
+            return;
+        }
         let id: JobId = key.into();
         let Some(job) = self.jobs.get_mut(&id) else {
             // Its hand-in was dropped and its owner ended before the progress was.
@@ -757,6 +769,10 @@
                 batch.entries.push(ledger::encode_wave(wave, begun));
             }
         }
+        if let Some((machines, announced)) = self.touched.to_store() {
+            batch.entries.push(ledger::encode_touched(&machines));
+            batch.announced = announced;
+        }
         for worker in self.workers.values().filter(|w| w.taken > w.stored) {
             batch.taken.push((worker.listed.id.clone(), worker.born, worker.taken));
         }
@@ -770,6 +786,7 @@
                 job.shown = *state;
             }
         }
+        self.touched.stored(batch.announced);
         for (id, born, taken) in &batch.taken {
             let worker = self.workers.get_mut(id).filter(|w| w.born == *born);
             if let Some(worker) = worker {
--- a/src/batch/upkeep.rs
+++ b/src/batch/upkeep.rs
@@ -72,12 +72,18 @@
 }
 
 impl Owner {
-    /// Machines whose maintenance may begin now. Marks those that are to be emptied.
+    /// Machines whose maintenance may begin now. Marks those that are to be emptied. A fresh owner
+    /// waits: a worker lists a run as running while it carries out an earlier owner's stop, so the
+    /// tasks that are away cannot be counted yet.
     pub fn plan_upkeep(
         &mut self,
         machines: &IndexMap<MachineId, Machine>,
         now: Time,
     ) -> Vec<Upkeep> {
+        self.touched.forget(now);
+        if !self.touched.is_apart(now) {
+            return Vec::new();
+        }
         let in_force = self.in_force.clone();
         let mut chosen = Vec::new();
         let mut taken = StepCounts::new();
@@ -134,11 +140,24 @@
         chosen
     }
 
+    /// Those of the chosen orders that still hold now that they are announced: a task may have been
+    /// lost meanwhile that its step cannot miss as well.
+    pub fn confirm_upkeep(
+        &mut self,
+        chosen: &[Upkeep],
+        machines: &IndexMap<MachineId, Machine>,
+        now: Time,
+    ) -> Vec<Upkeep> {
+        let mut again = self.plan_upkeep(machines, now);
+        again.retain(|order| chosen.contains(order));
+        again
+    }
+
     /// Machines of a wave that can begin, those first that hold the fewest tasks.
     fn due<'a>(&self, wave: &Wave, machines: &'a IndexMap<MachineId, Machine>) -> Vec<&'a Machine> {
         let left = self.waves.left(wave).filter_map(|id| machines.get(id));
         let mut due: Vec<&Machine> =
-            left.filter(|m| m.state == MachineState::Up && !self.is_moving(&m.id)).collect();
+            left.filter(|m| m.state == MachineState::Up && self.is_free(&m.id)).collect();
         let worker = |m: &Machine| m.worker.as_ref().and_then(|id| self.workers.get(id));
         // One that is being emptied already stays first, so that none is emptied in vain.
         due.sort_by_key(|m| {
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -73,6 +73,8 @@
     recent: Mutex<IndexMap<JobId, Instant>>,
     /// Something changed that the owner decides on.
     pub wake: Notify,
+    /// A batch of decisions was stored.
+    pub committed: Notify,
     /// Ends were stored; workers wait for their acknowledgement.
     pub stored: WorkerWakes,
     /// The process was asked to stop.
@@ -104,6 +106,7 @@
             jobs_read: Mutex::new(None),
             recent: Mutex::new(IndexMap::new()),
             wake: Notify::new(),
+            committed: Notify::new(),
             stored: Mutex::new(HashMap::new()),
             stopping: AtomicBool::new(false),
             store_answers: AtomicBool::new(false),
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -468,6 +468,7 @@
     if let Some(owner) = shared.owner.lock().as_mut() {
         owner.stored(&batch);
     }
+    shared.committed.notify_waiters();
     shared.log_notes(&batch.notes);
     for worker in batch.stored_workers() {
         shared.worker_wake(worker).notify_one();
--- a/src/instance/upkeep.rs
+++ b/src/instance/upkeep.rs
@@ -11,19 +11,20 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Time between two passes while a wave is under way; upkeep of a machine takes 2 s.
 const PASS_EVERY: Duration = Duration::from_millis(300);
 
-/// Carries out waves of maintenance.
+/// Longest time between a plan and its orders: one pass. The store usually takes a few ms.
+const ANNOUNCED_WITHIN: Duration = PASS_EVERY;
+
+/// Carries out waves of maintenance and moves.
 pub async fn run(shared: Arc<Shared>, term: Arc<Term>) {
     let Some(address) = shared.cfg.machines.clone() else { return };
     let machines = Machines::new(shared.http.clone(), address);
     let mut reported: HashMap<u64, bool> = HashMap::new();
     let mut status_number = 0;
-    // Two holders of one machine stay apart, so orders of an earlier owner get time to end.
-    sleep(shared.cfg.bounds.holder_gap).await;
     loop {
         sleep(PASS_EVERY).await;
         if !term.may_order() {
@@ -63,6 +64,32 @@
     in_force.waves.keys().copied().filter(|w| reported.get(w) != Some(&true)).collect()
 }
 
+/// Stores which machines are about to get orders. Answers whether the orders may be sent; they are
+/// planned anew where that took so long that their reasons may no longer hold.
+async fn announced(shared: &Shared, machines: impl ExactSizeIterator<Item = &MachineId>) -> bool {
+    if machines.len() == 0 {
+        return true;
+    }
+    let now = shared.now();
+    let number = match shared.owner.lock().as_mut() {
+        Some(owner) => owner.touched.announce(machines, now),
+        None => return false,
+    };
+    shared.wake.notify_one();
+    let stored = async {
+        loop {
+            let committed = shared.committed.notified();
+            match shared.owner.lock().as_ref() {
+                Some(owner) if owner.touched.is_stored(number) => return true,
+                Some(_) => {}
+                None => return false,
+            }
+            committed.await;
+        }
+    };
+    timeout(ANNOUNCED_WITHIN, stored).await.unwrap_or(false)
+}
+
 async fn pass(
     shared: &Shared,
     term: &Term,
@@ -74,8 +101,16 @@
         let Some(owner) = lock.as_mut() else { return };
         owner.plan_upkeep(listed, shared.now())
     };
+    if chosen.is_empty() || !announced(shared, chosen.iter().map(|order| &order.machine)).await {
+        return;
+    }
+    let confirmed = {
+        let mut lock = shared.owner.lock();
+        let Some(owner) = lock.as_mut() else { return };
+        owner.confirm_upkeep(&chosen, listed, shared.now())
+    };
     let holder = Holder { name: shared.cfg.name.to_string(), fence: term.number };
-    for order in chosen {
+    for order in confirmed {
         if !term.may_order() {
             return;
         }
@@ -111,8 +146,17 @@
         let Some(owner) = lock.as_mut() else { return };
         owner.plan_moves(listed, shared.now())
     };
+    if !announced(shared, moves.iter().map(|order| &order.machine)).await {
+        let mut lock = shared.owner.lock();
+        let Some(owner) = lock.as_mut() else { return };
+        moves.iter().for_each(|order| owner.move_refused(order));
+        return;
+    }
     let holder = Holder { name: shared.cfg.name.to_string(), fence: term.number };
     for order in moves {
+        if !term.may_order() {
+            return;
+        }
         let answer = machines.move_to(&order.machine, &order.to, &holder).await;
         let word = format!("{answer:?}");
         let fields = [
--- a/tests/batch_upkeep.rs
+++ b/tests/batch_upkeep.rs
@@ -19,7 +19,12 @@
     machines.map(|m| (m.id.clone(), m)).collect()
 }
 
+/// Asks for maintenance of all machines, of an owner that is not fresh any more.
 fn with_wave(world: &mut World, max_at_once: u32) {
+    while !world.owner.touched.is_apart(world.now) {
+        world.pass(Duration::from_millis(100));
+        world.look_all();
+    }
     let machines = world.owner.workers.values().map(|w| w.listed.machine.clone()).collect();
     let wave = Wave { number: 1, machines, within: Duration::from_secs(20), max_at_once };
     world.change(|in_force| {
@@ -39,6 +44,49 @@
     assert_eq!(world.owner.plan_upkeep(&listed, world.now).len(), 1);
 }
 
+/// A task was lost between the choice of a machine and its order, which waits until the machine is
+/// announced: its step may not miss another one (AVAIL on a hunt of tt-jobs).
+#[test]
+fn confirm_upkeep_after_loss() {
+    let mut world = World::new(2);
+    world.submit("00000000000000a1", vec![lasting(2, 1)]);
+    world.settle();
+    with_wave(&mut world, 2);
+    let mut listed = machines(&world);
+    let chosen = world.owner.plan_upkeep(&listed, world.now);
+    assert_eq!(world.owner.confirm_upkeep(&chosen, &listed, world.now), chosen);
+    let other = listed.keys().find(|id| **id != chosen[0].machine).expect("another").clone();
+    listed[&other].state = MachineState::Upkeep;
+    world.owner.machines_listed(&listed, world.now);
+    assert_eq!(world.owner.confirm_upkeep(&chosen, &listed, world.now), []);
+}
+
+/// A stop of an earlier owner was under way at a worker that still listed the run, and the fresh owner
+/// ended a second task of the step (AVAIL on hunt-79a2-31 of tt-jobs).
+#[test]
+fn plan_upkeep_fresh_owner_waits() {
+    let mut world = World::new(1);
+    let step = jacinthhook::batch::job::Step { max_per_worker: 0, ..lasting(2, 1) };
+    world.submit("00000000000000a1", vec![step]);
+    world.settle();
+    let wave = Wave {
+        number: 1,
+        machines: machines(&world).keys().cloned().collect(),
+        within: Duration::from_secs(20),
+        max_at_once: 1,
+    };
+    world.change(|in_force| {
+        in_force.waves.insert(1, wave);
+    });
+    let listed = machines(&world);
+    assert!(world.owner.plan_upkeep(&listed, world.now).is_empty());
+    assert!(world.owner.collect().orders.stops.is_empty(), "a task was stopped at once");
+    world.now = Duration::from_secs(103);
+    world.look_all();
+    world.owner.plan_upkeep(&listed, world.now);
+    assert_eq!(world.owner.collect().orders.stops.len(), 1);
+}
+
 /// A machine whose order had no answer may be down: its tasks count as away.
 #[test]
 fn plan_upkeep_after_order_without_answer() {
