--- a/src/batch/forecast.rs
+++ b/src/batch/forecast.rs
@@ -16,6 +16,10 @@
 /// and the look after it.
 const LEAD: Duration = Duration::from_millis(2_000);
 
+/// Most that a rate is expected to grow within `LEAD`: the first seconds of a demand look like an ever
+/// steeper rise.
+const MAX_GROWTH: f64 = 2.0;
+
 /// Work that arrived within the last two spans.
 #[derive(Clone, Debug, Default)]
 pub struct Arrivals {
@@ -64,7 +68,7 @@
         // The later rate is that of the middle of its span.
         let ahead = LEAD + SPAN / 2;
         let trend = (later - earlier) / SPAN.as_secs_f64();
-        (later + trend * ahead.as_secs_f64()).max(0.0) as u64
+        (later + trend * ahead.as_secs_f64()).clamp(0.0, MAX_GROWTH * later) as u64
     }
 
     fn forget(&mut self, now: Time) {
