--- a/tests/batch_touched.rs
+++ b/tests/batch_touched.rs
@@ -187,7 +187,8 @@
 /// Guards against any course of orders and owners in which two holders take turns on a machine.
 #[test]
 fn holders_stay_apart() {
-    fn property(steps: Vec<(u8, u8)>) -> Result<(), String> {
+    type Steps = Vec<(u8, u8)>;
+    fn property(steps: Steps) -> Result<(), String> {
         let mut owners = Succession::new();
         for (what, number) in steps {
             let time = Duration::from_millis(u64::from(number) * 4);
@@ -207,7 +208,7 @@
         }
         Ok(())
     }
-    let property: fn(Vec<(u8, u8)>) -> Result<(), String> = property;
+    let property: fn(Steps) -> Result<(), String> = property;
     // Fixed, so that a failure comes again.
     let random = Gen::from_size_and_seed(60, 1);
     QuickCheck::new().rng(random).tests(2_000).quickcheck(property);
