Give test instances ports that no connection takes

The output has 'binding failed: Address already in use': the test took a free port from the system and gave it back, and a connection of another test got it before the instance bound it. Eight copies at once failed in 2 of 48 tests in the same way. Ruled out: load; the instance ended at once. Change: ports below the range from which the system picks them, each given once in a test process. The checks and bounds of the tests are the same.

--- a/tests/instance.rs
+++ b/tests/instance.rs
@@ -10,7 +10,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 use users_platform::Platform;
 
@@ -32,10 +32,25 @@
     }
 }
 
-/// Three ports in a row, the first of them free.
-fn ports() -> u16 {
-    let listener = TcpListener::bind(common::any_port()).expect("a free port");
-    listener.local_addr().expect("an address").port().min(65_000)
+/// First port for instances: below the range from which the system picks ports for connections, so that
+/// none of these takes a port before the instance does.
+const FIRST_PORT: u16 = 12_000;
+/// Ports for one test process, and test processes before the ports come again.
+const PORTS: u16 = 200;
+const PROCESSES: u32 = 100;
+
+/// A free port that no other instance of this test process gets.
+fn port() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let process = (std::process::id() % PROCESSES) as u16;
+    loop {
+        let next = NEXT.fetch_add(1, Ordering::Relaxed);
+        assert!(next < PORTS, "this process has no ports left");
+        let port = FIRST_PORT + process * PORTS + next;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 fn start(name: &str, store: SocketAddr) -> Instance {
@@ -46,7 +61,7 @@
 fn start_that_keeps(name: &str, store: SocketAddr, keep_secs: u64) -> Instance {
     let dir = std::env::temp_dir().join(format!("jacinthhook-{}-{name}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("a folder");
-    let (front, ready, first) = (ports(), ports(), ports());
+    let (front, ready, first) = (port(), port(), port());
     let settings = json!({
         "nodeName": name, "zone": "z1", "ip": "127.0.0.1",
         "bindAddrs": {
