Share the server's configuration and the log line of machine orders

Cause: read-through of the whole change. standin::build repeated the rocket configuration of http_server::base but for the times at its close; the two series of machine orders built the same log line; PASS_EVERY's comment named waves only. Ruled out: a changed limit for stand-ins; each of their routes opens its body with a limit of its own. Behaviour is as before: same events, same fields, same times at the close. Conclusion: one copy of each.

--- a/src/instance/upkeep.rs
+++ b/src/instance/upkeep.rs
@@ -2,7 +2,7 @@
 
 use crate::batch::touched::ORDERED_WITHIN;
 use crate::batch::upkeep::{Machine, MachineId};
-use crate::event::Event;
+use crate::event::{Event, Field};
 use crate::ids::Time;
 use crate::instance::shared::Shared;
 use crate::instance::term::Term;
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
-/// Time between two passes while a wave is under way; upkeep of a machine takes 2 s.
+/// Time between two passes; upkeep of a machine takes 2 s, a move 1.5 s.
 const PASS_EVERY: Duration = Duration::from_millis(300);
 
 /// Longest time between a plan and its orders: one pass. The store usually takes a few ms.
@@ -114,13 +114,8 @@
             return;
         }
         let answer = machines.upkeep(&order.machine, order.wave, &holder).await;
-        let word = format!("{answer:?}");
-        let fields = [
-            ("machine", (&order.machine).into()),
-            ("wave", order.wave.into()),
-            ("answer", (&word).into()),
-        ];
-        shared.log.event(Event::UpkeepOrdered, &fields);
+        let aim = ("wave", order.wave.into());
+        log_order(shared, Event::UpkeepOrdered, &order.machine, aim, answer);
         let mut lock = shared.owner.lock();
         let Some(owner) = lock.as_mut() else { return };
         match answer {
@@ -161,13 +156,8 @@
             continue;
         }
         let answer = machines.move_to(&order.machine, &order.to, &holder).await;
-        let word = format!("{answer:?}");
-        let fields = [
-            ("machine", (&order.machine).into()),
-            ("pool", (&order.to).into()),
-            ("answer", (&word).into()),
-        ];
-        shared.log.event(Event::MachineMoveOrdered, &fields);
+        let aim = ("pool", (&order.to).into());
+        log_order(shared, Event::MachineMoveOrdered, &order.machine, aim, answer);
         let mut lock = shared.owner.lock();
         let Some(owner) = lock.as_mut() else { return };
         match answer {
@@ -181,6 +171,17 @@
     }
 }
 
+fn log_order(
+    shared: &Shared,
+    event: Event,
+    machine: &MachineId,
+    aim: (&'static str, Field<'_>),
+    answer: MachineAnswer,
+) {
+    let word = format!("{answer:?}");
+    shared.log.event(event, &[("machine", machine.into()), aim, ("answer", (&word).into())]);
+}
+
 /// Whether every machine of a wave that still exists has begun its maintenance.
 fn is_complete(shared: &Shared, wave: u64, listed: &IndexMap<MachineId, Machine>) -> bool {
     let in_force = shared.in_force();
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use futures::stream::BoxStream;
 use parking_lot::Mutex;
-use rocket::config::{Ident, LogLevel};
 use rocket::data::{Data, ToByteUnit};
 use rocket::http::{ContentType, Status};
 use rocket::request::{self, FromRequest, Request};
@@ -15,7 +14,7 @@
 use rocket::{Build, Rocket, Route, Shutdown, State};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -304,27 +303,8 @@
 
 /// A server with the `/faults` routes that is not launched yet.
 pub fn build(addr: SocketAddr, switches: Arc<Switches>) -> Rocket<Build> {
-    let shutdown = rocket::config::Shutdown {
-        ctrlc: false,
-        signals: HashSet::new(),
-        grace: 0,
-        mercy: 0,
-        force: false,
-        ..Default::default()
-    };
-    let config = rocket::Config {
-        address: addr.ip(),
-        port: addr.port(),
-        ident: Ident::none(),
-        log_level: LogLevel::Off,
-        cli_colors: false,
-        shutdown,
-        ..rocket::Config::release_default()
-    };
-    rocket::custom(config)
-        .attach(rocket::shield::Shield::new())
-        .manage(switches)
-        .mount("/", fault_routes())
+    // A stand-in ends as a crash would: at once.
+    http_server::base_closing_in(addr, 0, 0).manage(switches).mount("/", fault_routes())
 }
 
 fn fault_routes() -> Vec<Route> {
