Log the load of the owner and the size of its machine

OwnerLoad has, every 2 s, the number and longest duration of passes, appends and start orders, and the longest delay of a timer; owner_stage_seconds has the same as histograms; OwnerHere has the size of the machine.

No decision changes.

--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -221,6 +221,11 @@
         self.spec.repeats.max(1)
     }
 
+    /// Whether the job is unfinished and none of its tasks has started.
+    pub fn is_pending(&self) -> bool {
+        !self.any_task_started && !self.state.is_final()
+    }
+
     /// Returns the task with this id if its occurrence is open.
     pub fn task(&self, id: &TaskId) -> Option<&Task> {
         let occurrence = self.open_occurrences.iter().find(|o| o.number == id.occurrence)?;
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -869,9 +869,12 @@
 
     /// Returns the number of unfinished jobs of a queue in which no task has started.
     pub fn pending_jobs(&self, queue: &str) -> u64 {
-        let is_pending =
-            |j: &&Job| !j.any_task_started && !j.state.is_final() && &*j.queue == queue;
-        self.jobs.values().filter(is_pending).count() as u64
+        self.jobs.values().filter(|j| j.is_pending() && &*j.queue == queue).count() as u64
+    }
+
+    /// Returns the number of unfinished jobs of all queues in which no task has started.
+    pub fn pending_job_count(&self) -> u64 {
+        self.jobs.values().filter(|j| j.is_pending()).count() as u64
     }
 }
 
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod http_api;
 pub mod machine_orders;
+pub mod owner_load;
 pub mod peers;
 pub mod process;
 pub mod shared;
--- a/src/instance/config.rs
+++ b/src/instance/config.rs
@@ -2,9 +2,19 @@
 
 use crate::batch::declarations::Bounds;
 use crate::ids::{EntryId, ZoneId};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Processor and network capacity of the machine on which an instance runs. 0 stands for unknown.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MachineSize {
+    /// Thousandths of a processor of normal speed.
+    pub processors_milli: u32,
+    /// Bandwidth of the machine's link in Mbit/s.
+    pub link_mbps: u32,
+}
+
 /// Settings of an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct InstanceConfig {
@@ -24,5 +34,6 @@
     pub machines_addr: Option<String>,
     /// Time between the stop signal and the forced end of the process.
     pub stop_timeout: Duration,
+    pub machine: MachineSize,
     pub bounds: Bounds,
 }
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -7,6 +7,7 @@
 use crate::batch::owner::{DecisionBatch, MAX_STORE_OUTAGE, Owner};
 use crate::batch::worker::WorkerInfo;
 use crate::event::Event;
+use crate::instance::owner_load::{self, OwnerLoad};
 use crate::instance::shared::{OwnerInfo, Shared};
 use crate::instance::topics::{self, OWNER_KEY};
 use crate::instance::{machine_orders, peers, workers};
@@ -139,7 +140,13 @@
     let condition = AppendCondition { expected_end: Some(topic_end), producer: None };
     match shared.store.append(store::OWNER_TOPIC, &[(OWNER_KEY, Some(&record))], condition).await {
         Ok(_) => {
-            shared.log.event(Event::OwnerHere, &[("term", term.into())]);
+            let machine = shared.cfg.machine;
+            let fields = [
+                ("term", term.into()),
+                ("processors_milli", machine.processors_milli.into()),
+                ("link_mbps", machine.link_mbps.into()),
+            ];
+            shared.log.event(Event::OwnerHere, &fields);
             true
         }
         Err(e) => {
@@ -160,6 +167,7 @@
     ended: Notify,
     /// When the last append that the store confirmed was sent.
     last_store_at: Mutex<Instant>,
+    pub load: OwnerLoad,
 }
 
 impl Term {
@@ -183,12 +191,14 @@
         end_reason: Mutex::new(None),
         ended: Notify::new(),
         last_store_at: Mutex::new(Instant::now()),
+        load: OwnerLoad::default(),
     });
     *shared.term.lock() = Some(number);
     let mut tasks = JoinSet::new();
     tasks.spawn(send_heartbeats(shared.clone(), term.clone()));
     tasks.spawn(act_as_owner(shared.clone(), term.clone()));
     tasks.spawn(await_earlier_owner(shared.clone(), earlier));
+    tasks.spawn(owner_load::report(shared.clone(), term.clone()));
     term.ended.notified().await;
     tasks.shutdown().await;
     *shared.owner.lock() = None;
@@ -424,7 +434,9 @@
         // A pass follows both a notification and the timeout.
         let _ = timeout(MAX_PLAN_INTERVAL, shared.plan_needed.notified()).await;
         sleep(COMMIT_INTERVAL).await;
-        let Some(batch) = next_batch(&shared) else { return term.end("the owner state is gone") };
+        let Some(batch) = next_batch(&shared, &term) else {
+            return term.end("the owner state is gone");
+        };
         if batch.is_empty() {
             shared.log_owner_events(&batch.events);
             continue;
@@ -442,7 +454,8 @@
     }
 }
 
-fn next_batch(shared: &Shared) -> Option<DecisionBatch> {
+fn next_batch(shared: &Shared, term: &Term) -> Option<DecisionBatch> {
+    let started = Instant::now();
     let mut lock = shared.owner.lock();
     let owner = lock.as_mut()?;
     let now = shared.now();
@@ -450,7 +463,10 @@
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     owner.tick(now, wall);
     owner.schedule_tasks(now);
-    Some(owner.take_decisions(now))
+    let batch = owner.take_decisions(now);
+    drop(lock);
+    term.load.record_pass(shared, started);
+    Some(batch)
 }
 
 /// Deletes the submission records of jobs whose progress is about to be deleted. They go first,
@@ -486,6 +502,7 @@
 ) -> Result<(), StoreError> {
     let records: Vec<(&str, Option<&[u8]>)> =
         batch.updates.iter().map(|e| (&*e.key, e.value.as_deref())).collect();
+    let started = Instant::now();
     loop {
         let condition =
             AppendCondition { expected_end: None, producer: Some((term.number, *sequence)) };
@@ -493,6 +510,8 @@
         match shared.store.append(store::PROGRESS_TOPIC, &records, condition).await {
             Ok(_) => {
                 *term.last_store_at.lock() = sent_at;
+                let bytes = records.iter().map(|(_, value)| value.map_or(0, <[u8]>::len)).sum();
+                term.load.record_store(shared, bytes, started);
                 return Ok(());
             }
             Err(StoreError::Fenced) => return Err(StoreError::Fenced),
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use std::collections::HashSet;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
@@ -110,6 +110,7 @@
                 store_wait_elapsed = timeout(POLL_WAIT, wake.notified()).await.is_err();
             }
             PollStep::Poll(target, request) => {
+                term.load.record_poll();
                 let pause = poll(&shared, &id, &target, request).await;
                 sleep(pause).await;
             }
@@ -213,6 +214,7 @@
 
 async fn send_start(shared: Arc<Shared>, term: Arc<Term>, start: StartOrder) {
     let Some(target) = worker_target(&shared, &start.worker) else { return };
+    let started = Instant::now();
     let mut outcome = StartOutcome::NotSent;
     for _ in 0..MAX_START_ATTEMPTS {
         let lease = {
@@ -232,6 +234,7 @@
             break;
         }
     }
+    term.load.record_start(&shared, started);
     let mut lock = shared.owner.lock();
     let Some(owner) = lock.as_mut() else { return };
     owner.record_start_outcome(&start, outcome, shared.now());
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -68,9 +68,30 @@
     NEXT_OFFSET, "next_offset", "gauge", [], "First offset of the log that the view does not cover.";
     LOG_REACHABLE, "log_reachable", "gauge", [], "1 when the platform's log answers, otherwise 0.";
     HOLDS, "holds", "gauge", [], "Commands in force as holds.";
+    OWNER_STAGE, "owner_stage_seconds", "histogram", ["stage"], "Durations at the owner: a planning pass, an append of its decisions, a start order until its response, and the delay of a timer.";
     EVENTS, "events_total", "counter", ["event"], "Log events by number, also those that were suppressed or below the level.";
 }
 
+/// What a duration at the owner measures.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OwnerStage {
+    Pass,
+    Store,
+    Start,
+    TimerDelay,
+}
+
+impl OwnerStage {
+    fn as_str(self) -> &'static str {
+        match self {
+            OwnerStage::Pass => "pass",
+            OwnerStage::Store => "store",
+            OwnerStage::Start => "start",
+            OwnerStage::TimerDelay => "timer_delay",
+        }
+    }
+}
+
 /// Values of a label that have their own time series.
 struct BoundedLabel {
     max: usize,
@@ -117,6 +138,7 @@
     next_offset: IntGaugeVec,
     log_reachable: IntGaugeVec,
     holds: IntGaugeVec,
+    owner_stage: HistogramVec,
     events: IntCounterVec,
 }
 
@@ -141,6 +163,7 @@
             next_offset: gauge(r, &NEXT_OFFSET)?,
             log_reachable: gauge(r, &LOG_REACHABLE)?,
             holds: gauge(r, &HOLDS)?,
+            owner_stage: histogram(r, &OWNER_STAGE)?,
             events: counter(r, &EVENTS)?,
             teams: BoundedLabel::new(MAX_TEAMS),
             services: BoundedLabel::new(MAX_SERVICES),
@@ -230,6 +253,11 @@
         set(&self.holds, count.into());
     }
 
+    /// Records a duration at the owner.
+    pub fn record_owner_stage(&self, stage: OwnerStage, duration: Duration) {
+        self.owner_stage.with_label_values(&[stage.as_str()]).observe(duration.as_secs_f64());
+    }
+
     /// Counts a log event.
     pub fn record_event(&self, event: Event) {
         self.events.with_label_values(&[event.info().code.to_string()]).inc();
--- a/src/platform/boot_settings.rs
+++ b/src/platform/boot_settings.rs
@@ -1,7 +1,7 @@
 //! The settings file that the platform writes for a process.
 
 use crate::batch::declarations::Bounds;
-use crate::instance::config::InstanceConfig;
+use crate::instance::config::{InstanceConfig, MachineSize};
 use crate::platform::json;
 use serde_json::Value;
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -62,6 +62,7 @@
         store_addr: address("platform").context(FieldSnafu { field: "platform.address" })?,
         machines_addr: address("cloud"),
         stop_timeout: json::seconds(&bounds, "graceS").unwrap_or(Duration::from_secs(6)),
+        machine: decode_machine_size(value.get("limits")),
         bounds: Bounds {
             max_lease: at_least(json::millis(&bounds, "maxHoldMs"), 1_000),
             max_revocation_delay: at_least(json::millis(&bounds, "revokeMs"), 1_000),
@@ -72,6 +73,17 @@
     })
 }
 
+/// Decodes the limits of the machine.
+fn decode_machine_size(limits: Option<&Value>) -> MachineSize {
+    let number = |name| limits.and_then(|l| l.get(name)).and_then(Value::as_f64);
+    // `cores` is the speed of the processor, not a number of processors.
+    let processors = number("cpuShare").unwrap_or(0.0) * number("cores").unwrap_or(1.0);
+    MachineSize {
+        processors_milli: (processors * 1_000.0) as u32,
+        link_mbps: number("linkMbps").unwrap_or(0.0) as u32,
+    }
+}
+
 fn at_least(time: Duration, ms: u64) -> Duration {
     time.max(Duration::from_millis(ms))
 }
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -3,7 +3,7 @@
 
 use jacinthhook::event::Event;
 use jacinthhook::kind::Kind;
-use jacinthhook::metrics::{ALL, MAX_TEAMS, Metrics, OTHER_LABEL};
+use jacinthhook::metrics::{ALL, MAX_TEAMS, Metrics, OTHER_LABEL, OwnerStage};
 use jacinthhook::record::Class;
 use std::time::Duration;
 
@@ -21,6 +21,7 @@
     metrics.set_view(Duration::from_millis(1_500), 77);
     metrics.set_log_reachable(false);
     metrics.set_holds(2);
+    metrics.record_owner_stage(OwnerStage::Store, Duration::from_millis(30));
     metrics.record_event(Event::ZoneOut);
     let text = metrics.encode().unwrap();
     for metric in ALL {
@@ -34,6 +35,7 @@
         "jacinthhook_units_held{team=\"huts\"} 9",
         "jacinthhook_units_used{team=\"huts\"} 8",
         "jacinthhook_view_age_seconds 1.5",
+        "jacinthhook_owner_stage_seconds_bucket{stage=\"store\",le=\"0.05\"} 1",
         "jacinthhook_events_total{event=\"404\"} 1",
     ];
     for line in expected {
