--- a/tests/instance.rs
+++ b/tests/instance.rs
@@ -54,23 +54,49 @@
 }
 
 fn start(name: &str, store: SocketAddr) -> Instance {
-    start_with_retention(name, store, 120)
+    start_with_settings(name, store, json!({}))
 }
 
 /// Starts an instance that keeps ended jobs for `retention_secs`.
 fn start_with_retention(name: &str, store: SocketAddr, retention_secs: u64) -> Instance {
+    let bounds =
+        json!({ "maxHoldMs": 10000, "revokeMs": 5000, "status_s": retention_secs, "graceS": 6 });
+    start_with_settings(name, store, json!({ "bounds": bounds }))
+}
+
+/// Size of a machine on which an instance runs.
+#[derive(Clone, Copy)]
+enum Machine {
+    Small,
+    Large,
+}
+
+/// Starts an instance on a machine of a size.
+fn start_on(machine: Machine, name: &str, store: SocketAddr) -> Instance {
+    let limits = match machine {
+        Machine::Small => json!({ "cpuShare": 0.12, "cores": 1, "linkMbps": 10 }),
+        Machine::Large => json!({ "cpuShare": 0.5, "cores": 1, "linkMbps": 200 }),
+    };
+    start_with_settings(name, store, json!({ "limits": limits }))
+}
+
+/// Starts an instance with settings that replace or extend the usual ones.
+fn start_with_settings(name: &str, store: SocketAddr, changed: Value) -> Instance {
     let dir = std::env::temp_dir().join(format!("jacinthhook-{}-{name}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("create the folder");
     let (front, ready, first) = (free_port(), free_port(), free_port());
-    let settings = json!({
+    let mut settings = json!({
         "nodeName": name, "zone": "z1", "ip": "127.0.0.1",
         "bindAddrs": {
             "frontend": format!("127.0.0.1:{front}"), "readiness": format!("127.0.0.1:{ready}"),
         },
         "portRange": [first, first],
-        "bounds": { "maxHoldMs": 10000, "revokeMs": 5000, "status_s": retention_secs, "graceS": 6 },
+        "bounds": { "maxHoldMs": 10000, "revokeMs": 5000, "status_s": 120, "graceS": 6 },
         "platform": { "address": store.to_string() },
     });
+    for (field, value) in changed.as_object().into_iter().flatten() {
+        settings[field] = value.clone();
+    }
     let file = dir.join("local.json");
     std::fs::write(&file, settings.to_string()).expect("write the settings");
     let mut child = Command::new(env!("CARGO_BIN_EXE_jacinthhook"))
@@ -353,3 +379,53 @@
     let starts = platform.start_counts();
     assert!(starts.values().all(|n| *n == 1), "{starts:?}");
 }
+
+/// The owner on a large machine is killed while an instance on a small machine and one on a large
+/// machine follow. Guards against an owner that its machine slows down: the election ignored the
+/// size, and starts fell to a third when an instance on a small machine appended first.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn owner_killed_larger_machine_follows() {
+    let (_platform, address) = start_platform().await;
+    let mut first = start_on(Machine::Large, "large-a", address);
+    wait_until("the first instance is the owner", async || !first.events("OwnerReady").is_empty())
+        .await;
+    // By their names, `small-f` has the shortest delay before it takes over and `large-g` the longest.
+    let small = start_on(Machine::Small, "small-f", address);
+    let large = start_on(Machine::Large, "large-g", address);
+    wait_until("the others follow", async || {
+        !small.events("OwnerSeen").is_empty() && !large.events("OwnerSeen").is_empty()
+    })
+    .await;
+    first.child.kill().expect("send the signal");
+    wait_until("there is another owner", async || {
+        [&small, &large].iter().any(|i| !i.events("OwnerHere").is_empty())
+    })
+    .await;
+    assert!(small.events("OwnerHere").is_empty(), "the instance on the small machine took over");
+}
+
+/// An instance on a larger machine joins while one on a small machine is the owner: it takes over,
+/// and every task starts exactly once. Guards against an owner on a small machine that stays for as
+/// long as it lives, for example because it was the first to start.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn owner_on_smaller_machine_replaced() {
+    let (platform, address) = start_platform().await;
+    let small = start_on(Machine::Small, "small-c", address);
+    wait_until("the instance is the owner", async || !small.events("OwnerReady").is_empty()).await;
+    wait_until("the instance is ready", async || small.is_ready().await).await;
+    let long_running = r#"{"spec":"until-stopped","steps":[{"count":2,"cpu":500,"longRunning":true,"mayMiss":1}]}"#;
+    assert_eq!(small.call(post(), "/q/00000000000000e1", "k1", long_running).await.0, 200);
+    wait_until("both tasks run", async || platform.start_counts().len() == 2).await;
+    let large = start_on(Machine::Large, "large-c", address);
+    wait_until("the larger machine has the owner", async || {
+        !large.events("OwnerReady").is_empty() && !small.events("OwnerGone").is_empty()
+    })
+    .await;
+    assert_eq!(large.call(post(), "/q/00000000000000e2", "k1", JOB).await.0, 200);
+    wait_until("the other job is complete", async || {
+        large.call(get(), "/q/00000000000000e2", "k1", "").await.1["state"] == "complete"
+    })
+    .await;
+    let starts = platform.start_counts();
+    assert!(starts.values().all(|n| *n == 1), "{starts:?}");
+}
