Let instances on larger machines become the owner

Cause: any instance could become the owner, and of those with the same delay the first append decided. On the grown sites 25 of 35 machines have 0.12 cores and 10 Mbit/s, and the owner's work (polls, starts, appends) grows with the whole fleet. An owner on such a machine placed 300 to 500 tasks a second, whatever waited, announced few moves of machines in time, and stayed for as long as it lived.

Change: heartbeats carry the size of the owner's machine. An instance on a smaller machine waits longer before it takes over, by how much it falls short; one on a machine at least twice as large replaces a living owner after it has followed it for 2 s without a break. Where all machines have one size, nothing is delayed. Reads of the owner topic end in time for a takeover; they ended every 500 ms, so that most delays had no effect. OwnerHere says why.

Ruled out: the change of owner itself and the previous owner's late orders.

--- a/src/event.rs
+++ b/src/event.rs
@@ -113,7 +113,7 @@
     StoreBack, 802, Info, "view_age_ms", "The platform's store responds again.", "None.";
     RecordUnreadable, 803, Warning, "error", "A record of the store is invalid and was skipped.", "Check for another writer.";
     OwnerSeen, 810, Info, "entry term", "Another instance is the owner of the decisions.", "None.";
-    OwnerHere, 811, Info, "term processors_milli link_mbps", "This instance is the owner of the decisions.", "None.";
+    OwnerHere, 811, Info, "term reason processors_milli link_mbps", "This instance is the owner of the decisions.", "None.";
     OwnerNotHere, 812, Info, "term error", "This instance failed to become the owner; another instance may have been first.", "None.";
     OwnerReady, 813, Info, "term jobs workers took_ms", "The owner has read the stored records and starts to make decisions.", "None.";
     OwnerGone, 814, Warning, "term reason", "This instance is no longer the owner.", "None.";
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -5,6 +5,7 @@
 pub mod append_queue;
 pub mod boottime;
 pub mod config;
+pub mod election;
 pub mod http_api;
 pub mod machine_orders;
 pub mod owner_load;
--- a/src/instance/config.rs
+++ b/src/instance/config.rs
@@ -15,6 +15,32 @@
     pub link_mbps: u32,
 }
 
+impl MachineSize {
+    /// Returns the capacity relative to another machine's, in the resource that falls behind most.
+    pub fn lowest_ratio(&self, other: &MachineSize) -> f64 {
+        self.ratios(other).into_iter().fold(f64::INFINITY, f64::min)
+    }
+
+    /// Whether the machine is `factor` times larger than another in one resource, and smaller in
+    /// none.
+    pub fn is_larger(&self, other: &MachineSize, factor: f64) -> bool {
+        let ratios = self.ratios(other);
+        ratios.iter().all(|r| *r >= 1.0) && ratios.iter().any(|r| *r >= factor)
+    }
+
+    /// A resource that is unknown on one of the machines counts as equal.
+    fn ratios(&self, other: &MachineSize) -> [f64; 2] {
+        let ratio = |own: u32, other: u32| match (own, other) {
+            (0, _) | (_, 0) => 1.0,
+            _ => f64::from(own) / f64::from(other),
+        };
+        [
+            ratio(self.processors_milli, other.processors_milli),
+            ratio(self.link_mbps, other.link_mbps),
+        ]
+    }
+}
+
 /// Settings of an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct InstanceConfig {
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -9,7 +9,7 @@
 use crate::ids::{EntryId, JobId, Time, ZoneId};
 use crate::instance::append_queue::AppendQueue;
 use crate::instance::boottime;
-use crate::instance::config::InstanceConfig;
+use crate::instance::config::{InstanceConfig, MachineSize};
 use crate::metrics::Metrics;
 use crate::platform::http::Http;
 use crate::platform::store::Store;
@@ -39,6 +39,7 @@
     pub zone: ZoneId,
     /// Address for other instances, `IP:PORT`.
     pub peers: String,
+    pub machine: MachineSize,
 }
 
 /// This instance's view of the configuration that operators declare.
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -7,6 +7,7 @@
 use crate::batch::owner::{DecisionBatch, MAX_STORE_OUTAGE, Owner};
 use crate::batch::worker::WorkerInfo;
 use crate::event::Event;
+use crate::instance::election::{Election, TakeoverReason};
 use crate::instance::owner_load::{self, OwnerLoad};
 use crate::instance::shared::{OwnerInfo, Shared};
 use crate::instance::topics::{self, OWNER_KEY};
@@ -24,15 +25,9 @@
 
 /// Time between two heartbeats of the owner.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
-/// Time without a heartbeat after which another instance takes over: three heartbeats and some time
-/// for a read.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Longest wait of a read of the owner topic.
-const OWNER_READ_WAIT: Duration = Duration::from_millis(500);
-/// Unit of the delay that keeps instances from taking over at the same time.
-const STAGGER_STEP: Duration = Duration::from_millis(70);
-/// Number of different delays.
-const STAGGER_STEP_COUNT: u64 = 6;
+/// Shortest and longest wait of a read of the owner topic.
+const MIN_OWNER_READ_WAIT: Duration = Duration::from_millis(20);
+const MAX_OWNER_READ_WAIT: Duration = Duration::from_millis(500);
 /// Pause before each batch; limits the number of calls to the store, which are billed.
 const COMMIT_INTERVAL: Duration = Duration::from_millis(25);
 /// Longest time between two planning passes.
@@ -49,38 +44,40 @@
 /// Takes part in the election of the owner for as long as the process runs.
 pub async fn run_election(shared: Arc<Shared>) {
     let mut next: Option<u64> = None;
-    let mut latest_owner: Option<OwnerInfo> = None;
-    let mut resigned = true;
-    // Start of the period in which every read succeeded and no owner record arrived.
-    let mut silent_since = Instant::now();
+    let mut election = Election::new(
+        shared.cfg.name.clone(),
+        shared.incarnation,
+        shared.cfg.machine,
+        shared.now(),
+    );
     // Latest term of this incarnation that has ended.
     let mut last_ended_term = 0;
     loop {
-        match topics::read_topic(&shared, store::OWNER_TOPIC, next, OWNER_READ_WAIT).await {
+        // The read ends in time for a takeover.
+        let until_takeover = election.takeover_at().0.saturating_sub(shared.now());
+        let wait = until_takeover.clamp(MIN_OWNER_READ_WAIT, MAX_OWNER_READ_WAIT);
+        match topics::read_topic(&shared, store::OWNER_TOPIC, next, wait).await {
             Ok((fetched, _)) => {
                 next = Some(fetched.next_offset);
                 if let Some((owner_info, has_resigned)) =
                     fetched.records.iter().rev().find_map(topics::decode_owner_record)
                 {
                     update_known_owner(&shared, &owner_info, has_resigned);
-                    (latest_owner, resigned, silent_since) =
-                        (Some(owner_info), has_resigned, Instant::now());
+                    election.record_owner(owner_info, has_resigned, shared.now());
                 }
             }
             Err(StoreError::Truncated { .. }) => next = None,
             Err(_) => {
-                silent_since = Instant::now();
+                election.record_gap(shared.now());
                 sleep(RETRY_DELAY).await;
             }
         }
         let Some(topic_end) = next else { continue };
         // An append of this incarnation that got no response took effect.
-        let unconfirmed = latest_owner.as_ref().filter(|o| {
-            o.incarnation == shared.incarnation && o.term > last_ended_term && !resigned
-        });
-        if let Some(term) = unconfirmed.map(|o| o.term) {
+        if let Some(term) = election.unconfirmed_term(last_ended_term) {
             run_term(&shared, term, None).await;
-            (next, last_ended_term, silent_since) = (None, term, Instant::now());
+            (next, last_ended_term) = (None, term);
+            election.record_gap(shared.now());
             continue;
         }
         if shared.stopping.load(Ordering::Relaxed)
@@ -88,39 +85,22 @@
         {
             continue;
         }
-        let takeover_wait = match &latest_owner {
-            Some(owner_info) if !resigned => {
-                takeover_timeout(owner_info, &shared.cfg.name, shared.incarnation)
-            }
-            Some(_) | None => Duration::ZERO,
-        };
-        if silent_since.elapsed() < takeover_wait + stagger(&shared) {
+        let (takeover_at, reason) = election.takeover_at();
+        if shared.now() < takeover_at {
             continue;
         }
-        let term = latest_owner.as_ref().map_or(0, |o| o.term) + 1;
-        if try_take_over(&shared, term, topic_end).await {
-            run_term(&shared, term, latest_owner.clone()).await;
-            (next, last_ended_term, silent_since) = (None, term, Instant::now());
+        let earlier = election.latest_owner().cloned();
+        let term = earlier.as_ref().map_or(0, |o| o.term) + 1;
+        if try_take_over(&shared, term, topic_end, reason).await {
+            run_term(&shared, term, earlier).await;
+            (next, last_ended_term) = (None, term);
+            election.record_gap(shared.now());
+        } else {
+            sleep(RETRY_DELAY).await;
         }
     }
 }
 
-/// Returns the time without heartbeats of `owner_info` after which the instance `name` takes over
-/// in `incarnation`. It is zero if the owner was an earlier incarnation of the same instance, which
-/// has ended.
-pub fn takeover_timeout(owner_info: &OwnerInfo, name: &str, incarnation: u64) -> Duration {
-    if &*owner_info.name == name && owner_info.incarnation != incarnation {
-        Duration::ZERO
-    } else {
-        HEARTBEAT_TIMEOUT
-    }
-}
-
-fn stagger(shared: &Shared) -> Duration {
-    let sum: u64 = shared.cfg.name.bytes().map(u64::from).sum();
-    STAGGER_STEP * (sum % STAGGER_STEP_COUNT) as u32
-}
-
 fn update_known_owner(shared: &Shared, owner_info: &OwnerInfo, has_resigned: bool) {
     let mut known_owner = shared.known_owner.lock();
     let is_known = known_owner.as_ref().is_some_and(|o| o.term == owner_info.term);
@@ -133,7 +113,7 @@
 
 /// Tries to become the owner. Returns false if another instance appended first or the outcome is
 /// unknown.
-async fn try_take_over(shared: &Shared, term: u64, topic_end: u64) -> bool {
+async fn try_take_over(shared: &Shared, term: u64, topic_end: u64, reason: TakeoverReason) -> bool {
     let record = topics::encode_owner_record(shared, term, false);
     // The append does not use the owners' producer ID: with it, the store would treat the same
     // append of another instance as a retry of this one.
@@ -143,6 +123,7 @@
             let machine = shared.cfg.machine;
             let fields = [
                 ("term", term.into()),
+                ("reason", reason.as_str().into()),
                 ("processors_milli", machine.processors_milli.into()),
                 ("link_mbps", machine.link_mbps.into()),
             ];
--- a/src/instance/topics.rs
+++ b/src/instance/topics.rs
@@ -3,6 +3,7 @@
 use crate::batch::declarations::ActiveConfig;
 use crate::event::Event;
 use crate::instance::boottime;
+use crate::instance::config::MachineSize;
 use crate::instance::shared::{OwnerInfo, Shared};
 use crate::platform::operator_records::{self, OperatorKey};
 use crate::platform::store::{self, Fetched, Record, StoreError};
@@ -28,6 +29,9 @@
     name: String,
     zone: String,
     peers: String,
+    /// Absent in records of earlier versions.
+    #[serde(default)]
+    machine: MachineSize,
     /// Whether the owner has resigned.
     resigned: bool,
 }
@@ -148,6 +152,7 @@
         name: shared.cfg.name.to_string(),
         zone: shared.cfg.zone.to_string(),
         peers: shared.cfg.peers_addr.to_string(),
+        machine: shared.cfg.machine,
         resigned,
     };
     // Serializing numbers and strings cannot fail.
@@ -166,6 +171,7 @@
         name: record.name.as_str().into(),
         zone: record.zone.as_str().into(),
         peers: record.peers,
+        machine: record.machine,
     };
     Some((owner_info, record.resigned))
 }
--- /dev/null
+++ b/tests/election.rs
@@ -0,0 +1,106 @@
+//! When instances take over as the owner, without I/O.
+
+use jacinthhook::instance::config::MachineSize;
+use jacinthhook::instance::election::{Election, HEARTBEAT_TIMEOUT, TakeoverReason};
+use jacinthhook::instance::shared::OwnerInfo;
+use std::time::Duration;
+
+const SMALL: MachineSize = MachineSize { processors_milli: 120, link_mbps: 10 };
+const LARGE: MachineSize = MachineSize { processors_milli: 500, link_mbps: 200 };
+/// Names of instances on many machines; their delays take all values.
+const NAMES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "entry-10", "entry-11"];
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn owner(term: u64, name: &str, machine: MachineSize) -> OwnerInfo {
+    OwnerInfo {
+        term,
+        incarnation: 7,
+        name: name.into(),
+        zone: "z1".into(),
+        peers: "127.0.0.1:1".into(),
+        machine,
+    }
+}
+
+/// Returns an instance that has read heartbeats of `owner` every 400 ms from 0 to `until`.
+fn follower(name: &str, machine: MachineSize, owner: &OwnerInfo, until: Duration) -> Election {
+    let mut election = Election::new(name.into(), 8, machine, ms(0));
+    let mut now = ms(0);
+    while now <= until {
+        election.record_owner(owner.clone(), false, now);
+        now += ms(400);
+    }
+    election
+}
+
+/// An instance that was the owner in an earlier incarnation takes over immediately. It used to wait
+/// for its own heartbeat timeout, which left 1.5 s without an owner.
+#[test]
+fn takeover_at_earlier_incarnation() {
+    let info = owner(3, "a", LARGE);
+    let without_owner = Election::new("a".into(), 8, LARGE, ms(0)).takeover_at().0;
+    let restarted = follower("a", LARGE, &info, ms(0)).takeover_at();
+    assert_eq!(restarted, (without_owner, TakeoverReason::OwnRestart));
+    let other = follower("b", LARGE, &info, ms(0)).takeover_at();
+    assert!(other.0 >= HEARTBEAT_TIMEOUT);
+    assert_eq!(other.1, TakeoverReason::NoHeartbeat);
+    let mut same_incarnation = Election::new("a".into(), 7, LARGE, ms(0));
+    same_incarnation.record_owner(info, false, ms(0));
+    assert!(same_incarnation.takeover_at().0 >= HEARTBEAT_TIMEOUT);
+}
+
+/// Of the instances that miss a large owner, every one on a large machine tries before every one on
+/// a small machine. Guards against an owner that its machine slows down.
+#[test]
+fn takeover_at_larger_machines_first() {
+    for resigned in [false, true] {
+        let takeover_at = |name: &str, machine| {
+            let mut election = follower(name, machine, &owner(1, "x", LARGE), ms(10_000));
+            election.record_owner(owner(1, "x", LARGE), resigned, ms(10_000));
+            election.takeover_at().0
+        };
+        let last_large = NAMES.iter().map(|n| takeover_at(n, LARGE)).max();
+        let first_small = NAMES.iter().map(|n| takeover_at(n, SMALL)).min();
+        assert!(last_large < first_small, "{last_large:?} {first_small:?} resigned {resigned}");
+    }
+}
+
+/// Where all machines have the same size, an owner that is gone is followed without an extra delay.
+#[test]
+fn takeover_at_same_size() {
+    let info = owner(1, "x", SMALL);
+    let takeover_at = |n: &&str| follower(n, SMALL, &info, ms(10_000)).takeover_at().0;
+    let first = NAMES.iter().map(takeover_at).min();
+    assert_eq!(first, Some(ms(10_000) + HEARTBEAT_TIMEOUT));
+}
+
+/// A living owner is replaced by an instance on a much larger machine that has followed it without
+/// a break, and by no other. Guards against changes of owner that gain nothing.
+#[test]
+fn takeover_at_living_owner() {
+    let small_owner = owner(1, "x", SMALL);
+    let large = follower("a", LARGE, &small_owner, ms(10_000));
+    let (at, reason) = large.takeover_at();
+    assert!(at <= ms(10_000), "{at:?}");
+    assert_eq!(reason, TakeoverReason::SmallerMachine);
+
+    let mut after_gap = large.clone();
+    after_gap.record_gap(ms(10_000));
+    after_gap.record_owner(small_owner.clone(), false, ms(10_100));
+    assert!(after_gap.takeover_at().0 > ms(11_000));
+
+    let mut after_change = large;
+    after_change.record_owner(owner(2, "y", SMALL), false, ms(10_100));
+    assert!(after_change.takeover_at().0 > ms(11_000));
+
+    let slightly_larger = MachineSize { processors_milli: 150, link_mbps: 10 };
+    let fast_link = MachineSize { processors_milli: 100, link_mbps: 1_000 };
+    for machine in [SMALL, slightly_larger, fast_link, MachineSize::default()] {
+        let (at, reason) = follower("a", machine, &small_owner, ms(10_000)).takeover_at();
+        assert!(at > ms(10_000) + HEARTBEAT_TIMEOUT, "{machine:?} {at:?}");
+        assert_eq!(reason, TakeoverReason::NoHeartbeat, "{machine:?}");
+    }
+}
