Keep fencing tokens rising after 65,536 syncs of a worker

Cause: the counter below the term had 16 bits, and was joined to the term by OR. After 65,536 syncs of a worker in one term its token fell back, and the worker rejected all polls and orders; later ones could reach those of the next term.

Change: 32 bits. A term below 2^21 keeps the token within the integers that JSON numbers hold exactly.

Evidence: fence_many_syncs failed before (the token does not rise).

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -45,9 +45,9 @@
 /// Lowest speed of a best-effort task before it is paused, in percent of full speed.
 const MIN_PACE_PERCENT: u32 = 12;
 
-/// Width of the counter below the term in a fencing token. Enough for one resync per second for
-/// half a day.
-const FENCE_COUNTER_BITS: u32 = 16;
+/// Width of the counter below the term in a fencing token. A term of up to 21 bits keeps the token
+/// within the integers that JSON numbers hold exactly.
+const FENCE_COUNTER_BITS: u32 = 32;
 
 /// An outcome of a decision, for the event log.
 #[derive(Clone, Debug, PartialEq)]
--- a/tests/batch_owner.rs
+++ b/tests/batch_owner.rs
@@ -4,7 +4,7 @@
 
 use batch::{Cluster, TEAM, active_config, long_running_step, short_step, worker_info};
 use jacinthhook::batch::declarations::{ActiveConfig, Declarations, Team};
-use jacinthhook::batch::job::{JobState, Step};
+use jacinthhook::batch::job::{JobState, Step, WorkerId};
 use jacinthhook::batch::orders::{RunOutcome, StartOutcome};
 use jacinthhook::batch::owner::LEASE_DURATION;
 use jacinthhook::fair::Resources;
@@ -218,6 +218,21 @@
     assert_eq!(cluster.decide().orders.starts.len(), 1);
 }
 
+/// However often workers are synced again, fences rise and stay below those of the next term.
+/// Guards against a worker that prefers the orders of an earlier owner, or voided orders.
+#[test]
+fn fence_many_syncs() {
+    let mut cluster = Cluster::new(1);
+    let worker: WorkerId = "w0".into();
+    for _ in 0..=u16::MAX {
+        let fence = cluster.owner.fence(&worker);
+        cluster.owner.end_incarnation(&worker, cluster.now);
+        assert!(cluster.owner.fence(&worker) > fence);
+    }
+    let next = Cluster::with_term(2, active_config());
+    assert!(cluster.owner.fence(&worker) < next.owner.fence(&worker));
+}
+
 /// A run that the owner does not know is stopped.
 #[test]
 fn apply_report_unknown_run() {
