Never lower the fencing token of a worker that is listed again

Cause: a cut of a zone made workers unreachable. The registry dropped them, their leases ran out, and the owner raised the fence and forgot them, since nothing was left to do. When the cut healed they were listed again in the same process and got a fence that started at 0. A poll with the raised fence that had been held up by the cut then arrived, and from there on the worker rejected every poll and order of the term as fenced: its tasks lapsed, and it was never synced again. The class of fault: a value that has to rise for a whole term was stored with an object that lives shorter. By the same fault an order that was void could have been carried out.

Change: the owner counts the syncs of all workers, and a worker that is listed gets the current count.

Ruled out: another owner, since only one term was in force; the logs have Fenced for 14 workers from 40 s to the end.

Evidence: update_workers_relisted_worker_fence failed before.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -106,6 +106,9 @@
     term: u64,
     pub jobs: IndexMap<JobId, Job>,
     pub workers: IndexMap<WorkerId, Worker>,
+    /// Number of resyncs of all workers in this term. A worker that is forgotten and listed again
+    /// thus never gets a lower fence than before.
+    fence_counter: u32,
     /// Resources of the running and ordered tasks of each team.
     usage_by_team: IndexMap<TeamId, Resources>,
     pub wave_progress: WaveProgress,
@@ -136,6 +139,7 @@
             bounds,
             jobs: IndexMap::new(),
             workers: IndexMap::new(),
+            fence_counter: 0,
             usage_by_team: IndexMap::new(),
             wave_progress: WaveProgress::default(),
             maintenance_blockers: IndexMap::new(),
@@ -165,10 +169,10 @@
         Some(worker.lease_until)
     }
 
-    /// Fencing token for orders to a worker: the term, followed by the number of resyncs in this
-    /// term.
+    /// Fencing token for orders to a worker: the term, followed by the number of resyncs of any
+    /// worker in this term up to the worker's latest.
     pub fn fence(&self, worker: &str) -> u64 {
-        let counter = self.workers.get(worker).map_or(0, |w| w.fence_counter);
+        let counter = self.workers.get(worker).map_or(self.fence_counter, |w| w.fence_counter);
         (self.term << FENCE_COUNTER_BITS) | u64::from(counter)
     }
 
@@ -241,8 +245,9 @@
         for (task, team, run) in runs {
             let Some(reservation) = self.step_of(&task).map(Step::reservation) else { continue };
             if !self.workers.contains_key(&run.worker) {
+                let info = unlisted_worker(&run.worker);
                 let mut unlisted =
-                    Worker::new(unlisted_worker(&run.worker), self.prior_leases_until, now);
+                    Worker::new(info, self.fence_counter, self.prior_leases_until, now);
                 unlisted.registered = false;
                 self.workers.insert(run.worker.clone(), unlisted);
             }
@@ -271,13 +276,13 @@
             worker.registered = registry.contains_key(id);
         }
         for (id, entry) in registry {
-            let until = self.prior_leases_until;
-            let new = || Worker::new(entry.clone(), until, now);
+            let (fence_counter, until) = (self.fence_counter, self.prior_leases_until);
+            let new = || Worker::new(entry.clone(), fence_counter, until, now);
             let worker = self.workers.entry(id.clone()).or_insert_with(new);
             if worker.ended_incarnation.is_some_and(|incarnation| incarnation != entry.incarnation)
             {
                 worker.ended_incarnation = None;
-                worker.begin_incarnation(entry.incarnation);
+                worker.begin_incarnation(entry.incarnation, &mut self.fence_counter);
             }
             worker.registered = worker.ended_incarnation.is_none();
             worker.info = entry.clone();
@@ -297,7 +302,7 @@
             // The next poll shows whether the run has started.
             StartOutcome::Unknown => return,
             StartOutcome::Fenced => {
-                worker.resync();
+                worker.resync(&mut self.fence_counter);
                 "fenced"
             }
             StartOutcome::Late => "late",
@@ -344,7 +349,7 @@
         if worker.incarnation != report.incarnation && worker.clock_reading.is_some() {
             // Polled again under a higher fence, so that orders to the previous incarnation cannot
             // take effect.
-            worker.begin_incarnation(report.incarnation);
+            worker.begin_incarnation(report.incarnation, &mut self.fence_counter);
             self.events.push(OwnerEvent::WorkerRestarted { worker: id.clone() });
             return false;
         }
@@ -635,7 +640,7 @@
 
     fn expire_lease(&mut self, id: &WorkerId, now: Time) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.resync();
+        worker.resync(&mut self.fence_counter);
         let tasks: Vec<TaskId> = worker.assigned.keys().cloned().collect();
         self.events
             .push(OwnerEvent::WorkerLeaseExpired { worker: id.clone(), tasks: tasks.len() as u64 });
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -45,7 +45,7 @@
     /// The worker has been polled in this term and incarnation, so orders of previous owners can no
     /// longer take effect.
     pub synced: bool,
-    /// Incremented to invalidate orders in flight.
+    /// Raised to invalidate orders in flight.
     pub fence_counter: u32,
     /// Incarnation that the reported runs and the clock belong to.
     pub incarnation: u64,
@@ -81,14 +81,19 @@
 impl Worker {
     /// Creates a newly listed worker. Orders of previous owners may take effect until
     /// `prior_leases_until`.
-    pub fn new(info: WorkerInfo, prior_leases_until: Time, now: Time) -> Worker {
+    pub fn new(
+        info: WorkerInfo,
+        fence_counter: u32,
+        prior_leases_until: Time,
+        now: Time,
+    ) -> Worker {
         Worker {
             incarnation: info.incarnation,
             info,
             registered: true,
             ended_incarnation: None,
             synced: false,
-            fence_counter: 0,
+            fence_counter,
             clock_reading: None,
             lease_until: WorkerTime::ZERO,
             prior_leases_until,
@@ -107,9 +112,9 @@
     }
 
     /// Resets the state that belongs to the previous incarnation.
-    pub fn begin_incarnation(&mut self, incarnation: u64) {
+    pub fn begin_incarnation(&mut self, incarnation: u64, fence_counter: &mut u32) {
         self.incarnation = incarnation;
-        self.resync();
+        self.resync(fence_counter);
         self.clock_reading = None;
         self.lease_until = WorkerTime::ZERO;
         self.last_processed = 0;
@@ -117,10 +122,12 @@
         self.last_acknowledged = 0;
     }
 
-    /// Raises the fence and requires a new poll, so that orders in flight cannot take effect.
-    pub fn resync(&mut self) {
+    /// Raises the fence to the next value of the owner's counter and requires a new poll, so that
+    /// orders in flight cannot take effect.
+    pub fn resync(&mut self, fence_counter: &mut u32) {
+        *fence_counter += 1;
         self.synced = false;
-        self.fence_counter += 1;
+        self.fence_counter = *fence_counter;
     }
 
     /// Estimates the worker's current clock; never ahead of the real one.
--- a/tests/batch_owner.rs
+++ b/tests/batch_owner.rs
@@ -3,10 +3,12 @@
 mod batch;
 
 use batch::{Cluster, TEAM, active_config, long_running_step, short_step, worker_info};
+use indexmap::IndexMap;
 use jacinthhook::batch::declarations::{ActiveConfig, Declarations, Team};
 use jacinthhook::batch::job::{JobState, Step, WorkerId};
 use jacinthhook::batch::orders::{RunOutcome, StartOutcome};
 use jacinthhook::batch::owner::LEASE_DURATION;
+use jacinthhook::batch::worker::WorkerInfo;
 use jacinthhook::fair::Resources;
 use std::sync::Arc;
 use std::time::Duration;
@@ -218,6 +220,32 @@
     assert_eq!(cluster.decide().orders.starts.len(), 1);
 }
 
+/// A worker that was cut off leaves the registry and returns in the same process. Guards against a
+/// fence below one that the worker may have seen: the worker then rejected every poll and order, and
+/// its tasks were lost for the rest of the term.
+#[test]
+fn update_workers_relisted_worker_fence() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit("job", vec![long_running_step(2, 1)]);
+    cluster.settle();
+    let (w0, w1): (WorkerId, WorkerId) = ("w0".into(), "w1".into());
+    let listed = |ids: &[&WorkerId]| -> IndexMap<WorkerId, WorkerInfo> {
+        ids.iter().enumerate().map(|(i, id)| ((*id).clone(), worker_info(id, i))).collect()
+    };
+    cluster.owner.update_workers(&listed(&[&w0]), cluster.now);
+    cluster.advance(LEASE_DURATION * 2);
+    cluster.poll(&w0);
+    cluster.decide();
+    let seen_fence = cluster.owner.fence(&w1);
+    cluster.owner.update_workers(&listed(&[&w0]), cluster.now);
+    assert!(!cluster.owner.workers.contains_key(&w1), "nothing is left of the worker");
+    cluster.owner.update_workers(&listed(&[&w0, &w1]), cluster.now);
+    assert!(cluster.owner.fence(&w1) >= seen_fence);
+    let other_fence = cluster.owner.fence(&w0);
+    cluster.owner.end_incarnation(&w0, cluster.now);
+    assert!(cluster.owner.fence(&w0) > other_fence, "orders in flight are void");
+}
+
 /// However often workers are synced again, fences rise and stay below those of the next term.
 /// Guards against a worker that prefers the orders of an earlier owner, or voided orders.
 #[test]
