End an owner's term once a worker rejects its fence

What callers saw: on the first seconds after a change of owner, an owner that the store refused went on for 5 s as if in charge, and answered callers of its instance with job states of before the change.

Cause: an owner learned of a later one only from the store. Workers told it too, by rejecting its fencing token, but that was only counted as a failed poll: every 250 ms a worker, some 250 a second on the grown sites. The later owner waited for its end before it took the leases of unreachable workers for over.

Change: within a term the tokens of a worker only rise, so a rejection of the one in use proves a later owner; the term ends.

Evidence: owner_rejected_by_worker_ends_term failed before (timed out after 30 s).

--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -1,6 +1,7 @@
 //! Orders to workers and polls of their runs during one term.
 
 use crate::batch::orders::{Orders, StartOrder, StartOutcome, StopOrder};
+use crate::batch::owner::Owner;
 use crate::batch::worker::WorkerInfo;
 use crate::event::Event;
 use crate::instance::shared::Shared;
@@ -111,7 +112,7 @@
             }
             PollStep::Poll(target, request) => {
                 term.load.record_poll();
-                let pause = poll(&shared, &id, &target, request).await;
+                let pause = poll(&shared, &term, &id, &target, request).await;
                 sleep(pause).await;
             }
         }
@@ -147,6 +148,7 @@
 /// Polls a worker. Returns the pause before the next poll.
 async fn poll(
     shared: &Shared,
+    term: &Term,
     id: &Arc<str>,
     target: &WorkerTarget,
     request: PollRequest,
@@ -173,7 +175,8 @@
             match error {
                 PollError::OtherWorker => owner.end_incarnation(id, shared.now()),
                 PollError::Lost => owner.record_unanswered_poll(id),
-                PollError::Fenced | PollError::Refused => {}
+                PollError::Fenced => end_term_if_fenced(term, owner, target),
+                PollError::Refused => {}
             }
             drop(lock);
             let error = format!("{error:?}");
@@ -184,6 +187,14 @@
     }
 }
 
+/// Ends the term after a worker rejected the fence of `target`. Within a term fences only rise, so if
+/// this one is still in use, a later owner has sent orders.
+fn end_term_if_fenced(term: &Term, owner: &Owner, target: &WorkerTarget) {
+    if owner.fence(&target.worker) == target.fence {
+        term.end("a worker has accepted a later owner's orders");
+    }
+}
+
 /// Sends each order in its own task.
 pub fn send_orders(shared: &Arc<Shared>, term: &Arc<Term>, orders: Orders) {
     for start in orders.starts {
@@ -230,6 +241,11 @@
         let Some(lease) = lease else { break };
         let attempt = shared.worker_client.start(&target, &start, lease).await;
         outcome = outcome.merge_retry(attempt);
+        if attempt == StartOutcome::Fenced
+            && let Some(owner) = shared.owner.lock().as_ref()
+        {
+            end_term_if_fenced(&term, owner, &target);
+        }
         if attempt != StartOutcome::Unknown {
             break;
         }
--- a/tests/instance.rs
+++ b/tests/instance.rs
@@ -411,3 +411,30 @@
     let starts = platform.start_counts();
     assert!(starts.values().all(|n| *n == 1), "{starts:?}");
 }
+
+/// The worker has accepted an order of a later owner. Guards against an owner that goes on although
+/// its orders are rejected: it polled for up to 6 s, disturbed the later owner, and answered callers
+/// with old states.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn owner_rejected_by_worker_ends_term() {
+    let (platform, address) = start_platform().await;
+    let a = start("fence-a", address);
+    wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
+    wait_until("the instance is ready", async || a.is_ready().await).await;
+    assert_eq!(a.call(post(), "/q/00000000000000f1", "k1", JOB).await.0, 200);
+    wait_until("the job is complete", async || {
+        a.call(get(), "/q/00000000000000f1", "k1", "").await.1["state"] == "complete"
+    })
+    .await;
+    // Between the tokens of term 1 and those of term 2.
+    platform.set_worker_fence((2 << 32) - 1);
+    assert_eq!(a.call(post(), "/q/00000000000000f2", "k1", JOB).await.0, 200);
+    wait_until("the term ends", async || !a.events("OwnerGone").is_empty()).await;
+    assert_eq!(a.events("OwnerGone")[0]["reason"], "a worker has accepted a later owner's orders");
+    wait_until("the other job is complete in the next term", async || {
+        a.call(get(), "/q/00000000000000f2", "k1", "").await.1["state"] == "complete"
+    })
+    .await;
+    let starts = platform.start_counts();
+    assert!(starts.values().all(|n| *n == 1), "{starts:?}");
+}
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -80,6 +80,11 @@
         self.topics.lock().entry(topic.into()).or_default().records.push(record);
     }
 
+    /// Lets the worker have accepted an order with a fencing token.
+    pub fn set_worker_fence(&self, fence: u64) {
+        self.worker.lock().fence = fence;
+    }
+
     /// Returns how often each task was started.
     pub fn start_counts(&self) -> HashMap<String, u32> {
         self.worker.lock().start_counts.clone()
