Wait before a living owner is challenged again

An instance on a larger machine whose append of the next term is refused, while its reads succeed, would have tried about eight times a second for as long as the smaller owner lived, and refused appends are billed. Found by reading; takeover_at_living_owner checks it, and did not compile before.

--- a/src/instance/election.rs
+++ b/src/instance/election.rs
@@ -98,6 +98,12 @@
         self.followed_since = now;
     }
 
+    /// Records that this instance tried to take over and did not succeed. A living owner is not
+    /// challenged again at once.
+    pub fn record_failed_takeover(&mut self, now: Time) {
+        self.followed_since = now;
+    }
+
     /// Returns the latest owner, including one that has resigned.
     pub fn latest_owner(&self) -> Option<&OwnerInfo> {
         self.latest_owner.as_ref()
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -96,6 +96,7 @@
             (next, last_ended_term) = (None, term);
             election.record_gap(shared.now());
         } else {
+            election.record_failed_takeover(shared.now());
             sleep(RETRY_DELAY).await;
         }
     }
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -92,6 +92,11 @@
     after_gap.record_owner(small_owner.clone(), false, ms(10_100));
     assert!(after_gap.takeover_at().0 > ms(11_000));
 
+    let mut after_failure = large.clone();
+    after_failure.record_failed_takeover(ms(10_000));
+    after_failure.record_owner(small_owner.clone(), false, ms(10_100));
+    assert!(after_failure.takeover_at().0 > ms(11_000));
+
     let mut after_change = large;
     after_change.record_owner(owner(2, "y", SMALL), false, ms(10_100));
     assert!(after_change.takeover_at().0 > ms(11_000));
