--- a/src/event.rs
+++ b/src/event.rs
@@ -119,7 +119,7 @@
     OwnerGone, 814, Warning, "term reason", "This instance is no longer the owner.", "None.";
     OwnerSilent, 815, Info, "term error", "The owner did not respond to this instance.", "Check whether it is still running.";
     EarlierOwnerOver, 816, Info, "entry term", "The previous owner confirmed that it sends no more orders.", "None.";
-    OwnerLoad, 817, Info, "term pending_jobs passes pass_ms stored_bytes store_ms starts start_ms polls delay_ms", "Load of the owner in the last 2 s: counts, the longest pass, append and start, and the longest delay of a timer.", "If delay_ms or store_ms stay above 500, the machine is too small for the load.";
+    OwnerLoad, 817, Info, "term pending_jobs passes pass_ms stored_bytes store_ms starts start_ms polls delay_ms", "Load of the owner in the last 2 s: counts, the longest pass, append and start, and the longest delay of a timer.", "If store_ms or delay_ms stay at some hundred while jobs are pending, the machine is too small.";
     BatchJobAccepted, 820, Info, "job queue team view_age_ms took_ms", "A job was stored and accepted.", "None.";
     BatchCallRefused, 821, Info, "job status reason version view_age_ms took_ms", "A call for a job was refused or failed.", "See docs/OPERATIONS.md.";
     BatchJobCancelled, 822, Info, "job status", "A caller cancelled a job.", "None.";
