Read large pages of the store for as long as they arrive

What callers would see: after a restart of all machines or a change of owner, no owner gets ready and no job runs, or an instance never learns the configuration, where links are slow and the state is large.

Cause: a call had one time limit for its whole body, 1.2 s. A page of the store has up to 1 MB; on a link of 2 Mbit/s no full page arrives in time, and each try starts from the beginning.

Change: the time limit holds until the head of the response; after that, a pause of 1 s within the body ends the call.

--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,11 +1,12 @@
 //! HTTP client for all services of the platform.
 
 use crate::transport::{self, CallError, TransportOptions, call_error};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use reqwest::header::{HeaderMap, HeaderValue};
-use reqwest::{Client, Method};
+use reqwest::{Client, Method, Response};
 use snafu::{ResultExt, Snafu};
 use std::time::Duration;
+use tokio::time::timeout;
 
 /// Limits the time to connect. Connecting hangs during a network partition; zones are a few ms apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -14,6 +15,9 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle connections are closed after this; the platform's clients keep theirs for 15 s.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(12);
+/// Longest pause within the body of a response. There is no limit on the whole body: how long it
+/// takes depends on the link, and a page that is given up would not arrive at the next try either.
+const BODY_STALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of idle connections per host.
 const MAX_IDLE_PER_HOST: usize = 8;
 
@@ -64,6 +68,7 @@
     pub path: &'a str,
     pub headers: &'a [(&'static str, &'a str)],
     pub body: Bytes,
+    /// Longest time until the head of the response.
     pub timeout: Duration,
 }
 
@@ -92,19 +97,28 @@
             headers.insert("content-type", HeaderValue::from_static("application/json"));
         }
         let url = format!("http://{}{}", call.address, call.path);
-        let request = self
-            .client
-            .request(call.method, url)
-            .headers(headers)
-            .body(call.body)
-            .timeout(call.timeout);
-        let response = request.send().await.map_err(|e| CallFailure::from(call_error(&e)))?;
+        let request = self.client.request(call.method, url).headers(headers).body(call.body);
+        let response = timeout(call.timeout, request.send())
+            .await
+            .map_err(|_| CallFailure::NoResponse)?
+            .map_err(|e| CallFailure::from(call_error(&e)))?;
         let status = response.status().as_u16();
-        let body = response.bytes().await.map_err(|_| CallFailure::NoResponse)?;
+        let body = read_body(response).await?;
         Ok(HttpResponse { status, body })
     }
 }
 
+async fn read_body(mut response: Response) -> Result<Bytes, CallFailure> {
+    let mut body = BytesMut::new();
+    loop {
+        match timeout(BODY_STALL_TIMEOUT, response.chunk()).await {
+            Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+            Ok(Ok(None)) => return Ok(body.freeze()),
+            Ok(Err(_)) | Err(_) => return Err(CallFailure::NoResponse),
+        }
+    }
+}
+
 impl From<CallError> for CallFailure {
     fn from(e: CallError) -> CallFailure {
         if e.is_not_sent() { CallFailure::NotSent } else { CallFailure::NoResponse }
