Keep other tests from holding the ports of an instance that starts

owner_stopped_hands_over failed once, and in 24 runs of tests/instance.rs three more tests did, each with "Address already in use" from an instance: free_port binds a port to check it, and a process that another test starts at that moment inherits the listener until it has replaced its program. Choosing ports and starting the process now exclude each other. 30 runs after it: none failed.

--- a/tests/instance.rs
+++ b/tests/instance.rs
@@ -84,6 +84,10 @@
 fn start_with_settings(name: &str, store: SocketAddr, changed: Value) -> Instance {
     let dir = std::env::temp_dir().join(format!("jacinthhook-{}-{name}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("create the folder");
+    // A process that another test starts holds the listener of `free_port` until it has replaced its
+    // program; the port would then still be in use when this instance binds it.
+    static STARTING: Mutex<()> = Mutex::new(());
+    let starting = STARTING.lock();
     let (front, ready, first) = (free_port(), free_port(), free_port());
     let mut settings = json!({
         "nodeName": name, "zone": "z1", "ip": "127.0.0.1",
@@ -105,6 +109,7 @@
         .stdout(Stdio::piped())
         .spawn()
         .expect("start the program");
+    drop(starting);
     let log = Arc::new(Mutex::new(Vec::new()));
     let (lines, out) = (log.clone(), child.stdout.take().expect("stdout is piped"));
     std::thread::spawn(move || {
