Append large batches in parts

What callers would see: on a slow link, or with a large state, no decision is stored any more and no job progresses; jobs that wait for the store are not accepted although it takes them.

Cause: a batch of decisions went into one append whatever its size, and up to 256 jobs into another. An append that takes longer than 1.2 s to send is given up and sent again from its start. Above 2 MB the store refuses it for good.

Change: an append carries up to 128 KB, or one larger record. Records are independent of each other, so a batch of which only the first part is stored leaves nothing that a later owner does not handle already.

Evidence: append_queue_slow_link failed before (512 KB over a link of 2 Mbit/s, not stored within 20 s).

--- a/src/instance/append_queue.rs
+++ b/src/instance/append_queue.rs
@@ -14,8 +14,6 @@
 
 /// Pause before an append without a response is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Maximum number of records per append; at 4 KB each they stay below the store's limit for one call.
-const MAX_RECORDS_PER_APPEND: usize = 256;
 
 /// Outcome of an attempt to store a record.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -88,7 +86,7 @@
 
     fn take_batch(&self) -> Vec<PendingAppend> {
         let mut pending = self.pending.lock();
-        let count = pending.len().min(MAX_RECORDS_PER_APPEND);
+        let count = store::records_per_append(pending.iter().map(|p| p.key.len() + p.value.len()));
         pending.drain(..count).collect()
     }
 
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -426,11 +426,8 @@
         if let Err(e) = delete_submissions(&shared, &term, &batch).await {
             return term.end(&e.to_string());
         }
-        if !batch.updates.is_empty() {
-            sequence += 1;
-            if let Err(e) = store_batch(&shared, &term, &batch, &mut sequence).await {
-                return term.end(&e.to_string());
-            }
+        if let Err(e) = store_batch(&shared, &term, &batch, &mut sequence).await {
+            return term.end(&e.to_string());
         }
         apply_batch(&shared, &term, batch);
     }
@@ -476,6 +473,8 @@
     }
 }
 
+/// Stores the updates of a batch, in several appends if it is large. If only the first ones succeed,
+/// the next owner finds some tasks assigned that were never ordered, as after any lost order.
 async fn store_batch(
     shared: &Shared,
     term: &Term,
@@ -484,16 +483,32 @@
 ) -> Result<(), StoreError> {
     let records: Vec<(&str, Option<&[u8]>)> =
         batch.updates.iter().map(|e| (&*e.key, e.value.as_deref())).collect();
-    let started = Instant::now();
+    let size = |(key, value): &(&str, Option<&[u8]>)| key.len() + value.map_or(0, <[u8]>::len);
+    let mut rest = &records[..];
+    while !rest.is_empty() {
+        let (part, later) = rest.split_at(store::records_per_append(rest.iter().map(size)));
+        let started = Instant::now();
+        *sequence += 1;
+        append_progress(shared, term, part, sequence).await?;
+        term.load.record_store(shared, part.iter().map(size).sum(), started);
+        rest = later;
+    }
+    Ok(())
+}
+
+async fn append_progress(
+    shared: &Shared,
+    term: &Term,
+    records: &[(&str, Option<&[u8]>)],
+    sequence: &mut u64,
+) -> Result<(), StoreError> {
     loop {
         let condition =
             AppendCondition { expected_end: None, producer: Some((term.number, *sequence)) };
         let sent_at = Instant::now();
-        match shared.store.append(store::PROGRESS_TOPIC, &records, condition).await {
+        match shared.store.append(store::PROGRESS_TOPIC, records, condition).await {
             Ok(_) => {
                 *term.last_store_at.lock() = sent_at;
-                let bytes = records.iter().map(|(_, value)| value.map_or(0, <[u8]>::len)).sum();
-                term.load.record_store(shared, bytes, started);
                 return Ok(());
             }
             Err(StoreError::Fenced) => return Err(StoreError::Fenced),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -30,6 +30,9 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Additional timeout of a call that waits for records.
 const WAIT_TIMEOUT_MARGIN: Duration = Duration::from_millis(800);
+/// Maximum size of the records of one append, unless a single one is larger. A link of 2 Mbit/s
+/// carries it in about half of `CALL_TIMEOUT`; the platform's own limit is 2 MB.
+pub const MAX_APPEND_BYTES: usize = 128 * 1_024;
 /// Maximum size of one read in KB; the platform's default.
 const READ_KB: u32 = 1_024;
 
@@ -213,6 +216,16 @@
     }
 }
 
+/// Returns how many of the first records, given by their sizes in bytes, one append carries.
+pub fn records_per_append(sizes: impl Iterator<Item = usize>) -> usize {
+    let mut total = 0;
+    let fits = |(index, size): &(usize, usize)| {
+        total += size;
+        *index == 0 || total <= MAX_APPEND_BYTES
+    };
+    sizes.enumerate().take_while(fits).count()
+}
+
 /// Encodes records of a keyed topic: length of the rest, length of the key, key, value.
 fn encode_records(records: &[(&str, Option<&[u8]>)]) -> Bytes {
     let mut buf = BytesMut::new();
--- a/tests/store_client.rs
+++ b/tests/store_client.rs
@@ -1,11 +1,15 @@
 //! Client of the users' platform's store against a server with a slow or stalled link.
 
+use bytes::Bytes;
+use jacinthhook::instance::append_queue::{AppendOutcome, AppendQueue};
 use jacinthhook::platform::http::Http;
-use jacinthhook::platform::store::{Store, StoreError};
+use jacinthhook::platform::store::{MAX_APPEND_BYTES, Store, StoreError, records_per_append};
 use serde_json::json;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 /// Number of pieces in which the server sends its body.
@@ -51,3 +55,74 @@
     assert_eq!(error, Some(StoreError::NoResponse));
     assert!(started.elapsed() < Duration::from_secs(4), "{:?}", started.elapsed());
 }
+
+/// Rate at which the slow server reads, that of a link of 2 Mbit/s.
+const READ_BYTES_PER_TICK: usize = 12_500;
+const READ_TICK: Duration = Duration::from_millis(50);
+
+/// Starts a server that reads bodies slowly and answers each append once it has read it whole.
+async fn slowly_reading_store() -> Store {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a free port");
+    let address = listener.local_addr().expect("a local address").to_string();
+    tokio::spawn(async move {
+        while let Ok((connection, _)) = listener.accept().await {
+            tokio::spawn(read_slowly(connection));
+        }
+    });
+    Store::new(Http::new().expect("a client"), address)
+}
+
+async fn read_slowly(mut connection: TcpStream) {
+    let (mut request, mut buf) = (Vec::new(), vec![0; READ_BYTES_PER_TICK]);
+    while let Ok(count) = connection.read(&mut buf).await {
+        if count == 0 {
+            return;
+        }
+        request.extend_from_slice(&buf[..count]);
+        if request.len() >= request_len(&request) {
+            request.clear();
+            let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+            let _ = connection.write_all(answer.as_bytes()).await;
+        }
+        sleep(READ_TICK).await;
+    }
+}
+
+/// Returns the length of a request's head and body; the maximum if the head is not complete.
+fn request_len(request: &[u8]) -> usize {
+    let text = String::from_utf8_lossy(request);
+    let Some((head, _)) = text.split_once("\r\n\r\n") else { return usize::MAX };
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    head.len() + 4 + length.map_or(0, |l| l.parse().expect("a number"))
+}
+
+/// Records that were queued while the store was away are stored over a slow link. Guards against one
+/// large append: it never ended within its time limit, and was tried again from the start.
+#[tokio::test]
+async fn append_queue_slow_link() {
+    let queue = Arc::new(AppendQueue::default());
+    let deadline = Instant::now() + Duration::from_secs(20);
+    let mut waiting = JoinSet::new();
+    for i in 0..128 {
+        let queue = queue.clone();
+        let value = Bytes::from(vec![b'x'; 4_000]);
+        waiting.spawn(async move { queue.store(&format!("job-{i}"), value, deadline).await });
+    }
+    tokio::task::yield_now().await;
+    tokio::spawn(queue.run(slowly_reading_store().await));
+    while let Some(outcome) = waiting.join_next().await {
+        assert_eq!(outcome.expect("no panic"), AppendOutcome::Stored);
+    }
+}
+
+/// An append carries records up to its size limit, and one that is larger by itself.
+#[test]
+fn records_per_append_sizes() {
+    let small = vec![1_000; 1_000];
+    let count = records_per_append(small.iter().copied());
+    assert!(count > 1 && count * 1_000 <= MAX_APPEND_BYTES, "{count}");
+    assert_eq!(records_per_append([MAX_APPEND_BYTES + 1, 1].into_iter()), 1);
+    assert_eq!(records_per_append([1, MAX_APPEND_BYTES + 1].into_iter()), 1);
+    assert_eq!(records_per_append([1, 2, 3].into_iter()), 3);
+    assert_eq!(records_per_append(std::iter::empty()), 0);
+}
