Read the owner topic at the usual rate while a takeover is overdue

Found by reading: an instance that may not take over, because it has no configuration yet or is stopping, read the owner topic every 20 ms, since the wait of a read was cut to the time left until its takeover.

--- a/src/instance/owner_load.rs
+++ b/src/instance/owner_load.rs
@@ -53,7 +53,7 @@
         interval.longest_store = interval.longest_store.max(took);
     }
 
-    /// Records a start order that got a response, with the time since it was ready to be sent.
+    /// Records a start order that was answered or given up, ready to be sent since `started`.
     pub fn record_start(&self, shared: &Shared, started: Instant) {
         let took = started.elapsed();
         shared.metrics.record_owner_stage(OwnerStage::Start, took);
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -7,6 +7,7 @@
 use crate::batch::owner::{DecisionBatch, MAX_STORE_OUTAGE, Owner};
 use crate::batch::worker::WorkerInfo;
 use crate::event::Event;
+use crate::ids::Time;
 use crate::instance::election::{Election, TakeoverReason};
 use crate::instance::owner_load::{self, OwnerLoad};
 use crate::instance::shared::{OwnerInfo, Shared};
@@ -53,9 +54,7 @@
     // Latest term of this incarnation that has ended.
     let mut last_ended_term = 0;
     loop {
-        // The read ends in time for a takeover.
-        let until_takeover = election.takeover_at().0.saturating_sub(shared.now());
-        let wait = until_takeover.clamp(MIN_OWNER_READ_WAIT, MAX_OWNER_READ_WAIT);
+        let wait = owner_read_wait(election.takeover_at().0, shared.now());
         match topics::read_topic(&shared, store::OWNER_TOPIC, next, wait).await {
             Ok((fetched, _)) => {
                 next = Some(fetched.next_offset);
@@ -102,6 +101,15 @@
     }
 }
 
+/// Returns how long a read of the owner topic may wait, so that it ends in time for a takeover. One
+/// that is overdue has failed or is not allowed yet, and is not tried more often than usual.
+fn owner_read_wait(takeover_at: Time, now: Time) -> Duration {
+    match takeover_at.saturating_sub(now) {
+        Duration::ZERO => MAX_OWNER_READ_WAIT,
+        left => left.clamp(MIN_OWNER_READ_WAIT, MAX_OWNER_READ_WAIT),
+    }
+}
+
 fn update_known_owner(shared: &Shared, owner_info: &OwnerInfo, has_resigned: bool) {
     let mut known_owner = shared.known_owner.lock();
     let is_known = known_owner.as_ref().is_some_and(|o| o.term == owner_info.term);
