--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -39,6 +39,7 @@
     pub zone: ZoneId,
     /// Address for other instances, `IP:PORT`.
     pub peers: String,
+    /// Size of its machine, by which other instances decide when to take over.
     pub machine: MachineSize,
 }
 
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -1,8 +1,9 @@
 //! Election of the owner, and the owner's work during its term.
 //!
-//! The owner appends heartbeats to the store. When they stop, another instance appends the next
-//! term on the condition that no other record was appended, sets that term as the epoch of the
-//! progress topic, which fences the earlier owner, and loads the stored state.
+//! The owner appends heartbeats to the store. When they stop, or come from a machine that is too
+//! small (`election`), another instance appends the next term on the condition that no other record
+//! was appended, sets that term as the epoch of the progress topic, which fences the earlier owner,
+//! and loads the stored state.
 
 use crate::batch::owner::{DecisionBatch, MAX_STORE_OUTAGE, Owner};
 use crate::batch::worker::WorkerInfo;
