Count the lease of a new assignment before its order is sent

Cause, one of several ways: a worker without runs is not polled, so its last lease ends. A task assigned to it made it a worker with tasks and an expired lease. If the next planning pass came before the order, which waits behind a few hundred others, the pass gave up the task and started it elsewhere, and the order still went out. Change: the lease that the order will carry at least counts from the assignment on. Evidence: tick_task_on_idle_worker failed before ("the tasks were given up"), passes now.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -721,6 +721,9 @@
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.assigned.insert(id.clone(), reservation);
         }
+        // The last lease of an idle worker may be over. The order, which may be delayed, carries at
+        // least this one.
+        self.extend_lease(now, worker);
         self.charge_team(team.as_ref(), &reservation);
         self.dirty_jobs.insert(id.job.clone());
         let job_age = now.saturating_sub(first_seen_at);
