Send a start only while its run is still assigned

Cause: orders wait for the store and for hundreds of others. A run that was given up meanwhile (its worker's lease, incarnation or machine ended, or the job was cancelled) was ordered all the same, and under the fencing token of the moment of sending, so that raising the token did not void it. Change: a start order carries the token of its assignment. Before each attempt, Owner::authorize_start checks that the run is still assigned, is not being stopped, and that the token has not changed. Ruled out: NotSent reported for a sent order; the client reports it only if no connection was made. Evidence: authorize_start_worker_ended, authorize_start_task_restarted and authorize_start_cancelled_job fail with the former rule and pass now.

--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -14,6 +14,8 @@
     pub spec: Arc<JobSpec>,
     /// Checkpoint to resume from; empty for none.
     pub checkpoint: Arc<str>,
+    /// Fencing token of the worker when the run was assigned to it.
+    pub fence: u64,
 }
 
 /// Order to stop a run of a task.
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -291,6 +291,18 @@
             .retain(|id, w| w.registered || !w.assigned.is_empty() || registry.contains_key(id));
     }
 
+    /// Returns the lease to send with a start order, or `None` if the order must not be sent, or
+    /// sent again: the run has been given up or is being stopped, or orders in flight have been
+    /// invalidated since the run was assigned.
+    pub fn authorize_start(&mut self, start: &StartOrder, now: Time) -> Option<WorkerTime> {
+        let assignment = self.assignment_mut(&start.task, start.run)?;
+        let is_wanted = assignment.worker == start.worker && !assignment.stop_ordered;
+        if !is_wanted || self.fence(&start.worker) != start.fence {
+            return None;
+        }
+        self.extend_lease(now, &start.worker)
+    }
+
     /// Processes the outcome of a start order.
     pub fn record_start_outcome(&mut self, start: &StartOrder, outcome: StartOutcome, now: Time) {
         let Some(worker) = self.workers.get_mut(&start.worker) else { return };
@@ -734,7 +746,8 @@
             worker: worker.clone(),
             job_age,
         });
-        self.orders.starts.push(StartOrder { worker, task, run, spec, checkpoint });
+        let fence = self.fence(&worker);
+        self.orders.starts.push(StartOrder { worker, task, run, spec, checkpoint, fence });
     }
 
     /// Reverts starts chosen in this pass that have not been collected yet.
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -1,6 +1,6 @@
 //! Orders to workers and polls of their runs during one term.
 
-use crate::batch::orders::{Orders, StartOrder, StartOutcome, StopOrder};
+use crate::batch::orders::{Orders, StartOrder, StartOutcome, StopOrder, WorkerTime};
 use crate::batch::owner::Owner;
 use crate::batch::worker::WorkerInfo;
 use crate::event::Event;
@@ -224,21 +224,10 @@
 }
 
 async fn send_start(shared: Arc<Shared>, term: Arc<Term>, start: StartOrder) {
-    let Some(target) = worker_target(&shared, &start.worker) else { return };
     let started = Instant::now();
     let mut outcome = StartOutcome::NotSent;
     for _ in 0..MAX_START_ATTEMPTS {
-        let lease = {
-            let mut lock = shared.owner.lock();
-            let Some(owner) = lock.as_mut() else { return };
-            // The fence has changed if orders in flight were invalidated since; this start is then
-            // void.
-            if !term.may_send_orders() || owner.fence(&start.worker) != target.fence {
-                break;
-            }
-            owner.extend_lease(shared.now(), &start.worker)
-        };
-        let Some(lease) = lease else { break };
+        let Some((target, lease)) = authorize_start(&shared, &term, &start) else { break };
         let attempt = shared.worker_client.start(&target, &start, lease).await;
         outcome = outcome.merge_retry(attempt);
         if attempt == StartOutcome::Fenced
@@ -272,6 +261,19 @@
     }
 }
 
+/// Returns where to send a start order, and the lease that it carries, if it may be sent now.
+fn authorize_start(
+    shared: &Shared,
+    term: &Term,
+    start: &StartOrder,
+) -> Option<(WorkerTarget, WorkerTime)> {
+    let mut lock = shared.owner.lock();
+    let owner = lock.as_mut().filter(|_| term.may_send_orders())?;
+    let lease = owner.authorize_start(start, shared.now())?;
+    let address = owner.workers.get(&start.worker)?.info.address.clone();
+    Some((WorkerTarget { address, worker: start.worker.clone(), fence: start.fence }, lease))
+}
+
 async fn send_stop(shared: Arc<Shared>, term: Arc<Term>, stop: StopOrder) {
     let Some(target) = worker_target(&shared, &stop.worker) else { return };
     if !term.may_send_orders() {
--- a/tests/batch_late_orders.rs
+++ b/tests/batch_late_orders.rs
@@ -4,7 +4,8 @@
 mod batch;
 
 use batch::{Cluster, short_step};
-use jacinthhook::batch::job::WorkerId;
+use jacinthhook::batch::job::{JobState, WorkerId};
+use jacinthhook::batch::orders::StartOutcome;
 use std::time::Duration;
 
 const JOB: &str = "00000000000000a1";
@@ -25,3 +26,40 @@
     let worker: WorkerId = "w0".into();
     assert_eq!(cluster.owner.workers[&worker].assigned.len(), 3, "the tasks were given up");
 }
+
+/// A worker's address is taken by another one, or its machine moves, while a start waits for the
+/// store. Guards against sending the start under the new fencing token after its task was given up:
+/// it would run here and elsewhere.
+#[test]
+fn authorize_start_worker_ended() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit(JOB, vec![short_step(1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    assert!(cluster.owner.authorize_start(&start, cluster.now).is_some());
+    cluster.owner.end_incarnation(&start.worker, cluster.now);
+    assert_eq!(cluster.owner.authorize_start(&start, cluster.now), None);
+}
+
+/// Guards against a start that is sent, or sent again, after its run was given up and its task runs
+/// elsewhere.
+#[test]
+fn authorize_start_task_restarted() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit(JOB, vec![short_step(1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    cluster.owner.record_start_outcome(&start, StartOutcome::NoRoom, cluster.now);
+    cluster.advance(Duration::from_millis(100));
+    assert_eq!(cluster.decide().orders.starts.len(), 1);
+    assert_eq!(cluster.owner.authorize_start(&start, cluster.now), None);
+}
+
+/// Guards against starting tasks of a job that was cancelled while the start waited.
+#[test]
+fn authorize_start_cancelled_job() {
+    let mut cluster = Cluster::new(1);
+    cluster.submit(JOB, vec![short_step(1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    cluster.owner.cancel(JOB, cluster.now);
+    assert_eq!(cluster.owner.jobs[JOB].state, JobState::Cancelled);
+    assert_eq!(cluster.owner.authorize_start(&start, cluster.now), None);
+}
