Ignore reports of polls that carried an earlier fencing token

What callers could see: a task that runs twice. A poll waits up to a second at the worker. If orders to the worker were voided meanwhile, its answer was taken for the answer to a poll under the new token, and the worker for synced. Orders under the earlier token could still take effect, and leases count from it. Evidence: apply_report_earlier_fence failed before, passes now.

--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -136,4 +136,6 @@
     pub finished: Vec<FinishedRun>,
     /// When the poll was sent.
     pub requested_at: Time,
+    /// Fencing token that the poll carried.
+    pub fence: u64,
 }
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -355,9 +355,14 @@
 
     /// Processes a worker's report. Returns whether it contained new finished runs.
     pub fn apply_report(&mut self, id: &WorkerId, report: WorkerReport, now: Time) -> bool {
+        let fence = self.fence(id);
         let Some(worker) = self.workers.get_mut(id) else { return false };
         worker.last_answer_at = now;
         worker.unanswered_polls = 0;
+        if report.fence < fence {
+            // Orders that have been voided since may still take effect.
+            return false;
+        }
         if worker.incarnation != report.incarnation && worker.clock_reading.is_some() {
             // Polled again under a higher fence, so that orders to the previous incarnation cannot
             // take effect.
--- a/src/platform/worker_client.rs
+++ b/src/platform/worker_client.rs
@@ -125,7 +125,7 @@
             self.send_order(target, "/-/hold", &body, request.wait + POLL_TIMEOUT_MARGIN).await;
         let Ok(response) = response else { return Err(PollError::Lost) };
         match response.status {
-            200 => Ok(decode_report(&response.json(), requested_at)),
+            200 => Ok(decode_report(&response.json(), requested_at, target.fence)),
             409 => Err(PollError::Fenced),
             421 => Err(PollError::OtherWorker),
             _ => Err(PollError::Refused),
@@ -164,13 +164,14 @@
     }
 }
 
-fn decode_report(body: &Value, requested_at: Time) -> WorkerReport {
+fn decode_report(body: &Value, requested_at: Time, fence: u64) -> WorkerReport {
     WorkerReport {
         incarnation: json::number(body, "born"),
         clock: json::millis(body, "clockMs"),
         running: json::list(body, "running").iter().filter_map(decode_running).collect(),
         finished: json::list(body, "finished").iter().filter_map(decode_ended).collect(),
         requested_at,
+        fence,
     }
 }
 
--- a/tests/batch/mod.rs
+++ b/tests/batch/mod.rs
@@ -221,6 +221,14 @@
 
     /// Polls a worker and applies its report.
     pub fn poll(&mut self, id: &WorkerId) {
+        let report = self.report(id);
+        self.owner.apply_report(id, report, self.now);
+        // Every poll extends the lease.
+        self.owner.extend_lease(self.now, id);
+    }
+
+    /// Returns what a worker answers to a poll that is sent now.
+    pub fn report(&self, id: &WorkerId) -> WorkerReport {
         let fake_worker = &self.fake_workers[id];
         let running = fake_worker.running.iter().map(|(task, run)| RunningTask {
             task: Some(task.clone()),
@@ -230,15 +238,13 @@
             speed_percent: 100,
             load: fake_worker.load,
         });
-        let report = WorkerReport {
+        WorkerReport {
             incarnation: fake_worker.incarnation,
             clock: self.now,
             running: running.collect(),
             finished: fake_worker.finished.clone(),
             requested_at: self.now,
-        };
-        self.owner.apply_report(id, report, self.now);
-        // Every poll extends the lease.
-        self.owner.extend_lease(self.now, id);
+            fence: self.owner.fence(id),
+        }
     }
 }
--- a/tests/batch_late_orders.rs
+++ b/tests/batch_late_orders.rs
@@ -63,3 +63,20 @@
     assert_eq!(cluster.owner.jobs[JOB].state, JobState::Cancelled);
     assert_eq!(cluster.owner.authorize_start(&start, cluster.now), None);
 }
+
+/// A poll that was sent before orders in flight were voided is answered after. Guards against
+/// taking the worker for synced: it has not seen the new fencing token, so that voided orders could
+/// still take effect.
+#[test]
+fn apply_report_earlier_fence() {
+    let mut cluster = Cluster::new(1);
+    let worker: WorkerId = "w0".into();
+    cluster.submit(JOB, vec![short_step(1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    let report = cluster.report(&worker);
+    cluster.owner.record_start_outcome(&start, StartOutcome::Fenced, cluster.now);
+    cluster.owner.apply_report(&worker, report, cluster.now);
+    assert!(!cluster.owner.workers[&worker].synced);
+    cluster.poll(&worker);
+    assert!(cluster.owner.workers[&worker].synced);
+}
