Do not end a worker by a machine list requested before it was known

Cause: the list of 1,100 machines is read page by page on a busy processor. A page that shows a machine as moving was applied to the worker that had come up on the machine since. Change: the list ends only workers that were known when it was requested. Evidence: apply_machine_list_requested_before_worker failed before, passes now.

--- a/src/batch/maintenance.rs
+++ b/src/batch/maintenance.rs
@@ -204,12 +204,20 @@
     }
 
     /// Ends the workers of machines that are moving or in maintenance, together with all their
-    /// runs.
-    pub fn apply_machine_list(&mut self, machines: &IndexMap<MachineId, Machine>, now: Time) {
+    /// runs. A worker that the owner learned of after the list was requested may be the next one on
+    /// its machine, and is left alone.
+    pub fn apply_machine_list(
+        &mut self,
+        machines: &IndexMap<MachineId, Machine>,
+        requested_at: Time,
+        now: Time,
+    ) {
         let away =
             |m: &Machine| matches!(m.state, MachineState::Moving | MachineState::Maintenance);
         let ended = self.workers.values().filter(|w| {
-            w.ended_incarnation.is_none() && machines.get(&w.info.machine).is_some_and(away)
+            w.ended_incarnation.is_none()
+                && w.incarnation_seen_at < requested_at
+                && machines.get(&w.info.machine).is_some_and(away)
         });
         let ended: Vec<WorkerId> = ended.map(|w| w.info.id.clone()).collect();
         for id in ended {
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -282,7 +282,7 @@
             if worker.ended_incarnation.is_some_and(|incarnation| incarnation != entry.incarnation)
             {
                 worker.ended_incarnation = None;
-                worker.begin_incarnation(entry.incarnation, &mut self.fence_counter);
+                worker.begin_incarnation(entry.incarnation, &mut self.fence_counter, now);
             }
             worker.registered = worker.ended_incarnation.is_none();
             worker.info = entry.clone();
@@ -366,7 +366,7 @@
         if worker.incarnation != report.incarnation && worker.clock_reading.is_some() {
             // Polled again under a higher fence, so that orders to the previous incarnation cannot
             // take effect.
-            worker.begin_incarnation(report.incarnation, &mut self.fence_counter);
+            worker.begin_incarnation(report.incarnation, &mut self.fence_counter, now);
             self.events.push(OwnerEvent::WorkerRestarted { worker: id.clone() });
             return false;
         }
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -49,6 +49,8 @@
     pub fence_counter: u32,
     /// Incarnation that the reported runs and the clock belong to.
     pub incarnation: u64,
+    /// When the owner learned of this incarnation.
+    pub incarnation_seen_at: Time,
     /// Last reading of the worker's clock, and when it was received by the owner's clock.
     pub clock_reading: Option<(WorkerTime, Time)>,
     /// Latest lease expiry sent in any order, by the worker's clock.
@@ -89,6 +91,7 @@
     ) -> Worker {
         Worker {
             incarnation: info.incarnation,
+            incarnation_seen_at: now,
             info,
             registered: true,
             ended_incarnation: None,
@@ -112,8 +115,9 @@
     }
 
     /// Resets the state that belongs to the previous incarnation.
-    pub fn begin_incarnation(&mut self, incarnation: u64, fence_counter: &mut u32) {
+    pub fn begin_incarnation(&mut self, incarnation: u64, fence_counter: &mut u32, now: Time) {
         self.incarnation = incarnation;
+        self.incarnation_seen_at = now;
         self.resync(fence_counter);
         self.clock_reading = None;
         self.lease_until = WorkerTime::ZERO;
--- a/src/instance/machine_orders.rs
+++ b/src/instance/machine_orders.rs
@@ -57,9 +57,10 @@
     shared: &Shared,
     machines: &Machines,
 ) -> Option<IndexMap<MachineId, Machine>> {
+    let requested_at = shared.now();
     let listed = machines.list().await?;
     if let Some(owner) = shared.owner.lock().as_mut() {
-        owner.apply_machine_list(&listed, shared.now());
+        owner.apply_machine_list(&listed, requested_at, shared.now());
         shared.plan_needed.notify_one();
     }
     Some(listed)
--- a/tests/batch_maintenance.rs
+++ b/tests/batch_maintenance.rs
@@ -2,7 +2,7 @@
 
 mod batch;
 
-use batch::{Cluster, long_running_step};
+use batch::{Cluster, long_running_step, short_step};
 use indexmap::IndexMap;
 use jacinthhook::batch::declarations::Wave;
 use jacinthhook::batch::maintenance::{Machine, MachineId, MachineState, MaintenanceOrder};
@@ -59,7 +59,7 @@
     let other =
         machine_list.keys().find(|id| **id != chosen[0].machine).expect("a second machine").clone();
     machine_list[&other].state = MachineState::Maintenance;
-    cluster.owner.apply_machine_list(&machine_list, cluster.now);
+    cluster.owner.apply_machine_list(&machine_list, cluster.now, cluster.now);
     assert_eq!(cluster.owner.confirm_maintenance(&chosen, &machine_list, cluster.now), []);
 }
 
@@ -183,10 +183,10 @@
     let mut machine_list = machines(&cluster);
     let machine = cluster.owner.workers[&worker].info.machine.clone();
     cluster.owner.record_maintenance_start(&MaintenanceOrder { machine: machine.clone(), wave: 1 });
-    cluster.owner.apply_machine_list(&machine_list, cluster.now);
+    cluster.owner.apply_machine_list(&machine_list, cluster.now, cluster.now);
     assert!(cluster.decide().orders.starts.is_empty());
     machine_list[&machine].state = MachineState::Maintenance;
-    cluster.owner.apply_machine_list(&machine_list, cluster.now);
+    cluster.owner.apply_machine_list(&machine_list, cluster.now, cluster.now);
     assert_eq!(cluster.decide().orders.starts.len(), 1);
 }
 
@@ -203,3 +203,21 @@
     assert!(cluster.owner.plan_maintenance(&machine_list, cluster.now).is_empty());
     assert_eq!(cluster.owner.take_decisions(cluster.now).orders.stops.len(), 1);
 }
+
+/// The list of a large fleet takes a while to read. Guards against ending the worker that came up on
+/// a machine after its move, because a list requested before shows the machine as moving: its tasks
+/// started elsewhere while they ran, and the worker stayed unused.
+#[test]
+fn apply_machine_list_requested_before_worker() {
+    let mut cluster = Cluster::new(1);
+    let mut machine_list = machines(&cluster);
+    machine_list["m-0"].state = MachineState::Moving;
+    let requested_at = cluster.now - Duration::from_millis(50);
+    cluster.submit("00000000000000a1", vec![short_step(1)]);
+    cluster.settle();
+    cluster.owner.apply_machine_list(&machine_list, requested_at, cluster.now);
+    assert!(cluster.owner.workers["w0"].registered);
+    assert_eq!(cluster.owner.workers["w0"].assigned.len(), 1);
+    cluster.owner.apply_machine_list(&machine_list, cluster.now, cluster.now);
+    assert!(!cluster.owner.workers["w0"].registered);
+}
