--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -161,10 +161,11 @@
     }
 
     /// Whether the worker must be polled regularly: tasks are assigned to it, ended runs await
-    /// acknowledgement, or it has not been synced yet.
+    /// acknowledgement, it has not been synced yet, or it did not respond to the last poll.
     pub fn needs_poll(&self) -> bool {
         self.ended_incarnation.is_none()
             && (!self.synced
+                || self.unanswered_polls > 0
                 || !self.assigned.is_empty()
                 || self.last_acknowledged < self.last_processed)
     }
--- a/tests/batch_late_orders.rs
+++ b/tests/batch_late_orders.rs
@@ -80,3 +80,19 @@
     cluster.poll(&worker);
     assert!(cluster.owner.workers[&worker].synced);
 }
+
+/// Guards against placing tasks on a worker that did not respond to its last poll while others do:
+/// their starts would wait for its timeout, or arrive with a lease that is over.
+#[test]
+fn schedule_tasks_unresponsive_worker() {
+    let mut cluster = Cluster::new(2);
+    let silent: WorkerId = "w0".into();
+    cluster.owner.record_unanswered_poll(&silent);
+    cluster.submit(JOB, vec![short_step(4)]);
+    let starts = cluster.decide().orders.starts;
+    assert_eq!(starts.len(), 4);
+    assert!(starts.iter().all(|start| start.worker != silent));
+    assert!(cluster.owner.workers[&silent].needs_poll(), "its recovery would go unnoticed");
+    cluster.poll(&silent);
+    assert!(!cluster.owner.workers[&silent].needs_poll());
+}
