Log the use of each pool of workers

PoolLoad, every 2 s beside OwnerLoad: machines, wanted, idle, those that only long-running tasks keep, reserved processors and memory, and what waits.

--- a/src/batch/moves.rs
+++ b/src/batch/moves.rs
@@ -49,6 +49,8 @@
     pub in_flight: IndexMap<MachineId, (PoolId, Time)>,
     /// For each pool, when it last wanted at least `i + 1` machines, at index `i`.
     last_wanted_at: IndexMap<PoolId, Vec<Time>>,
+    /// Current and wanted number of machines of each pool at the last pass.
+    last_counts: IndexMap<PoolId, (usize, usize)>,
     pub(super) arrivals: Arrivals,
 }
 
@@ -59,6 +61,24 @@
     }
 }
 
+/// Use of a pool, for the event log.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PoolLoad {
+    /// Machines that can receive starts, or will after their move or maintenance.
+    pub machines: usize,
+    /// Machines that the pool wanted at the last pass.
+    pub wanted: usize,
+    /// Workers without tasks.
+    pub idle: usize,
+    /// Workers that run only long-running tasks.
+    pub long_running_only: usize,
+    /// Reserved processors and memory, in thousandths of what the workers have.
+    pub processors_permille: u64,
+    pub memory_permille: u64,
+    /// Processors of tasks that could start if there were room, in thousandths of a processor.
+    pub waiting_processors: u64,
+}
+
 /// Current and wanted number of machines of a pool.
 struct PoolMachines {
     current: usize,
@@ -184,9 +204,37 @@
             self.moves.last_wanted_at.entry(pool.clone()).or_insert_with(|| vec![now; current]);
         last_wanted_at.resize(last_wanted_at.len().max(wanted), Time::ZERO);
         last_wanted_at[..wanted].fill(now);
+        self.moves.last_counts.insert(pool.clone(), (current, wanted));
         PoolMachines { current, wanted, idle, unusable }
     }
 
+    /// Returns the use of each pool that tasks run in.
+    pub fn pool_loads(&self, now: Time) -> IndexMap<PoolId, PoolLoad> {
+        let counts = self.moves.last_counts.iter();
+        counts.map(|(pool, counts)| (pool.clone(), self.pool_load(pool, *counts, now))).collect()
+    }
+
+    fn pool_load(&self, pool: &PoolId, (machines, wanted): (usize, usize), now: Time) -> PoolLoad {
+        let waiting_processors = self.waiting_demand(pool, now).processors;
+        let mut load = PoolLoad { machines, wanted, waiting_processors, ..PoolLoad::default() };
+        let (mut used, mut capacity) = (Resources::default(), Resources::default());
+        for worker in self.workers.values().filter(|w| w.info.pool == *pool && w.registered) {
+            let mut tasks = worker.assigned.keys();
+            if worker.assigned.is_empty() {
+                load.idle += 1;
+            } else if tasks.all(|t| self.step_of(t).is_some_and(|s| s.long_running)) {
+                load.long_running_only += 1;
+            }
+            used = worker.assigned.values().fold(used, |sum, r| sum.plus(r));
+            capacity = capacity.plus(&worker.info.capacity);
+        }
+        let permille = |used: u64, all: u64| (used * 1_000).checked_div(all).unwrap_or(0);
+        load.processors_permille = permille(used.processors, capacity.processors);
+        // In KiB, so that a thousand times the memory of a large fleet fits.
+        load.memory_permille = permille(used.memory >> 10, capacity.memory >> 10);
+        load
+    }
+
     /// Whether a machine can receive starts, now or once its move or maintenance is over.
     fn counts_as_capacity(&self, machine: &Machine) -> bool {
         if machine.state == MachineState::Down
--- a/src/event.rs
+++ b/src/event.rs
@@ -120,6 +120,7 @@
     OwnerSilent, 815, Info, "term error", "The owner did not respond to this instance.", "Check whether it is still running.";
     EarlierOwnerOver, 816, Info, "entry term", "The previous owner confirmed that it sends no more orders.", "None.";
     OwnerLoad, 817, Info, "term pending_jobs passes pass_ms stored_bytes store_ms starts start_ms polls delay_ms", "Load of the owner in the last 2 s: counts, the longest pass, append and start, and the longest delay of a timer.", "If store_ms or delay_ms stay at some hundred while jobs are pending, the machine is too small.";
+    PoolLoad, 818, Info, "term pool machines wanted idle long_running_only processors_permille memory_permille waiting_processors", "Use of a pool of workers, as the owner knows it, every 2 s.", "If waiting_processors stays high while idle or other pools' idle is too, check that moves succeed.";
     BatchJobAccepted, 820, Info, "job queue team view_age_ms took_ms", "A job was stored and accepted.", "None.";
     BatchCallRefused, 821, Info, "job status reason version view_age_ms took_ms", "A call for a job was refused or failed.", "See docs/OPERATIONS.md.";
     BatchJobCancelled, 822, Info, "job status", "A caller cancelled a job.", "None.";
--- a/src/instance/owner_load.rs
+++ b/src/instance/owner_load.rs
@@ -92,7 +92,10 @@
 fn log_interval(shared: &Shared, term: &Term) {
     let interval = std::mem::take(&mut *term.load.interval.lock());
     let ms = |d: Duration| d.as_millis() as u64;
-    let pending = shared.owner.lock().as_ref().map_or(0, |o| o.pending_job_count());
+    let (pending, pools) = match shared.owner.lock().as_ref() {
+        Some(owner) => (owner.pending_job_count(), owner.pool_loads(shared.now())),
+        None => Default::default(),
+    };
     let fields = [
         ("term", term.number.into()),
         ("pending_jobs", pending.into()),
@@ -106,4 +109,18 @@
         ("delay_ms", ms(interval.longest_delay).into()),
     ];
     shared.log.event(Event::OwnerLoad, &fields);
+    for (pool, load) in &pools {
+        let fields = [
+            ("term", term.number.into()),
+            ("pool", pool.into()),
+            ("machines", (load.machines as u64).into()),
+            ("wanted", (load.wanted as u64).into()),
+            ("idle", (load.idle as u64).into()),
+            ("long_running_only", (load.long_running_only as u64).into()),
+            ("processors_permille", load.processors_permille.into()),
+            ("memory_permille", load.memory_permille.into()),
+            ("waiting_processors", load.waiting_processors.into()),
+        ];
+        shared.log.event(Event::PoolLoad, &fields);
+    }
 }
