Search a full pool once per pass, not once per waiting step

Cause: each waiting step searched all workers of all pools, and summed up the reservations of each, although the step before it had found no room. Change: a pass collects the workers that take starts by pool, with their free resources, and remembers what found no room: tasks that need as much are not searched for again. The usage of a team is computed when it changes.

--- a/src/batch/placement.rs
+++ b/src/batch/placement.rs
@@ -5,6 +5,7 @@
 use crate::fair::Resources;
 use crate::ids::{PoolId, RackId, Time, ZoneId};
 use indexmap::{IndexMap, IndexSet};
+use std::sync::Arc;
 
 /// A task to be placed, with the current distribution of its step.
 pub struct PlacementRequest<'a> {
@@ -29,26 +30,114 @@
         && !zones_out.contains(&worker.info.zone)
 }
 
-/// Returns the best worker for a task, or `None` if none fits. Prefers, in this order: workers
-/// other than the one where the task last failed, the rack that holds the data, workers with few
-/// recent failures, workers and racks with few tasks of the same long-running step, and the least
-/// free capacity, so that machines which the pool does not need become idle.
-pub fn best_worker(
-    workers: &IndexMap<WorkerId, Worker>,
-    zones_out: &IndexSet<ZoneId>,
-    now: Time,
-    request: &PlacementRequest<'_>,
-) -> Option<WorkerId> {
-    let reservation = request.step.reservation();
-    let fits = |w: &&Worker| {
-        w.info.pool == *request.pool
-            && accepts_starts(w, zones_out, now)
-            && request.step.label.as_ref().is_none_or(|l| w.info.labels.contains(l))
-            && within_worker_limit(w, request)
-            && reservation.fits(&free_resources_of(w))
-    };
-    let best = workers.values().filter(fits).min_by_key(|w| rank(w, request, &reservation));
-    best.map(|w| w.info.id.clone())
+/// A worker that can receive starts.
+#[derive(Clone, Debug)]
+struct Candidate {
+    /// Position in the owner's workers.
+    index: usize,
+    /// Unreserved resources, with unlimited slots: workers limit processors, memory and accelerators
+    /// but not the number of tasks.
+    free: Resources,
+}
+
+/// Workers that can receive starts in one planning pass. Valid while no worker is added or removed.
+#[derive(Clone, Debug, Default)]
+pub struct Candidates {
+    by_pool: IndexMap<PoolId, Vec<Candidate>>,
+    /// By pool, what found no room. Room only shrinks within a pass, so no task with that label that
+    /// needs at least as much finds any.
+    exhausted: IndexMap<PoolId, Vec<Unplaceable>>,
+}
+
+/// Label and reservation of a task that found no room.
+#[derive(Clone, Debug)]
+struct Unplaceable {
+    label: Option<Arc<str>>,
+    reservation: Resources,
+}
+
+impl Candidates {
+    /// Collects the workers that can receive starts now.
+    pub fn new(
+        workers: &IndexMap<WorkerId, Worker>,
+        zones_out: &IndexSet<ZoneId>,
+        now: Time,
+    ) -> Candidates {
+        let mut candidates = Candidates::default();
+        for (index, worker) in workers.values().enumerate() {
+            if accepts_starts(worker, zones_out, now) {
+                let free = Resources { slots: u32::MAX, ..worker.free_resources() };
+                let pool = candidates.by_pool.entry(worker.info.pool.clone()).or_default();
+                pool.push(Candidate { index, free });
+            }
+        }
+        candidates
+    }
+
+    /// Whether a worker of the pool may have room for a task of the step. Cheap; a search that fails
+    /// costs a look at every worker of the pool.
+    pub fn may_fit(&self, pool: &PoolId, step: &Step) -> bool {
+        let reservation = step.reservation();
+        let exhausted = self.exhausted.get(pool).map_or(&[][..], Vec::as_slice);
+        !exhausted.iter().any(|task| {
+            (task.label.is_none() || task.label == step.label)
+                && task.reservation.fits(&reservation)
+        })
+    }
+
+    /// Returns the best worker for a task, or `None` if none fits. Prefers, in this order: workers
+    /// other than the one where the task last failed, the rack that holds the data, workers with few
+    /// recent failures, workers and racks with few tasks of the same long-running step, and the
+    /// least free capacity, so that machines which the pool does not need become idle.
+    pub fn best_worker(
+        &mut self,
+        workers: &IndexMap<WorkerId, Worker>,
+        request: &PlacementRequest<'_>,
+    ) -> Option<WorkerId> {
+        if !self.may_fit(request.pool, request.step) {
+            return None;
+        }
+        let reservation = request.step.reservation();
+        let candidates = self.by_pool.get(request.pool).map_or(&[][..], Vec::as_slice);
+        let mut best = None;
+        let mut any_room = false;
+        for candidate in candidates {
+            if !reservation.fits(&candidate.free) {
+                continue;
+            }
+            let Some((id, worker)) = workers.get_index(candidate.index) else { continue };
+            if request.step.label.as_ref().is_some_and(|l| !worker.info.labels.contains(l)) {
+                continue;
+            }
+            any_room = true;
+            if !within_worker_limit(worker, request) {
+                continue;
+            }
+            let rank = rank(worker, request, &candidate.free.minus(&reservation));
+            if best.as_ref().is_none_or(|(lowest, _)| rank < *lowest) {
+                best = Some((rank, id));
+            }
+        }
+        if !any_room {
+            let exhausted = self.exhausted.entry(request.pool.clone()).or_default();
+            exhausted.push(Unplaceable { label: request.step.label.clone(), reservation });
+        }
+        best.map(|(_, id)| id.clone())
+    }
+
+    /// Reserves resources for a task placed in this pass.
+    pub fn reserve(
+        &mut self,
+        workers: &IndexMap<WorkerId, Worker>,
+        worker: &str,
+        reservation: &Resources,
+    ) {
+        let Some((index, _, worker)) = workers.get_full(worker) else { return };
+        let candidates = self.by_pool.get_mut(&worker.info.pool).into_iter().flatten();
+        for candidate in candidates.filter(|c| c.index == index) {
+            candidate.free = candidate.free.minus(reservation);
+        }
+    }
 }
 
 fn within_worker_limit(worker: &Worker, request: &PlacementRequest<'_>) -> bool {
@@ -57,17 +146,12 @@
     limit == 0 || on_worker < limit
 }
 
-/// Free resources with unlimited slots, since workers limit processors, memory and accelerators but
-/// not the number of tasks.
-fn free_resources_of(worker: &Worker) -> Resources {
-    Resources { slots: u32::MAX, ..worker.free_resources() }
-}
-
-/// Sort key of a worker for a task; the smallest value is best.
+/// Sort key of a worker for a task; the smallest value is best. `free_after` is what remains free
+/// with the task placed on it.
 fn rank(
     worker: &Worker,
     request: &PlacementRequest<'_>,
-    reservation: &Resources,
+    free_after: &Resources,
 ) -> (bool, bool, u32, u32, u32, u64) {
     let info = &worker.info;
     let off_rack = request.step.data_rack.as_ref().is_some_and(|r| *r != info.rack);
@@ -85,14 +169,14 @@
     } else {
         0
     };
-    let free_permille = 1_000u64.saturating_sub(used_permille(worker, reservation));
+    let free_permille = 1_000u64.saturating_sub(used_permille(worker, free_after));
     (avoided, off_rack, worker.consecutive_failures, on_worker, rack, free_permille)
 }
 
-/// Utilization of the worker with the task placed on it, in thousandths of the scarcer of
-/// processors and memory.
-fn used_permille(worker: &Worker, reservation: &Resources) -> u64 {
-    let (free, all) = (worker.free_resources().minus(reservation), worker.info.capacity);
+/// Utilization of a worker that has `free` left, in thousandths of the scarcer of processors and
+/// memory.
+fn used_permille(worker: &Worker, free: &Resources) -> u64 {
+    let all = worker.info.capacity;
     let used = |free: u64, all: u64| (all.saturating_sub(free) * 1_000).checked_div(all);
     let processors = used(free.processors, all.processors).unwrap_or(0);
     processors.max(used(free.memory, all.memory).unwrap_or(0))
--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -6,12 +6,11 @@
 use crate::batch::declarations::{Queue, Team};
 use crate::batch::job::{Job, Occurrence, Phase, Step, Task, TaskId, WorkerId};
 use crate::batch::owner::{Owner, task_id};
-use crate::batch::placement::{self, PlacementRequest};
+use crate::batch::placement::{Candidates, PlacementRequest};
 use crate::fair::Resources;
 use crate::ids::{JobId, PoolId, RackId, TeamId, Time};
 use indexmap::IndexMap;
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Failed placements of a step in one pass after which its remaining tasks are skipped.
@@ -38,41 +37,47 @@
     due: Time,
 }
 
+/// Ready steps of a team, the next one at the end, and the team's weighted usage.
+#[derive(Default)]
+struct TeamQueue {
+    steps: Vec<ReadyStep>,
+    weighted_usage: u64,
+}
+
+/// Returns the position of the team whose next step is scheduled first.
+fn next_team(teams: &[(Option<TeamId>, TeamQueue)]) -> Option<usize> {
+    let next_steps = teams.iter().enumerate().filter_map(|(position, (_, queue))| {
+        let key = queue.steps.last()?.sort_key;
+        Some((position, (key.late, key.priority, queue.weighted_usage, key.due)))
+    });
+    next_steps.min_by_key(|(_, key)| *key).map(|(position, _)| position)
+}
+
 impl Owner {
     /// Places waiting tasks while capacity and team limits allow.
     pub fn schedule_tasks(&mut self, now: Time) {
-        let mut teams: BTreeMap<Option<TeamId>, Vec<ReadyStep>> = BTreeMap::new();
+        let mut teams: IndexMap<Option<TeamId>, TeamQueue> = IndexMap::new();
         for ready in self.ready_steps(now) {
-            teams.entry(ready.team.clone()).or_default().push(ready);
+            teams.entry(ready.team.clone()).or_default().steps.push(ready);
         }
-        for queue in teams.values_mut() {
+        let mut teams: Vec<(Option<TeamId>, TeamQueue)> = teams.into_iter().collect();
+        for (team, queue) in &mut teams {
             // Sorted in reverse because steps are popped from the end.
-            queue.sort_by_key(|ready| Reverse(ready.sort_key));
+            queue.steps.sort_by_key(|ready| Reverse(ready.sort_key));
+            queue.weighted_usage = self.weighted_usage(team.as_ref());
         }
-        while let Some(team) = self.next_team(&teams) {
-            let Some(queue) = teams.get_mut(&team) else { break };
-            let Some(ready) = queue.pop() else { break };
-            self.start_step(&ready, now);
+        // Teams with equal usage and due time go by name.
+        teams.sort_by(|(a, _), (b, _)| a.cmp(b));
+        let mut candidates = Candidates::new(&self.workers, &self.active_config.zones_out, now);
+        while let Some(next) = next_team(&teams) {
+            let (team, queue) = &mut teams[next];
+            let Some(ready) = queue.steps.pop() else { break };
+            if self.start_step(&ready, &mut candidates, now) {
+                queue.weighted_usage = self.weighted_usage(team.as_ref());
+            }
         }
     }
 
-    /// Returns the team whose next step is scheduled first.
-    fn next_team(
-        &self,
-        teams: &BTreeMap<Option<TeamId>, Vec<ReadyStep>>,
-    ) -> Option<Option<TeamId>> {
-        let next_steps = teams.iter().filter_map(|(team, queue)| Some((team, queue.last()?)));
-        let best = next_steps.min_by_key(|(team, next)| {
-            (
-                next.sort_key.late,
-                next.sort_key.priority,
-                self.weighted_usage(team.as_ref()),
-                next.sort_key.due,
-            )
-        });
-        best.map(|(team, _)| team.clone())
-    }
-
     /// Processors in use divided by the team's weight.
     fn weighted_usage(&self, team: Option<&TeamId>) -> u64 {
         let Some(id) = team else { return 0 };
@@ -109,63 +114,62 @@
         ready_steps
     }
 
-    fn start_step(&mut self, ready: &ReadyStep, now: Time) {
-        let Some(job) = self.jobs.get(&ready.job) else { return };
-        let Some(step) = job.spec.steps.get(ready.step).cloned() else { return };
+    /// Places the tasks of a step for which there is room. Returns whether any was placed.
+    fn start_step(&mut self, ready: &ReadyStep, candidates: &mut Candidates, now: Time) -> bool {
+        let Some(job) = self.jobs.get(&ready.job) else { return false };
+        let Some(step) = job.spec.steps.get(ready.step) else { return false };
+        if !candidates.may_fit(&ready.pool, step) {
+            return false;
+        }
+        let step = step.clone();
         let Some(occurrence) = job.open_occurrences.iter().find(|o| o.number == ready.occurrence)
         else {
-            return;
+            return false;
         };
         let (mut tasks_per_worker, mut tasks_per_rack) =
             self.count_assigned(occurrence, ready.step);
         let mut chosen: Vec<(TaskId, WorkerId, u32)> = Vec::new();
         let gang_run = occurrence.steps[ready.step].iter().map(|t| t.run).max().unwrap_or(0) + 1;
         let mut failed_placements = 0;
+        let reservation = step.reservation();
+        let before = step.gang.then(|| candidates.clone());
         for index in &ready.tasks {
-            let Some(job) = self.jobs.get(&ready.job) else { return };
             let id = task_id(&ready.job, ready.occurrence, ready.step, *index);
-            let Some(task) = job.task(&id).cloned() else { return };
+            let Some(task) = self.jobs.get(&ready.job).and_then(|job| job.task(&id)) else { break };
             if !self.team_limit_allows(ready.team.as_ref(), &step) {
                 break;
             }
-            let Some(worker) = self.choose_worker(
-                &ready.pool,
-                &step,
-                &task,
-                &tasks_per_worker,
-                &tasks_per_rack,
-                now,
-            ) else {
+            let request = PlacementRequest {
+                pool: &ready.pool,
+                step: &step,
+                task,
+                tasks_per_worker: &tasks_per_worker,
+                tasks_per_rack: &tasks_per_rack,
+            };
+            let Some(worker) = candidates.best_worker(&self.workers, &request) else {
                 failed_placements += 1;
                 if failed_placements >= MAX_FAILED_PLACEMENTS_PER_STEP {
                     break;
                 }
                 continue;
             };
+            let run = if step.gang { gang_run } else { task.run + 1 };
             *tasks_per_worker.entry(worker.clone()).or_insert(0) += 1;
             if let Some(w) = self.workers.get(&worker) {
                 *tasks_per_rack.entry(w.info.rack.clone()).or_insert(0) += 1;
             }
-            let run = if step.gang { gang_run } else { task.run + 1 };
+            candidates.reserve(&self.workers, &worker, &reservation);
             self.assign(&id, &worker, run, now);
             chosen.push((id, worker, run));
         }
-        if step.gang && chosen.len() < step.count as usize {
+        if let Some(before) = before
+            && chosen.len() < step.count as usize
+        {
             self.undo_assignments(&chosen);
+            *candidates = before;
+            return false;
         }
-    }
-
-    fn choose_worker(
-        &self,
-        pool: &PoolId,
-        step: &Step,
-        task: &Task,
-        tasks_per_worker: &IndexMap<WorkerId, u32>,
-        tasks_per_rack: &IndexMap<RackId, u32>,
-        now: Time,
-    ) -> Option<WorkerId> {
-        let request = PlacementRequest { pool, step, task, tasks_per_worker, tasks_per_rack };
-        placement::best_worker(&self.workers, &self.active_config.zones_out, now, &request)
+        !chosen.is_empty()
     }
 
     /// Counts the assigned tasks of a step by worker and by rack.
--- /dev/null
+++ b/tests/full_pool.rs
@@ -0,0 +1,59 @@
+//! Pattern: hundreds of jobs wait in front of pools that are full. No network.
+
+mod batch;
+
+use batch::{Cluster, short_step};
+use indexmap::{IndexMap, IndexSet};
+use jacinthhook::batch::job::{Step, Task};
+use jacinthhook::batch::placement::{Candidates, PlacementRequest};
+
+const POOL: &str = "pool";
+
+/// Guards against a search of all workers for each waiting task of a full pool, which kept the owner
+/// from sending orders: after one failure, tasks that need as much are not searched for.
+#[test]
+fn may_fit_after_failed_search() {
+    let cluster = Cluster::new(3);
+    let workers = &cluster.owner.workers;
+    let mut candidates = Candidates::new(workers, &IndexSet::new(), cluster.now);
+    let with_processors = |processors| {
+        let mut step = short_step(1);
+        step.resources.processors = processors;
+        step
+    };
+    let (small, large) = (with_processors(2_000), with_processors(9_000));
+    let mut place = |step: &Step| {
+        let request = PlacementRequest {
+            pool: &POOL.into(),
+            step,
+            task: &Task::default(),
+            tasks_per_worker: &IndexMap::new(),
+            tasks_per_rack: &IndexMap::new(),
+        };
+        let found = candidates.best_worker(workers, &request);
+        if let Some(worker) = &found {
+            candidates.reserve(workers, worker, &step.reservation());
+        }
+        (found, candidates.may_fit(request.pool, &large), candidates.may_fit(request.pool, &small))
+    };
+    for _ in 0..3 {
+        assert!(matches!(place(&large), (Some(_), true, true)));
+    }
+    assert_eq!(place(&large), (None, false, true));
+    for _ in 0..9 {
+        assert!(matches!(place(&small), (Some(_), false, true)));
+    }
+    assert_eq!(place(&small), (None, false, false));
+}
+
+/// A step that may not share a worker with itself finds no room although there is some. Guards
+/// against holding that against other steps.
+#[test]
+fn schedule_tasks_after_limited_step() {
+    let mut cluster = Cluster::new(1);
+    let limited = Step { max_per_worker: 1, ..short_step(3) };
+    cluster.submit("00000000000000a1", vec![limited]);
+    cluster.submit("00000000000000a2", vec![short_step(2)]);
+    let starts = cluster.decide().orders.starts;
+    assert_eq!(starts.len(), 3);
+}
