Share scarce machines among short pools in proportion

Cause: the pool with the largest deficit got all machines first. Change: each machine goes to the pool with the smallest part of what it wants.

--- a/src/batch/moves.rs
+++ b/src/batch/moves.rs
@@ -102,12 +102,11 @@
             machines_by_pool.insert(pool.clone(), self.pool_machines(pool, machines, now));
         }
         let mut moves = Vec::new();
-        for (pool, deficit) in pools_with_deficit(&machines_by_pool) {
-            for _ in 0..deficit {
-                let from_pool = || take_surplus_machine(&mut machines_by_pool, &pool);
-                let Some(machine) = spare.pop().or_else(from_pool) else { break };
-                moves.push(Move { machine, to: pool.clone() });
-            }
+        while let Some(pool) = neediest_pool(&machines_by_pool) {
+            let from_pool = || take_surplus_machine(&mut machines_by_pool, &pool);
+            let Some(machine) = spare.pop().or_else(from_pool) else { break };
+            machines_by_pool[&pool].current += 1;
+            moves.push(Move { machine, to: pool });
         }
         if let Some(standby) = standby {
             for (pool, pool_machines) in &mut machines_by_pool {
@@ -348,12 +347,12 @@
     }
 }
 
-/// Returns the pools that want more machines and how many, the largest deficit first.
-fn pools_with_deficit(machines_by_pool: &IndexMap<PoolId, PoolMachines>) -> Vec<(PoolId, usize)> {
-    let pools = machines_by_pool.iter().filter(|(_, p)| p.wanted > p.current);
-    let mut pools: Vec<_> = pools.map(|(pool, p)| (pool.clone(), p.wanted - p.current)).collect();
-    pools.sort_by_key(|(_, machines)| std::cmp::Reverse(*machines));
-    pools
+/// Returns the pool with the smallest fraction of the machines that it wants, so that several short
+/// pools share what there is in proportion; `None` if no pool wants more.
+fn neediest_pool(machines_by_pool: &IndexMap<PoolId, PoolMachines>) -> Option<PoolId> {
+    let short = machines_by_pool.iter().filter(|(_, p)| p.wanted > p.current);
+    let neediest = short.min_by_key(|(_, p)| p.current * 1_000 / p.wanted);
+    neediest.map(|(pool, _)| pool.clone())
 }
 
 /// Removes an idle machine from the pool with the largest surplus and returns it.
--- a/tests/batch/mod.rs
+++ b/tests/batch/mod.rs
@@ -139,8 +139,12 @@
     }
 
     pub fn submit(&mut self, id: &str, steps: Vec<Step>) {
+        self.submit_to(QUEUE, id, steps);
+    }
+
+    pub fn submit_to(&mut self, queue: &str, id: &str, steps: Vec<Step>) {
         let spec = JobSpec { payload: "p".into(), steps, ..JobSpec::default() };
-        self.owner.add_job(id.into(), Arc::new(spec), QUEUE.into(), Some(TEAM.into()), self.now);
+        self.owner.add_job(id.into(), Arc::new(spec), queue.into(), Some(TEAM.into()), self.now);
     }
 
     /// Makes and stores decisions. Returns the batch; its orders are not carried out.
