Let jobs that cannot meet their objective any more go last

What callers could see: in front of a full pool, job after job starts when it is just too late, and all of them end late. Cause: a job counted as late only once its objective had passed. Until then it went first, with the earliest due time, although its remaining steps needed longer than what was left. Change: a step counts as late if it could not end in time even if it started now: its own and the later steps' declared run times, and 0.1 s for order and poll. The length of the chains is computed once a job, not once a pass. Evidence: schedule_tasks_objective_out_of_reach failed before, passes now; schedule_tasks_objective_at_last_step fails if done steps are counted.

--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -196,6 +196,9 @@
     pub any_task_started: bool,
     /// When the job reached its final state.
     pub ended_at: Option<Time>,
+    /// For each step, the sum of the declared run times along the longest chain of dependent steps
+    /// that begins with it.
+    remaining_path: Vec<Duration>,
 }
 
 impl Job {
@@ -203,6 +206,7 @@
     pub fn new(spec: Arc<JobSpec>, queue: QueueId, team: Option<TeamId>, now: Time) -> Job {
         let state = JobState::Queued;
         Job {
+            remaining_path: remaining_path(&spec.steps),
             spec,
             queue,
             team,
@@ -216,6 +220,16 @@
         }
     }
 
+    /// Sum of the declared run times along the longest chain of dependent steps.
+    pub fn critical_path(&self) -> Duration {
+        self.remaining_path.iter().max().copied().unwrap_or_default()
+    }
+
+    /// Like `critical_path`, for the chains that begin with a step.
+    pub fn remaining_path(&self, step: usize) -> Duration {
+        self.remaining_path.get(step).copied().unwrap_or_default()
+    }
+
     /// Total number of occurrences.
     pub fn occurrence_count(&self) -> u32 {
         self.spec.repeats.max(1)
@@ -238,3 +252,14 @@
         occurrence.steps.get_mut(id.step as usize)?.get_mut(id.index as usize)
     }
 }
+
+fn remaining_path(steps: &[Step]) -> Vec<Duration> {
+    let mut paths: Vec<Duration> = steps.iter().map(|s| s.estimate).collect();
+    // Steps depend only on earlier ones; the parser enforces this.
+    for (index, step) in steps.iter().enumerate().rev() {
+        for earlier in step.after.iter().map(|s| *s as usize).filter(|s| *s < index) {
+            paths[earlier] = paths[earlier].max(steps[earlier].estimate + paths[index]);
+        }
+    }
+    paths
+}
--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -16,6 +16,10 @@
 /// Failed placements of a step in one pass after which its remaining tasks are skipped.
 const MAX_FAILED_PLACEMENTS_PER_STEP: u32 = 1;
 
+/// Time from a decision to the first work of a task, and from its end to the next decision: an
+/// append to the store, an order and a poll.
+const STEP_OVERHEAD: Duration = Duration::from_millis(100);
+
 /// A step of an open occurrence that has tasks ready to start.
 struct ReadyStep {
     job: JobId,
@@ -32,6 +36,7 @@
 /// weighted usage is compared between `priority` and `due`.
 #[derive(Clone, Copy, Eq, Ord, PartialEq, PartialOrd)]
 struct SortKey {
+    /// The job cannot meet its objective any more, even if the step starts now.
     late: bool,
     priority: u32,
     due: Time,
@@ -106,7 +111,7 @@
                         occurrence: occurrence.number,
                         step,
                         tasks,
-                        sort_key: sort_key(job, &job.spec.steps[step], queue, now),
+                        sort_key: sort_key(job, step, queue, now),
                     });
                 }
             }
@@ -232,24 +237,15 @@
     waiting.map(|(index, _)| index).collect()
 }
 
-fn sort_key(job: &Job, step: &Step, queue: &Queue, now: Time) -> SortKey {
-    if step.long_running {
+fn sort_key(job: &Job, index: usize, queue: &Queue, now: Time) -> SortKey {
+    if job.spec.steps.get(index).is_some_and(|step| step.long_running) {
         // Long-running tasks go first regardless of the age of their job, because every second of
         // unavailability counts.
         return SortKey { late: false, priority: 0, due: Time::ZERO };
     }
-    let objective = critical_path(job).mul_f64(queue.slack_factor) + queue.target_latency;
+    let objective = job.critical_path().mul_f64(queue.slack_factor) + queue.target_latency;
     let due = job.first_seen_at + objective;
-    SortKey { late: now > due, priority: queue.priority, due }
-}
-
-/// Sum of the declared run times along the longest chain of dependent steps.
-fn critical_path(job: &Job) -> Duration {
-    let mut ends: Vec<Duration> = Vec::with_capacity(job.spec.steps.len());
-    for step in &job.spec.steps {
-        // Steps depend only on earlier ones; the parser enforces this.
-        let starts = step.after.iter().filter_map(|s| ends.get(*s as usize)).max();
-        ends.push(starts.copied().unwrap_or_default() + step.estimate);
-    }
-    ends.into_iter().max().unwrap_or_default()
+    // A job that cannot meet its objective any more must not hold back one that can.
+    let earliest_end = now + job.remaining_path(index) + STEP_OVERHEAD;
+    SortKey { late: earliest_end > due, priority: queue.priority, due }
 }
--- a/tests/full_pool.rs
+++ b/tests/full_pool.rs
@@ -2,10 +2,12 @@
 
 mod batch;
 
-use batch::{Cluster, short_step};
+use batch::{Cluster, WORKER_PROCESSORS, short_step};
 use indexmap::{IndexMap, IndexSet};
 use jacinthhook::batch::job::{Step, Task};
+use jacinthhook::batch::orders::RunOutcome;
 use jacinthhook::batch::placement::{Candidates, PlacementRequest};
+use std::time::Duration;
 
 const POOL: &str = "pool";
 
@@ -57,3 +59,42 @@
     let starts = cluster.decide().orders.starts;
     assert_eq!(starts.len(), 3);
 }
+
+/// A job that waited too long to meet its objective (1.6 times its run time and 0.6 s), although the
+/// time for that is not over yet, and one that can still meet it. Guards against serving the jobs of
+/// a full pool each when it is just too late, so that all of them end late.
+#[test]
+fn schedule_tasks_objective_out_of_reach() {
+    let mut cluster = Cluster::new(1);
+    let whole_worker = || {
+        let mut step = short_step(1);
+        step.resources.processors = WORKER_PROCESSORS;
+        step
+    };
+    cluster.submit("00000000000000a1", vec![whole_worker()]);
+    cluster.advance(Duration::from_millis(1_500));
+    cluster.submit("00000000000000a2", vec![whole_worker()]);
+    let starts = cluster.decide().orders.starts;
+    assert_eq!(starts.len(), 1);
+    assert_eq!(&*starts[0].task.job, "00000000000000a2");
+}
+
+/// Guards against counting steps that are already done: a job at its last step needs only that one.
+#[test]
+fn schedule_tasks_objective_at_last_step() {
+    let mut cluster = Cluster::new(1);
+    let whole_worker = |after| {
+        let mut step = Step { after, ..short_step(1) };
+        step.resources.processors = WORKER_PROCESSORS;
+        step
+    };
+    cluster.submit("00000000000000a1", vec![whole_worker(vec![]), whole_worker(vec![0])]);
+    cluster.settle();
+    cluster.advance(Duration::from_millis(2_000));
+    cluster.finish_all(RunOutcome::Done);
+    cluster.poll_all();
+    cluster.submit("00000000000000a2", vec![whole_worker(vec![])]);
+    let starts = cluster.decide().orders.starts;
+    assert_eq!(starts.len(), 1);
+    assert_eq!(&*starts[0].task.job, "00000000000000a1");
+}
