Send starts to one worker over few connections, and none once it is silent

A start was sent, three times, also to a worker that did not respond to its poll any more. Change: at most two starts to one worker in flight, three idle connections; a start to a silent worker is not sent, and its task is placed elsewhere. Evidence: authorize_start_unresponsive_worker failed before, passes now.

--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -2,6 +2,7 @@
 
 use crate::batch::job::{JobSpec, TaskId, WorkerId};
 use crate::ids::Time;
+use indexmap::IndexMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -44,6 +45,17 @@
     pub paces: Vec<PaceOrder>,
 }
 
+impl Orders {
+    /// Removes the start orders and returns them by worker.
+    pub fn take_starts(&mut self) -> IndexMap<WorkerId, Vec<StartOrder>> {
+        let mut by_worker: IndexMap<WorkerId, Vec<StartOrder>> = IndexMap::new();
+        for start in std::mem::take(&mut self.starts) {
+            by_worker.entry(start.worker.clone()).or_default().push(start);
+        }
+        by_worker
+    }
+}
+
 /// Time on a worker's clock, measured from the worker's start.
 pub type WorkerTime = Duration;
 
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -292,12 +292,13 @@
     }
 
     /// Returns the lease to send with a start order, or `None` if the order must not be sent, or
-    /// sent again: the run has been given up or is being stopped, or orders in flight have been
-    /// invalidated since the run was assigned.
+    /// sent again: the run has been given up or is being stopped, orders in flight have been
+    /// invalidated since the run was assigned, or the worker has stopped responding.
     pub fn authorize_start(&mut self, start: &StartOrder, now: Time) -> Option<WorkerTime> {
         let assignment = self.assignment_mut(&start.task, start.run)?;
         let is_wanted = assignment.worker == start.worker && !assignment.stop_ordered;
-        if !is_wanted || self.fence(&start.worker) != start.fence {
+        let is_silent = self.workers.get(&start.worker).is_none_or(|w| w.unanswered_polls > 0);
+        if !is_wanted || is_silent || self.fence(&start.worker) != start.fence {
             return None;
         }
         self.extend_lease(now, &start.worker)
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -9,6 +9,7 @@
 use crate::instance::topics;
 use crate::platform::store::{self, StoreError};
 use crate::platform::worker_client::{PollError, PollRequest, WorkerTarget};
+use futures::stream::{self, StreamExt};
 use indexmap::IndexMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -27,6 +28,9 @@
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Longest wait of the poll loop of a worker without runs.
 const MAX_IDLE_WAIT: Duration = Duration::from_secs(2);
+/// Start orders to one worker in flight at a time. A worker takes 64 connections, an instance some
+/// thousand in all, and polls need one a worker.
+const MAX_CONCURRENT_STARTS: usize = 2;
 /// Maximum number of attempts to send a start that gets no response.
 const MAX_START_ATTEMPTS: u32 = 3;
 
@@ -195,10 +199,14 @@
     }
 }
 
-/// Sends each order in its own task.
-pub fn send_orders(shared: &Arc<Shared>, term: &Arc<Term>, orders: Orders) {
-    for start in orders.starts {
-        tokio::spawn(send_start(shared.clone(), term.clone(), start));
+/// Sends orders, to all workers at the same time. Starts on one worker share few connections.
+pub fn send_orders(shared: &Arc<Shared>, term: &Arc<Term>, mut orders: Orders) {
+    for (_, starts) in orders.take_starts() {
+        let (shared, term) = (shared.clone(), term.clone());
+        tokio::spawn(async move {
+            let send = |start| send_start(&shared, &term, start);
+            stream::iter(starts).for_each_concurrent(MAX_CONCURRENT_STARTS, send).await;
+        });
     }
     for stop in orders.stops {
         tokio::spawn(send_stop(shared.clone(), term.clone(), stop));
@@ -223,23 +231,23 @@
     Some(WorkerTarget { address, worker: worker.clone(), fence: owner.fence(worker) })
 }
 
-async fn send_start(shared: Arc<Shared>, term: Arc<Term>, start: StartOrder) {
+async fn send_start(shared: &Shared, term: &Term, start: StartOrder) {
     let started = Instant::now();
     let mut outcome = StartOutcome::NotSent;
     for _ in 0..MAX_START_ATTEMPTS {
-        let Some((target, lease)) = authorize_start(&shared, &term, &start) else { break };
+        let Some((target, lease)) = authorize_start(shared, term, &start) else { break };
         let attempt = shared.worker_client.start(&target, &start, lease).await;
         outcome = outcome.merge_retry(attempt);
         if attempt == StartOutcome::Fenced
             && let Some(owner) = shared.owner.lock().as_ref()
         {
-            end_term_if_fenced(&term, owner, &target);
+            end_term_if_fenced(term, owner, &target);
         }
         if attempt != StartOutcome::Unknown {
             break;
         }
     }
-    term.load.record_start(&shared, started);
+    term.load.record_start(shared, started);
     let mut lock = shared.owner.lock();
     let Some(owner) = lock.as_mut() else { return };
     owner.record_start_outcome(&start, outcome, shared.now());
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -18,8 +18,9 @@
 /// Longest pause within the body of a response. There is no limit on the whole body: how long it
 /// takes depends on the link, and a page that is given up would not arrive at the next try either.
 const BODY_STALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum number of idle connections per host.
-const MAX_IDLE_PER_HOST: usize = 8;
+/// Maximum number of idle connections per host. With thousands of workers, idle connections use up
+/// the descriptors of the owner.
+const MAX_IDLE_PER_HOST: usize = 3;
 
 /// Error while creating the client.
 #[derive(Debug, Snafu)]
--- a/tests/batch_late_orders.rs
+++ b/tests/batch_late_orders.rs
@@ -96,3 +96,17 @@
     cluster.poll(&silent);
     assert!(!cluster.owner.workers[&silent].needs_poll());
 }
+
+/// Guards against holding a task for seconds at a worker that went silent before its start was sent.
+#[test]
+fn authorize_start_unresponsive_worker() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit(JOB, vec![short_step(1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    cluster.owner.record_unanswered_poll(&start.worker);
+    assert_eq!(cluster.owner.authorize_start(&start, cluster.now), None);
+    cluster.owner.record_start_outcome(&start, StartOutcome::NotSent, cluster.now);
+    cluster.advance(Duration::from_millis(100));
+    let next = cluster.decide().orders.starts.remove(0);
+    assert_ne!(next.worker, start.worker);
+}
