Count suspended time in the owner's permission to send orders

What callers could see: tasks that run twice, and machines ordered by two owners, after the owner's machine was suspended for seconds. Cause: the permission, the window of machine orders and the leases counted on the monotonic clock, which stops while a machine is suspended. Change: the process counts time since boot. Term::may_send_orders takes the time, so that it can be tested.

--- a/src/instance/machine_orders.rs
+++ b/src/instance/machine_orders.rs
@@ -35,7 +35,7 @@
     let mut status_sequence = 0;
     loop {
         sleep(PASS_INTERVAL).await;
-        if !term.may_send_orders() {
+        if !term.may_send_orders(shared.now()) {
             continue;
         }
         let open_waves = open_waves(&shared, &reported_waves);
@@ -120,7 +120,8 @@
 impl Series<'_> {
     /// Whether the next order may still be sent.
     fn is_in_time(&self) -> bool {
-        self.term.may_send_orders() && self.send_until.is_some_and(|at| self.shared.now() <= at)
+        let now = self.shared.now();
+        self.term.may_send_orders(now) && self.send_until.is_some_and(|at| now <= at)
     }
 
     async fn send_maintenance(&self, order: MaintenanceOrder) {
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -63,7 +63,8 @@
     pub store: Store,
     pub worker_client: WorkerClient,
     pub append_queue: Arc<AppendQueue>,
-    started: Instant,
+    /// As time since boot.
+    started_at: Duration,
     /// State of the owner; present while this instance is the owner.
     pub owner: Mutex<Option<Owner>>,
     /// Term in which this instance sends orders.
@@ -71,7 +72,7 @@
     pub view: Mutex<ConfigView>,
     pub known_owner: Mutex<Option<OwnerInfo>>,
     /// When the owner last read callers' jobs up to their end.
-    jobs_read_at: Mutex<Option<Instant>>,
+    jobs_read_at: Mutex<Option<Time>>,
     /// Recently accepted jobs of this instance, with the time of acceptance.
     recent_jobs: Mutex<IndexMap<JobId, Instant>>,
     /// Notified after a change that requires a new planning pass.
@@ -101,7 +102,7 @@
             log,
             metrics,
             http,
-            started: Instant::now(),
+            started_at: boottime::now(),
             owner: Mutex::new(None),
             term: Mutex::new(None),
             view: Mutex::new(ConfigView::default()),
@@ -116,9 +117,10 @@
         }
     }
 
-    /// Returns the time since the process started.
+    /// Returns the time since the process started, including time for which the machine was
+    /// suspended: permissions and leases run out meanwhile.
     pub fn now(&self) -> Time {
-        self.started.elapsed()
+        boottime::now().saturating_sub(self.started_at)
     }
 
     /// Returns the configuration that operators have in force.
@@ -140,12 +142,12 @@
 
     /// Records that callers' jobs were read up to their end.
     pub fn mark_jobs_read(&self) {
-        *self.jobs_read_at.lock() = Some(Instant::now());
+        *self.jobs_read_at.lock() = Some(self.now());
     }
 
     /// Returns the time since callers' jobs were read up to their end.
     pub fn jobs_read_age(&self) -> Duration {
-        self.jobs_read_at.lock().map_or(Duration::MAX, |at| at.elapsed())
+        self.jobs_read_at.lock().map_or(Duration::MAX, |at| self.now().saturating_sub(at))
     }
 
     /// Records that this instance accepted a job.
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -157,33 +157,44 @@
     end_reason: Mutex<Option<String>>,
     ended: Notify,
     /// When the last append that the store confirmed was sent.
-    last_store_at: Mutex<Instant>,
+    last_store_at: Mutex<Time>,
     pub load: OwnerLoad,
 }
 
 impl Term {
+    /// Creates a term whose first append was sent at `now`.
+    pub fn new(number: u64, now: Time) -> Term {
+        Term {
+            number,
+            end_reason: Mutex::new(None),
+            ended: Notify::new(),
+            last_store_at: Mutex::new(now),
+            load: OwnerLoad::default(),
+        }
+    }
+
     /// Ends the term. Only the first reason is kept.
     pub fn end(&self, reason: &str) {
         self.end_reason.lock().get_or_insert_with(|| reason.to_string());
         self.ended.notify_one();
     }
 
-    /// Whether orders may be sent and leases extended. A later owner relies on this limit.
-    pub fn may_send_orders(&self) -> bool {
-        self.end_reason.lock().is_none() && self.last_store_at.lock().elapsed() < MAX_STORE_OUTAGE
+    /// Records that the store confirmed an append that was sent at `sent_at`.
+    pub fn record_stored(&self, sent_at: Time) {
+        *self.last_store_at.lock() = sent_at;
+    }
+
+    /// Whether orders may be sent and leases extended. A later owner relies on this limit. Time for
+    /// which the machine was suspended counts.
+    pub fn may_send_orders(&self, now: Time) -> bool {
+        self.end_reason.lock().is_none() && now < *self.last_store_at.lock() + MAX_STORE_OUTAGE
     }
 }
 
 /// Runs a term until a later owner takes over, the store does not respond for too long, or the
 /// process stops.
 async fn run_term(shared: &Arc<Shared>, number: u64, earlier: Option<OwnerInfo>) {
-    let term = Arc::new(Term {
-        number,
-        end_reason: Mutex::new(None),
-        ended: Notify::new(),
-        last_store_at: Mutex::new(Instant::now()),
-        load: OwnerLoad::default(),
-    });
+    let term = Arc::new(Term::new(number, shared.now()));
     *shared.term.lock() = Some(number);
     let mut tasks = JoinSet::new();
     tasks.spawn(send_heartbeats(shared.clone(), term.clone()));
@@ -225,7 +236,7 @@
         let record = topics::encode_owner_record(&shared, term.number, stopping);
         let condition =
             AppendCondition { expected_end: None, producer: Some((term.number, sequence)) };
-        let sent_at = Instant::now();
+        let sent_at = shared.now();
         match shared
             .store
             .append(store::OWNER_TOPIC, &[(OWNER_KEY, Some(&record))], condition)
@@ -233,14 +244,14 @@
         {
             Ok(_) => {
                 sequence += 1;
-                *term.last_store_at.lock() = sent_at;
+                term.record_stored(sent_at);
                 if stopping {
                     return term.end("stopping");
                 }
             }
             Err(StoreError::Fenced) => return term.end("a later owner has taken over"),
             Err(StoreError::SequenceMismatch { expected }) => sequence = expected,
-            Err(_) if sent_at.duration_since(*term.last_store_at.lock()) > MAX_STORE_OUTAGE => {
+            Err(_) if !term.may_send_orders(sent_at) => {
                 return term.end("the store does not answer");
             }
             // Retries with the same sequence number; the store repeats its response if the append
@@ -281,7 +292,7 @@
             Ok(_) => return Ok(()),
             Err(StoreError::Fenced) => return Err(StoreError::Fenced),
             Err(StoreError::SequenceMismatch { expected }) => *sequence = expected,
-            Err(_) if !term.may_send_orders() => return Err(StoreError::NoResponse),
+            Err(_) if !term.may_send_orders(shared.now()) => return Err(StoreError::NoResponse),
             Err(_) => sleep(RETRY_DELAY).await,
         }
     }
@@ -338,7 +349,7 @@
     loop {
         match shared.store.read_latest(topic).await {
             Ok(fetched) => return Ok(fetched),
-            Err(e) if !term.may_send_orders() => return Err(e),
+            Err(e) if !term.may_send_orders(shared.now()) => return Err(e),
             Err(_) => sleep(RETRY_DELAY).await,
         }
     }
@@ -475,7 +486,7 @@
     loop {
         match shared.store.append(store::JOBS_TOPIC, &records, AppendCondition::default()).await {
             Ok(_) => return Ok(()),
-            Err(e) if !term.may_send_orders() => return Err(e),
+            Err(e) if !term.may_send_orders(shared.now()) => return Err(e),
             // Deleting a key again has no effect.
             Err(_) => sleep(RETRY_DELAY).await,
         }
@@ -514,15 +525,15 @@
     loop {
         let condition =
             AppendCondition { expected_end: None, producer: Some((term.number, *sequence)) };
-        let sent_at = Instant::now();
+        let sent_at = shared.now();
         match shared.store.append(store::PROGRESS_TOPIC, records, condition).await {
             Ok(_) => {
-                *term.last_store_at.lock() = sent_at;
+                term.record_stored(sent_at);
                 return Ok(());
             }
             Err(StoreError::Fenced) => return Err(StoreError::Fenced),
             Err(StoreError::SequenceMismatch { expected }) => *sequence = expected,
-            Err(e) if !term.may_send_orders() => return Err(e),
+            Err(e) if !term.may_send_orders(shared.now()) => return Err(e),
             // Retries with the same sequence number; the store repeats its response if the append
             // took effect.
             Err(_) => sleep(RETRY_DELAY).await,
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -127,7 +127,8 @@
     let mut lock = shared.owner.lock();
     let Some(owner) = lock.as_mut() else { return PollStep::Gone };
     let Some(worker) = owner.workers.get(id) else { return PollStep::Gone };
-    if !worker.needs_poll() || !term.may_send_orders() || worker.info.address.is_empty() {
+    if !worker.needs_poll() || !term.may_send_orders(shared.now()) || worker.info.address.is_empty()
+    {
         return PollStep::Idle;
     }
     if worker.last_processed > worker.last_stored && !store_wait_elapsed {
@@ -276,7 +277,7 @@
     start: &StartOrder,
 ) -> Option<(WorkerTarget, WorkerTime)> {
     let mut lock = shared.owner.lock();
-    let owner = lock.as_mut().filter(|_| term.may_send_orders())?;
+    let owner = lock.as_mut().filter(|_| term.may_send_orders(shared.now()))?;
     let lease = owner.authorize_start(start, shared.now())?;
     let address = owner.workers.get(&start.worker)?.info.address.clone();
     Some((WorkerTarget { address, worker: start.worker.clone(), fence: start.fence }, lease))
@@ -284,7 +285,7 @@
 
 async fn send_stop(shared: Arc<Shared>, term: Arc<Term>, stop: StopOrder) {
     let Some(target) = worker_target(&shared, &stop.worker) else { return };
-    if !term.may_send_orders() {
+    if !term.may_send_orders(shared.now()) {
         return;
     }
     let accepted = shared.worker_client.stop(&target, &stop).await;
