Reject malformed reports of workers whole

What callers could see: after one malformed response to a poll, all tasks of the worker start elsewhere while they run. Cause: missing and unreadable parts of a report were read as empty lists, and a run that is not listed counts as over; a report without an incarnation counted as that of a restarted worker. Change: such a response counts as none. A report without an incarnation belongs to the known one. Evidence: decode_report_malformed and apply_report_without_incarnation; the former decoder returned a report for each of the seven bodies.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -364,10 +364,13 @@
             // Orders that have been voided since may still take effect.
             return false;
         }
-        if worker.incarnation != report.incarnation && worker.clock_reading.is_some() {
+        // A report without an incarnation does not show a restart.
+        let incarnation =
+            if report.incarnation == 0 { worker.incarnation } else { report.incarnation };
+        if worker.incarnation != incarnation && worker.clock_reading.is_some() {
             // Polled again under a higher fence, so that orders to the previous incarnation cannot
             // take effect.
-            worker.begin_incarnation(report.incarnation, &mut self.fence_counter, now);
+            worker.begin_incarnation(incarnation, &mut self.fence_counter, now);
             self.events.push(OwnerEvent::WorkerRestarted { worker: id.clone() });
             return false;
         }
@@ -379,7 +382,7 @@
             worker.lease_until =
                 worker.lease_until.max(report.clock + LEASE_DURATION.min(self.bounds.max_lease));
         }
-        worker.incarnation = report.incarnation;
+        worker.incarnation = incarnation;
         worker.clock_reading = Some((report.clock, now));
         worker.synced = true;
         let new = self.process_finished_runs(id, &report.finished, now);
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -180,7 +180,7 @@
         Err(error) => {
             match error {
                 PollError::OtherWorker => owner.end_incarnation(id, shared.now()),
-                PollError::Lost => owner.record_unanswered_poll(id),
+                PollError::Lost | PollError::Malformed => owner.record_unanswered_poll(id),
                 PollError::Fenced => end_term_if_fenced(term, owner, target),
                 PollError::Refused => {}
             }
--- a/src/platform/worker_client.rs
+++ b/src/platform/worker_client.rs
@@ -49,6 +49,8 @@
     Refused,
     /// There was no response.
     Lost,
+    /// The response is not a list of runs.
+    Malformed,
 }
 
 /// Client of the workers.
@@ -125,7 +127,8 @@
             self.send_order(target, "/-/hold", &body, request.wait + POLL_TIMEOUT_MARGIN).await;
         let Ok(response) = response else { return Err(PollError::Lost) };
         match response.status {
-            200 => Ok(decode_report(&response.json(), requested_at, target.fence)),
+            200 => decode_report(&response.json(), requested_at, target.fence)
+                .ok_or(PollError::Malformed),
             409 => Err(PollError::Fenced),
             421 => Err(PollError::OtherWorker),
             _ => Err(PollError::Refused),
@@ -164,15 +167,21 @@
     }
 }
 
-fn decode_report(body: &Value, requested_at: Time, fence: u64) -> WorkerReport {
-    WorkerReport {
+/// Decodes a worker's lists of runs. Returns `None` if a part is missing or unreadable: a run that is
+/// not listed counts as over, so the rest must not be used.
+pub fn decode_report(body: &Value, requested_at: Time, fence: u64) -> Option<WorkerReport> {
+    let rows = |field: &str| match body.get(field) {
+        None => Some(&[][..]),
+        Some(rows) => rows.as_array().map(Vec::as_slice),
+    };
+    Some(WorkerReport {
         incarnation: json::number(body, "born"),
-        clock: json::millis(body, "clockMs"),
-        running: json::list(body, "running").iter().filter_map(decode_running).collect(),
-        finished: json::list(body, "finished").iter().filter_map(decode_ended).collect(),
+        clock: Duration::from_millis(body.get("clockMs")?.as_u64()?),
+        running: rows("running")?.iter().map(decode_running).collect::<Option<_>>()?,
+        finished: rows("finished")?.iter().filter_map(decode_ended).collect(),
         requested_at,
         fence,
-    }
+    })
 }
 
 /// Decodes an array of task, run, checkpoint, percent and load.
--- /dev/null
+++ b/tests/worker_report.rs
@@ -0,0 +1,45 @@
+//! Malformed responses of workers to polls. No network.
+
+mod batch;
+
+use batch::{Cluster, short_step};
+use jacinthhook::platform::worker_client::decode_report;
+use serde_json::json;
+use std::time::Duration;
+
+const AT: Duration = Duration::ZERO;
+const FENCE: u64 = 7;
+
+/// Guards against a malformed response that is read as an empty list: all runs of the worker would
+/// count as over, and their tasks start elsewhere while they run.
+#[test]
+fn decode_report_malformed() {
+    let row = json!(["00000000000000a1.0.0.0", 1, "", 100]);
+    let complete = json!({ "clockMs": 5, "born": 1, "running": [row], "finished": [] });
+    assert_eq!(decode_report(&complete, AT, FENCE).expect("a report").running.len(), 1);
+    let malformed = [
+        json!(null),
+        json!({}),
+        json!({ "born": 1, "running": [row] }),
+        json!({ "clockMs": "5", "running": [row] }),
+        json!({ "clockMs": 5, "running": "none" }),
+        json!({ "clockMs": 5, "running": [row, ["00000000000000a1.0.0.1"]] }),
+        json!({ "clockMs": 5, "running": [row], "finished": 3 }),
+    ];
+    for body in malformed {
+        assert_eq!(decode_report(&body, AT, FENCE), None, "{body}");
+    }
+}
+
+/// Guards against taking a report without an incarnation for that of a restarted worker.
+#[test]
+fn apply_report_without_incarnation() {
+    let mut cluster = Cluster::new(1);
+    cluster.submit("00000000000000a1", vec![short_step(1)]);
+    cluster.settle();
+    let mut report = cluster.report(&"w0".into());
+    report.incarnation = 0;
+    cluster.owner.apply_report(&"w0".into(), report, cluster.now);
+    assert!(cluster.owner.workers["w0"].synced);
+    assert_eq!(cluster.owner.workers["w0"].assigned.len(), 1);
+}
