--- a/src/instance/process.rs
+++ b/src/instance/process.rs
@@ -35,7 +35,7 @@
     let metrics = Arc::new(Metrics::new().map_err(process_error)?);
     let log =
         Log::new(LogFormat::Json, LogLevel::Info, std::io::stdout()).with_metrics(metrics.clone());
-    let http = Http::new().map_err(process_error)?;
+    let http = Http::new();
     let shared = Arc::new(Shared::new(cfg, log, metrics, http));
     let peers = peers::start_server(shared.clone()).await.map_err(process_error)?;
     let mut servers = Vec::new();
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,10 +1,14 @@
 //! HTTP client for all services of the platform.
 
-use crate::transport::{self, CallError, TransportOptions, call_error};
 use bytes::{Bytes, BytesMut};
-use reqwest::header::{HeaderMap, HeaderValue};
-use reqwest::{Client, Method, Response};
-use snafu::{ResultExt, Snafu};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Uri};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use snafu::Snafu;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -22,13 +26,6 @@
 /// the descriptors of the owner.
 const MAX_IDLE_PER_HOST: usize = 3;
 
-/// Error while creating the client.
-#[derive(Debug, Snafu)]
-#[snafu(display("HTTP client: {source}"))]
-pub struct ClientError {
-    source: reqwest::Error,
-}
-
 /// Why a call got no response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
 pub enum CallFailure {
@@ -57,7 +54,7 @@
 /// HTTP client; clones share its connections.
 #[derive(Clone, Debug)]
 pub struct Http {
-    client: Client,
+    client: Client<HttpConnector, Full<Bytes>>,
 }
 
 /// Parameters of an HTTP call.
@@ -73,55 +70,73 @@
     pub timeout: Duration,
 }
 
+impl Default for Http {
+    fn default() -> Http {
+        Http::new()
+    }
+}
+
 impl Http {
     /// Creates a client without connections.
-    pub fn new() -> Result<Http, ClientError> {
-        let options = TransportOptions {
-            connect_timeout: CONNECT_TIMEOUT,
-            idle_timeout: IDLE_TIMEOUT,
-            user_timeout: Some(TCP_USER_TIMEOUT),
-            ..TransportOptions::default()
-        };
-        let client = transport::client(&options, MAX_IDLE_PER_HOST).context(ClientSnafu)?;
-        Ok(Http { client })
+    pub fn new() -> Http {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(MAX_IDLE_PER_HOST)
+            .build(connector);
+        Http { client }
     }
 
     /// Sends a request and reads the whole response.
     pub async fn call(&self, call: Call<'_>) -> Result<HttpResponse, CallFailure> {
-        let mut headers = HeaderMap::new();
-        for (name, value) in call.headers {
-            // Values are ids and numbers; the platform knows none that is invalid in a header.
-            let Ok(value) = HeaderValue::from_str(value) else { return Err(CallFailure::NotSent) };
-            headers.insert(*name, value);
-        }
-        if !call.body.is_empty() {
-            headers.insert("content-type", HeaderValue::from_static("application/json"));
-        }
-        let url = format!("http://{}{}", call.address, call.path);
-        let request = self.client.request(call.method, url).headers(headers).body(call.body);
-        let response = timeout(call.timeout, request.send())
+        let limit = call.timeout;
+        // Ids, numbers and addresses of the platform are all valid in a request.
+        let request = build_request(call).ok_or(CallFailure::NotSent)?;
+        let response = timeout(limit, self.client.request(request))
             .await
             .map_err(|_| CallFailure::NoResponse)?
-            .map_err(|e| CallFailure::from(call_error(&e)))?;
+            .map_err(|e| match e.is_connect() {
+                true => CallFailure::NotSent,
+                false => CallFailure::NoResponse,
+            })?;
         let status = response.status().as_u16();
-        let body = read_body(response).await?;
+        let body = read_body(response.into_body()).await?;
         Ok(HttpResponse { status, body })
     }
 }
 
-async fn read_body(mut response: Response) -> Result<Bytes, CallFailure> {
-    let mut body = BytesMut::new();
-    loop {
-        match timeout(BODY_STALL_TIMEOUT, response.chunk()).await {
-            Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
-            Ok(Ok(None)) => return Ok(body.freeze()),
-            Ok(Err(_)) | Err(_) => return Err(CallFailure::NoResponse),
-        }
+/// Returns `None` if a part is not valid in a request.
+fn build_request(call: Call<'_>) -> Option<Request<Full<Bytes>>> {
+    let uri = Uri::builder().scheme("http").authority(call.address).path_and_query(call.path);
+    let mut headers = HeaderMap::with_capacity(call.headers.len() + 2);
+    for (name, value) in call.headers {
+        headers.insert(*name, HeaderValue::from_str(value).ok()?);
     }
+    if !call.body.is_empty() {
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    }
+    let mut request = Request::new(Full::new(call.body));
+    *request.method_mut() = call.method;
+    *request.uri_mut() = uri.build().ok()?;
+    *request.headers_mut() = headers;
+    Some(request)
 }
 
-impl From<CallError> for CallFailure {
-    fn from(e: CallError) -> CallFailure {
-        if e.is_not_sent() { CallFailure::NotSent } else { CallFailure::NoResponse }
+async fn read_body(mut body: Incoming) -> Result<Bytes, CallFailure> {
+    let mut buf = BytesMut::new();
+    loop {
+        match timeout(BODY_STALL_TIMEOUT, body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                if let Ok(chunk) = frame.into_data() {
+                    buf.extend_from_slice(&chunk);
+                }
+            }
+            Ok(None) => return Ok(buf.freeze()),
+            Ok(Some(Err(_))) | Err(_) => return Err(CallFailure::NoResponse),
+        }
     }
 }
--- a/src/platform/machines.rs
+++ b/src/platform/machines.rs
@@ -4,8 +4,8 @@
 use crate::platform::http::{Call, CallFailure, Http, HttpResponse};
 use crate::platform::json;
 use bytes::Bytes;
+use hyper::Method;
 use indexmap::IndexMap;
-use reqwest::Method;
 use serde_json::{Value, json};
 use std::time::Duration;
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -6,7 +6,7 @@
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use reqwest::Method;
+use hyper::Method;
 use snafu::Snafu;
 use std::time::Duration;
 
--- a/src/platform/worker_client.rs
+++ b/src/platform/worker_client.rs
@@ -8,7 +8,7 @@
 use crate::ids::Time;
 use crate::platform::http::{Call, CallFailure, Http, HttpResponse};
 use crate::platform::json;
-use reqwest::Method;
+use hyper::Method;
 use serde_json::{Value, json};
 use std::sync::Arc;
 use std::time::Duration;
--- a/tests/store_client.rs
+++ b/tests/store_client.rs
@@ -36,7 +36,7 @@
         }
         sleep(Duration::from_secs(60)).await;
     });
-    Store::new(Http::new().expect("a client"), address)
+    Store::new(Http::new(), address)
 }
 
 /// A page that arrives slowly is read to its end. Guards against a time limit on whole pages: on a
@@ -69,7 +69,7 @@
             tokio::spawn(read_slowly(connection));
         }
     });
-    Store::new(Http::new().expect("a client"), address)
+    Store::new(Http::new(), address)
 }
 
 async fn read_slowly(mut connection: TcpStream) {
