Search for a worker once per step, and hash racks only where they count

Cause: each task ranked all workers of its pool, and each rank looked up the rack, also for steps that do not depend on it. Change: a step that depends on nothing but free capacity stays on the worker chosen for its task before while there is room, which a search would choose as well. Racks are looked up only for long-running and same-rack steps. Evidence: best_worker_after_previous_task compares with a search each time.

--- a/src/batch/placement.rs
+++ b/src/batch/placement.rs
@@ -88,20 +88,28 @@
     /// Returns the best worker for a task, or `None` if none fits. Prefers, in this order: workers
     /// other than the one where the task last failed, the rack that holds the data, workers with few
     /// recent failures, workers and racks with few tasks of the same long-running step, and the
-    /// least free capacity, so that machines which the pool does not need become idle.
+    /// least free capacity, so that machines which the pool does not need become idle. `previous` is
+    /// the choice for the task before of the same step, if it has been reserved.
     pub fn best_worker(
         &mut self,
         workers: &IndexMap<WorkerId, Worker>,
         request: &PlacementRequest<'_>,
-    ) -> Option<WorkerId> {
+        previous: Option<&Placement>,
+    ) -> Option<Placement> {
         if !self.may_fit(request.pool, request.step) {
             return None;
         }
         let reservation = request.step.reservation();
         let candidates = self.by_pool.get(request.pool).map_or(&[][..], Vec::as_slice);
-        let mut best = None;
+        if let Some(previous) = previous.filter(|p| p.repeatable && is_repeatable(request))
+            && candidates.get(previous.position).is_some_and(|c| reservation.fits(&c.free))
+        {
+            // It was the best one, and has less free capacity than it had.
+            return Some(previous.clone());
+        }
+        let mut best: Option<(Rank, usize, &WorkerId)> = None;
         let mut any_room = false;
-        for candidate in candidates {
+        for (position, candidate) in candidates.iter().enumerate() {
             if !reservation.fits(&candidate.free) {
                 continue;
             }
@@ -114,58 +122,71 @@
                 continue;
             }
             let rank = rank(worker, request, &candidate.free.minus(&reservation));
-            if best.as_ref().is_none_or(|(lowest, _)| rank < *lowest) {
-                best = Some((rank, id));
+            if best.as_ref().is_none_or(|(lowest, _, _)| rank < *lowest) {
+                best = Some((rank, position, id));
             }
         }
         if !any_room {
             let exhausted = self.exhausted.entry(request.pool.clone()).or_default();
             exhausted.push(Unplaceable { label: request.step.label.clone(), reservation });
         }
-        best.map(|(_, id)| id.clone())
+        let repeatable = is_repeatable(request);
+        best.map(|(_, position, id)| Placement { worker: id.clone(), position, repeatable })
     }
 
     /// Reserves resources for a task placed in this pass.
-    pub fn reserve(
-        &mut self,
-        workers: &IndexMap<WorkerId, Worker>,
-        worker: &str,
-        reservation: &Resources,
-    ) {
-        let Some((index, _, worker)) = workers.get_full(worker) else { return };
-        let candidates = self.by_pool.get_mut(&worker.info.pool).into_iter().flatten();
-        for candidate in candidates.filter(|c| c.index == index) {
+    pub fn reserve(&mut self, pool: &PoolId, placement: &Placement, reservation: &Resources) {
+        let candidates = self.by_pool.get_mut(pool);
+        if let Some(candidate) = candidates.and_then(|c| c.get_mut(placement.position)) {
             candidate.free = candidate.free.minus(reservation);
         }
     }
 }
 
+/// Choice of a worker for a task.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Placement {
+    pub worker: WorkerId,
+    /// Position among the candidates of the pool.
+    position: usize,
+    /// Whether it is also the best choice for a like task of the same step, while it has room.
+    repeatable: bool,
+}
+
+/// Whether the choice for a task does not depend on the tasks placed before it, except by what is
+/// free.
+fn is_repeatable(request: &PlacementRequest<'_>) -> bool {
+    let step = request.step;
+    request.task.avoid_worker.is_none()
+        && !step.long_running
+        && !step.same_rack
+        && step.max_per_worker == 0
+}
+
 fn within_worker_limit(worker: &Worker, request: &PlacementRequest<'_>) -> bool {
     let limit = request.step.max_per_worker;
     let on_worker = request.tasks_per_worker.get(&worker.info.id).copied().unwrap_or(0);
     limit == 0 || on_worker < limit
 }
 
-/// Sort key of a worker for a task; the smallest value is best. `free_after` is what remains free
-/// with the task placed on it.
-fn rank(
-    worker: &Worker,
-    request: &PlacementRequest<'_>,
-    free_after: &Resources,
-) -> (bool, bool, u32, u32, u32, u64) {
+/// Sort key of a worker for a task; the smallest value is best.
+type Rank = (bool, bool, u32, u32, u32, u64);
+
+/// Returns the sort key of a worker. `free_after` is what remains free with the task placed on it.
+fn rank(worker: &Worker, request: &PlacementRequest<'_>, free_after: &Resources) -> Rank {
     let info = &worker.info;
     let off_rack = request.step.data_rack.as_ref().is_some_and(|r| *r != info.rack);
     let avoided = request.task.avoid_worker.as_ref() == Some(&info.id);
-    let on_rack = request.tasks_per_rack.get(&info.rack).copied().unwrap_or(0);
+    let on_rack = || request.tasks_per_rack.get(&info.rack).copied().unwrap_or(0);
     // A machine with more tasks of a step than the step may miss cannot undergo maintenance.
     let on_worker = match request.step.long_running {
         true => request.tasks_per_worker.get(&info.id).copied().unwrap_or(0),
         false => 0,
     };
     let rack = if request.step.long_running {
-        on_rack
+        on_rack()
     } else if request.step.same_rack {
-        u32::MAX - on_rack
+        u32::MAX - on_rack()
     } else {
         0
     };
--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -6,7 +6,7 @@
 use crate::batch::declarations::{Queue, Team};
 use crate::batch::job::{Job, Occurrence, Phase, Step, Task, TaskId, WorkerId};
 use crate::batch::owner::{Owner, task_id};
-use crate::batch::placement::{Candidates, PlacementRequest};
+use crate::batch::placement::{Candidates, Placement, PlacementRequest};
 use crate::fair::Resources;
 use crate::ids::{JobId, PoolId, RackId, TeamId, Time};
 use indexmap::IndexMap;
@@ -138,6 +138,7 @@
         let mut failed_placements = 0;
         let reservation = step.reservation();
         let before = step.gang.then(|| candidates.clone());
+        let mut previous: Option<Placement> = None;
         for index in &ready.tasks {
             let id = task_id(&ready.job, ready.occurrence, ready.step, *index);
             let Some(task) = self.jobs.get(&ready.job).and_then(|job| job.task(&id)) else { break };
@@ -151,7 +152,8 @@
                 tasks_per_worker: &tasks_per_worker,
                 tasks_per_rack: &tasks_per_rack,
             };
-            let Some(worker) = candidates.best_worker(&self.workers, &request) else {
+            let placed = candidates.best_worker(&self.workers, &request, previous.as_ref());
+            let Some(placement) = placed else {
                 failed_placements += 1;
                 if failed_placements >= MAX_FAILED_PLACEMENTS_PER_STEP {
                     break;
@@ -159,11 +161,13 @@
                 continue;
             };
             let run = if step.gang { gang_run } else { task.run + 1 };
+            let worker = placement.worker.clone();
             *tasks_per_worker.entry(worker.clone()).or_insert(0) += 1;
             if let Some(w) = self.workers.get(&worker) {
                 *tasks_per_rack.entry(w.info.rack.clone()).or_insert(0) += 1;
             }
-            candidates.reserve(&self.workers, &worker, &reservation);
+            candidates.reserve(&ready.pool, &placement, &reservation);
+            previous = Some(placement);
             self.assign(&id, &worker, run, now);
             chosen.push((id, worker, run));
         }
--- a/tests/full_pool.rs
+++ b/tests/full_pool.rs
@@ -32,9 +32,9 @@
             tasks_per_worker: &IndexMap::new(),
             tasks_per_rack: &IndexMap::new(),
         };
-        let found = candidates.best_worker(workers, &request);
-        if let Some(worker) = &found {
-            candidates.reserve(workers, worker, &step.reservation());
+        let found = candidates.best_worker(workers, &request, None);
+        if let Some(placement) = &found {
+            candidates.reserve(request.pool, placement, &step.reservation());
         }
         (found, candidates.may_fit(request.pool, &large), candidates.may_fit(request.pool, &small))
     };
@@ -98,3 +98,40 @@
     assert_eq!(starts.len(), 1);
     assert_eq!(&*starts[0].task.job, "00000000000000a1");
 }
+
+/// Guards against a shortcut for the later tasks of a step that chooses other workers than a search.
+#[test]
+fn best_worker_after_previous_task() {
+    let mut cluster = Cluster::new(6);
+    // Some room is taken already, by a different amount on each worker.
+    for (index, count) in [3, 7, 1, 9, 5].iter().enumerate() {
+        cluster.submit(&format!("00000000000000b{index}"), vec![short_step(*count)]);
+        cluster.settle();
+    }
+    let workers = &cluster.owner.workers;
+    let pool = POOL.into();
+    for data_rack in [None, Some("rack-2".into())] {
+        let mut candidates = Candidates::new(workers, &IndexSet::new(), cluster.now);
+        let mut step = Step { data_rack, ..short_step(60) };
+        step.resources.processors = 1_700;
+        let mut previous = None;
+        let mut placed = 0;
+        loop {
+            let request = PlacementRequest {
+                pool: &pool,
+                step: &step,
+                task: &Task::default(),
+                tasks_per_worker: &IndexMap::new(),
+                tasks_per_rack: &IndexMap::new(),
+            };
+            let searched = candidates.best_worker(workers, &request, None);
+            let found = candidates.best_worker(workers, &request, previous.as_ref());
+            assert_eq!(found, searched);
+            let Some(placement) = found else { break };
+            candidates.reserve(&pool, &placement, &step.reservation());
+            previous = Some(placement);
+            placed += 1;
+        }
+        assert!(placed > 20, "{placed}");
+    }
+}
