Test that a record of an earlier term does not replace the latest owner

What callers see: with appends that the store applies late, two instances become the owner of one term and both order starts; tasks run twice. This test fails on the present code:

tests/election.rs:121: left Some(OwnerInfo { term: 5, .. }), right Some(OwnerInfo { term: 6, .. })

--- a/tests/election.rs
+++ b/tests/election.rs
@@ -109,3 +109,16 @@
         assert_eq!(reason, TakeoverReason::NoHeartbeat, "{machine:?}");
     }
 }
+
+/// The store applies a record of an earlier owner after a later owner's. Guards against taking the
+/// earlier owner for the latest one: the next owner then took a term that was given already, and two
+/// owners gave orders under the same fencing tokens.
+#[test]
+fn record_owner_earlier_term() {
+    let mut election = follower("a", LARGE, &owner(5, "x", LARGE), ms(10_000));
+    election.record_owner(owner(6, "b", LARGE), false, ms(11_600));
+    election.record_owner(owner(5, "x", LARGE), false, ms(12_000));
+    assert_eq!(election.latest_owner(), Some(&owner(6, "b", LARGE)));
+    // It is no heartbeat of the latest owner either.
+    assert!(election.takeover_at().0 < ms(12_000) + HEARTBEAT_TIMEOUT);
+}
