Give no term to two owners

Cause: the append that takes over carried no epoch, so until the new owner's first heartbeat the store took a late heartbeat of the earlier term. Readers followed the newest record whatever its term, and the next owner took that record's term plus one, which was given already. Store, workers and machines tell owners apart by the term only.

Change: the takeover's append carries the new term as epoch beside the expected end. Sequence numbers start at a number of the incarnation, so that the store neither takes one instance's append for a retry of another's nor the reverse. Records of an earlier term are not followed. A term that the store refuses as given is skipped. An owner ends its term once it reads another incarnation's record of it or the store expects another sequence number, and logs TermConflict; both went on before. The time of a permission counts from the first attempt of an append.

--- a/src/event.rs
+++ b/src/event.rs
@@ -112,6 +112,7 @@
     StoreLost, 801, Warning, "error view_age_ms", "The platform's store does not respond to this instance.", "See docs/OPERATIONS.md.";
     StoreBack, 802, Info, "view_age_ms", "The platform's store responds again.", "None.";
     RecordUnreadable, 803, Warning, "error", "A record of the store is invalid and was skipped.", "Check for another writer.";
+    TermConflict, 809, Error, "term entry error", "Another instance acted as the owner of this instance's term; this instance ended its term.", "Report it: a term has one owner. Look for OwnerHere with the same term.";
     OwnerSeen, 810, Info, "entry term", "Another instance is the owner of the decisions.", "None.";
     OwnerHere, 811, Info, "term reason processors_milli link_mbps", "This instance is the owner of the decisions.", "None.";
     OwnerNotHere, 812, Info, "term error", "This instance failed to become the owner; another instance may have been first.", "None.";
@@ -121,6 +122,7 @@
     EarlierOwnerOver, 816, Info, "entry term", "The previous owner confirmed that it sends no more orders.", "None.";
     OwnerLoad, 817, Info, "term pending_jobs passes pass_ms stored_bytes store_ms starts start_ms polls delay_ms", "Load of the owner in the last 2 s: counts, the longest pass, append and start, and the longest delay of a timer.", "If store_ms or delay_ms stay at some hundred while jobs are pending, the machine is too small.";
     PoolLoad, 818, Info, "term pool machines wanted idle long_running_only processors_permille memory_permille waiting_processors", "Use of a pool of workers, as the owner knows it, every 2 s.", "If waiting_processors stays high while idle or other pools' idle is too, check that moves succeed.";
+    OwnerRecordIgnored, 819, Warning, "entry term known_term", "An owner record of an earlier term, or of another owner of the known term, was applied late and is not followed.", "None for an earlier term; for the known term, see TermConflict.";
     BatchJobAccepted, 820, Info, "job queue team view_age_ms took_ms", "A job was stored and accepted.", "None.";
     BatchCallRefused, 821, Info, "job status reason version view_age_ms took_ms", "A call for a job was refused or failed.", "See docs/OPERATIONS.md.";
     BatchJobCancelled, 822, Info, "job status", "A caller cancelled a job.", "None.";
--- a/src/instance/election.rs
+++ b/src/instance/election.rs
@@ -7,6 +7,7 @@
 use crate::ids::{EntryId, Time};
 use crate::instance::config::MachineSize;
 use crate::instance::shared::OwnerInfo;
+use crate::platform::store::{AppendCondition, StoreError};
 use std::time::Duration;
 
 /// Time without a heartbeat after which another instance takes over: three heartbeats and some time
@@ -26,6 +27,10 @@
 /// than an election, and shows that the instance reaches the store without a break.
 const REPLACE_DELAY: Duration = Duration::from_secs(2);
 
+/// Bits of an incarnation that its first sequence number keeps, so that the numbers that follow are
+/// exact in JSON.
+const FIRST_SEQUENCE_BITS: u32 = 48;
+
 /// Why an instance takes over.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TakeoverReason {
@@ -54,13 +59,28 @@
     }
 }
 
+/// What an owner record tells an instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RecordOutcome {
+    /// A heartbeat of the latest owner, or the first record of a later one.
+    Followed,
+    /// A record of an earlier term, which the store applied late.
+    EarlierTerm,
+    /// Another incarnation's record of the latest owner's term.
+    SameTerm,
+}
+
 /// What an instance has read about the owner.
 #[derive(Clone, Debug)]
 pub struct Election {
     name: EntryId,
     incarnation: u64,
     machine: MachineSize,
+    /// Its term never falls.
     latest_owner: Option<OwnerInfo>,
+    /// Latest term that the store refused to this instance because it was given already, although no
+    /// record of it was read.
+    refused_term: u64,
     has_resigned: bool,
     /// Start of the period in which every read succeeded and no owner record arrived.
     silent_since: Time,
@@ -76,20 +96,35 @@
             incarnation,
             machine,
             latest_owner: None,
+            refused_term: 0,
             has_resigned: true,
             silent_since: now,
             followed_since: now,
         }
     }
 
-    /// Records the newest owner record of a read.
-    pub fn record_owner(&mut self, owner: OwnerInfo, has_resigned: bool, now: Time) {
-        if self.latest_owner.as_ref().is_none_or(|o| o.term != owner.term) {
-            self.followed_since = now;
+    /// Records an owner record, in the order of the topic. A record that is not the latest owner's
+    /// changes nothing: it is no heartbeat, and its owner is not followed.
+    pub fn record_owner(
+        &mut self,
+        owner: OwnerInfo,
+        has_resigned: bool,
+        now: Time,
+    ) -> RecordOutcome {
+        match &self.latest_owner {
+            Some(latest) if owner.term < latest.term => return RecordOutcome::EarlierTerm,
+            Some(latest)
+                if owner.term == latest.term && owner.incarnation != latest.incarnation =>
+            {
+                return RecordOutcome::SameTerm;
+            }
+            Some(latest) if owner.term == latest.term => {}
+            Some(_) | None => self.followed_since = now,
         }
         self.latest_owner = Some(owner);
         self.has_resigned = has_resigned;
         self.silent_since = now;
+        RecordOutcome::Followed
     }
 
     /// Records that heartbeats may have been missed.
@@ -98,10 +133,28 @@
         self.followed_since = now;
     }
 
-    /// Records that this instance tried to take over and did not succeed. A living owner is not
-    /// challenged again at once.
-    pub fn record_failed_takeover(&mut self, now: Time) {
+    /// Returns the term of the next owner.
+    pub fn next_term(&self) -> u64 {
+        self.latest_owner.as_ref().map_or(0, |o| o.term).max(self.refused_term) + 1
+    }
+
+    /// Returns the condition on which this instance takes over with `next_term`: the topic ends where
+    /// it was read, and the term has not been given. The term becomes the epoch of the topic, so
+    /// that the store refuses records of earlier owners that arrive late.
+    pub fn takeover_condition(&self, topic_end: u64) -> AppendCondition {
+        AppendCondition {
+            expected_end: Some(topic_end),
+            producer: Some((self.next_term(), first_sequence(self.incarnation))),
+        }
+    }
+
+    /// Records that this instance tried to take over with `next_term` and did not succeed, or does
+    /// not know. A living owner is not challenged again at once.
+    pub fn record_failed_takeover(&mut self, error: &StoreError, now: Time) {
         self.followed_since = now;
+        if matches!(error, StoreError::Fenced | StoreError::SequenceMismatch { .. }) {
+            self.refused_term = self.next_term();
+        }
     }
 
     /// Returns the latest owner, including one that has resigned.
@@ -151,3 +204,60 @@
         SMALLER_MACHINE_DELAY.mul_f64(1.0 - ratio.min(1.0))
     }
 }
+
+/// Sequence number of an incarnation's first append in each of its terms. Numbers of two incarnations
+/// do not meet, so that the store never takes an append of one for a retry of the other's.
+pub fn first_sequence(incarnation: u64) -> u64 {
+    incarnation >> (u64::BITS - FIRST_SEQUENCE_BITS)
+}
+
+/// Appends to the owner topic by which an owner keeps its term.
+#[derive(Clone, Debug)]
+pub struct Heartbeats {
+    term: u64,
+    incarnation: u64,
+    /// Number of the next append; retries carry the same one.
+    sequence: u64,
+    /// Offset below which no record is another owner's of this term or a later one.
+    read_until: u64,
+}
+
+impl Heartbeats {
+    /// Creates the state of a term whose first append is confirmed, or was read, at an offset below
+    /// `topic_end`.
+    pub fn new(term: u64, incarnation: u64, topic_end: u64) -> Heartbeats {
+        Heartbeats {
+            term,
+            incarnation,
+            sequence: first_sequence(incarnation) + 1,
+            read_until: topic_end,
+        }
+    }
+
+    /// Returns the condition of the next heartbeat.
+    pub fn condition(&self) -> AppendCondition {
+        AppendCondition { expected_end: None, producer: Some((self.term, self.sequence)) }
+    }
+
+    /// Records that the next heartbeat is stored and that the topic ended at `end` then. Returns the
+    /// offset of the first record before it that may be another owner's, if there is one.
+    pub fn record_stored(&mut self, end: u64) -> Option<u64> {
+        self.sequence += 1;
+        if end > self.read_until + 1 {
+            return Some(self.read_until);
+        }
+        self.record_read(end);
+        None
+    }
+
+    /// Records that no record below `end` is another owner's of this term or a later one.
+    pub fn record_read(&mut self, end: u64) {
+        self.read_until = self.read_until.max(end);
+    }
+
+    /// Whether a record shows that this owner must end its term: another incarnation has the term, or
+    /// a later one.
+    pub fn is_superseded_by(&self, owner: &OwnerInfo) -> bool {
+        owner.incarnation != self.incarnation && owner.term >= self.term
+    }
+}
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -9,12 +9,14 @@
 use crate::batch::worker::WorkerInfo;
 use crate::event::Event;
 use crate::ids::Time;
-use crate::instance::election::{Election, TakeoverReason};
+use crate::instance::election::{
+    Election, Heartbeats, RecordOutcome, TakeoverReason, first_sequence,
+};
 use crate::instance::owner_load::{self, OwnerLoad};
 use crate::instance::shared::{OwnerInfo, Shared};
 use crate::instance::topics::{self, OWNER_KEY};
 use crate::instance::{machine_orders, peers, workers};
-use crate::platform::store::{self, AppendCondition, StoreError};
+use crate::platform::store::{self, AppendCondition, Fetched, StoreError};
 use crate::platform::{job_format, registry};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -38,6 +40,8 @@
 const EARLIER_OWNER_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time for which an instance tries to take over before it reads the topic again.
+const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Longest wait of a read of callers' jobs.
 const JOBS_READ_WAIT: Duration = Duration::from_secs(1);
 /// Suffix of the job's id in the key of a cancellation.
@@ -56,15 +60,11 @@
     let mut last_ended_term = 0;
     loop {
         let wait = owner_read_wait(election.takeover_at().0, shared.now());
+        let requested_at = shared.now();
         match topics::read_topic(&shared, store::OWNER_TOPIC, next, wait).await {
             Ok((fetched, _)) => {
                 next = Some(fetched.next_offset);
-                if let Some((owner_info, has_resigned)) =
-                    fetched.records.iter().rev().find_map(topics::decode_owner_record)
-                {
-                    update_known_owner(&shared, &owner_info, has_resigned);
-                    election.record_owner(owner_info, has_resigned, shared.now());
-                }
+                record_owners(&shared, &mut election, &fetched);
             }
             Err(StoreError::Truncated { .. }) => next = None,
             Err(_) => {
@@ -75,7 +75,7 @@
         let Some(topic_end) = next else { continue };
         // An append of this incarnation that got no response took effect.
         if let Some(term) = election.unconfirmed_term(last_ended_term) {
-            run_term(&shared, term, None).await;
+            run_term(&shared, Term::new(term, requested_at), topic_end, None).await;
             (next, last_ended_term) = (None, term);
             election.record_gap(shared.now());
             continue;
@@ -89,15 +89,38 @@
         if shared.now() < takeover_at {
             continue;
         }
-        let earlier = election.latest_owner().cloned();
-        let term = earlier.as_ref().map_or(0, |o| o.term) + 1;
-        if try_take_over(&shared, term, topic_end, reason).await {
-            run_term(&shared, term, earlier).await;
-            (next, last_ended_term) = (None, term);
-            election.record_gap(shared.now());
-        } else {
-            election.record_failed_takeover(shared.now());
-            sleep(RETRY_DELAY).await;
+        let (earlier, term) = (election.latest_owner().cloned(), election.next_term());
+        let sent_at = shared.now();
+        match try_take_over(&shared, &election, topic_end, reason).await {
+            Ok(topic_end) => {
+                run_term(&shared, Term::new(term, sent_at), topic_end, earlier).await;
+                (next, last_ended_term) = (None, term);
+                election.record_gap(shared.now());
+            }
+            // Another instance appended first, or the response was lost; the next read shows which.
+            Err(e) => {
+                election.record_failed_takeover(&e, shared.now());
+                sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Passes the owner records of a read to the election, and remembers the latest owner for calls.
+fn record_owners(shared: &Shared, election: &mut Election, fetched: &Fetched) {
+    for (owner_info, has_resigned) in fetched.records.iter().filter_map(topics::decode_owner_record)
+    {
+        match election.record_owner(owner_info.clone(), has_resigned, shared.now()) {
+            RecordOutcome::Followed => update_known_owner(shared, &owner_info, has_resigned),
+            RecordOutcome::EarlierTerm | RecordOutcome::SameTerm => {
+                let known_term = election.latest_owner().map_or(0, |o| o.term);
+                let fields = [
+                    ("entry", (&owner_info.name).into()),
+                    ("term", owner_info.term.into()),
+                    ("known_term", known_term.into()),
+                ];
+                shared.log.event(Event::OwnerRecordIgnored, &fields);
+            }
         }
     }
 }
@@ -121,14 +144,24 @@
     *known_owner = (!has_resigned).then(|| owner_info.clone());
 }
 
-/// Tries to become the owner. Returns false if another instance appended first or the outcome is
-/// unknown.
-async fn try_take_over(shared: &Shared, term: u64, topic_end: u64, reason: TakeoverReason) -> bool {
+/// Tries to become the owner. Returns the end of the topic after this instance's record. After an
+/// error the record may still be stored.
+async fn try_take_over(
+    shared: &Shared,
+    election: &Election,
+    topic_end: u64,
+    reason: TakeoverReason,
+) -> Result<u64, StoreError> {
+    let term = election.next_term();
     let record = topics::encode_owner_record(shared, term, false);
-    // The append does not use the owners' producer ID: with it, the store would treat the same
-    // append of another instance as a retry of this one.
-    let condition = AppendCondition { expected_end: Some(topic_end), producer: None };
-    match shared.store.append(store::OWNER_TOPIC, &[(OWNER_KEY, Some(&record))], condition).await {
+    let append = Append {
+        topic: store::OWNER_TOPIC,
+        records: &[(OWNER_KEY, Some(&record))],
+        condition: election.takeover_condition(topic_end),
+    };
+    let give_up_at = shared.now() + TAKEOVER_TIMEOUT;
+    let result = append_repeatedly(shared, append, |now| now < give_up_at).await;
+    match &result {
         Ok(_) => {
             let machine = shared.cfg.machine;
             let fields = [
@@ -138,14 +171,40 @@
                 ("link_mbps", machine.link_mbps.into()),
             ];
             shared.log.event(Event::OwnerHere, &fields);
-            true
         }
         Err(e) => {
             let error = e.to_string();
             let fields = [("term", term.into()), ("error", (&error).into())];
             shared.log.event(Event::OwnerNotHere, &fields);
-            // Another instance appended first, or the response was lost; the next read shows which.
-            false
+        }
+    }
+    result
+}
+
+/// Append that the store carries out at most once, however often it is sent.
+struct Append<'a> {
+    topic: &'a str,
+    records: &'a [(&'a str, Option<&'a [u8]>)],
+    condition: AppendCondition,
+}
+
+/// Sends an append until the store answers it for good, or `may_retry` returns false. Returns the offset
+/// after the records.
+async fn append_repeatedly(
+    shared: &Shared,
+    append: Append<'_>,
+    may_retry: impl Fn(Time) -> bool,
+) -> Result<u64, StoreError> {
+    loop {
+        match shared.store.append(append.topic, append.records, append.condition).await {
+            Ok(end) => return Ok(end),
+            Err(
+                e @ (StoreError::Fenced
+                | StoreError::SequenceMismatch { .. }
+                | StoreError::EndMismatch { .. }),
+            ) => return Err(e),
+            Err(e) if !may_retry(shared.now()) => return Err(e),
+            Err(_) => sleep(RETRY_DELAY).await,
         }
     }
 }
@@ -156,7 +215,7 @@
     /// Why the term ended; `None` while it lasts.
     end_reason: Mutex<Option<String>>,
     ended: Notify,
-    /// When the last append that the store confirmed was sent.
+    /// When the latest of the appends that the store confirmed was first sent.
     last_store_at: Mutex<Time>,
     pub load: OwnerLoad,
 }
@@ -179,9 +238,10 @@
         self.ended.notify_one();
     }
 
-    /// Records that the store confirmed an append that was sent at `sent_at`.
+    /// Records that the store confirmed an append that was first sent at `sent_at`.
     pub fn record_stored(&self, sent_at: Time) {
-        *self.last_store_at.lock() = sent_at;
+        let mut last_store_at = self.last_store_at.lock();
+        *last_store_at = last_store_at.max(sent_at);
     }
 
     /// Whether orders may be sent and leases extended. A later owner relies on this limit. Time for
@@ -192,12 +252,14 @@
 }
 
 /// Runs a term until a later owner takes over, the store does not respond for too long, or the
-/// process stops.
-async fn run_term(shared: &Arc<Shared>, number: u64, earlier: Option<OwnerInfo>) {
-    let term = Arc::new(Term::new(number, shared.now()));
+/// process stops. The owner topic ended at `topic_end` when it was known last.
+async fn run_term(shared: &Arc<Shared>, term: Term, topic_end: u64, earlier: Option<OwnerInfo>) {
+    let number = term.number;
+    let term = Arc::new(term);
     *shared.term.lock() = Some(number);
+    let heartbeats = Heartbeats::new(number, shared.incarnation, topic_end);
     let mut tasks = JoinSet::new();
-    tasks.spawn(send_heartbeats(shared.clone(), term.clone()));
+    tasks.spawn(send_heartbeats(shared.clone(), term.clone(), heartbeats));
     tasks.spawn(act_as_owner(shared.clone(), term.clone()));
     tasks.spawn(await_earlier_owner(shared.clone(), earlier));
     tasks.spawn(owner_load::report(shared.clone(), term.clone()));
@@ -228,44 +290,83 @@
 }
 
 /// Appends heartbeats of the owner.
-async fn send_heartbeats(shared: Arc<Shared>, term: Arc<Term>) {
-    let mut sequence = 0;
+async fn send_heartbeats(shared: Arc<Shared>, term: Arc<Term>, mut heartbeats: Heartbeats) {
     loop {
         sleep(HEARTBEAT_INTERVAL).await;
         let stopping = shared.stopping.load(Ordering::Relaxed);
         let record = topics::encode_owner_record(&shared, term.number, stopping);
-        let condition =
-            AppendCondition { expected_end: None, producer: Some((term.number, sequence)) };
-        let sent_at = shared.now();
-        match shared
-            .store
-            .append(store::OWNER_TOPIC, &[(OWNER_KEY, Some(&record))], condition)
-            .await
-        {
-            Ok(_) => {
-                sequence += 1;
-                term.record_stored(sent_at);
-                if stopping {
-                    return term.end("stopping");
-                }
-            }
-            Err(StoreError::Fenced) => return term.end("a later owner has taken over"),
-            Err(StoreError::SequenceMismatch { expected }) => sequence = expected,
-            Err(_) if !term.may_send_orders(sent_at) => {
-                return term.end("the store does not answer");
-            }
-            // Retries with the same sequence number; the store repeats its response if the append
-            // took effect.
-            Err(_) => sleep(RETRY_DELAY).await,
+        let append = Append {
+            topic: store::OWNER_TOPIC,
+            records: &[(OWNER_KEY, Some(&record))],
+            condition: heartbeats.condition(),
+        };
+        let end = match append_in_term(&shared, &term, append).await {
+            Ok(end) => end,
+            Err(e) => return end_term(&shared, &term, &e),
+        };
+        if stopping {
+            return term.end("stopping");
+        }
+        let Some(unread_from) = heartbeats.record_stored(end) else { continue };
+        // Read with the next heartbeat if it fails.
+        let Ok(fetched) = shared.store.read(store::OWNER_TOPIC, unread_from, Duration::ZERO).await
+        else {
+            continue;
+        };
+        if let Some(owner_info) = successor(&heartbeats, &fetched) {
+            log_term_conflict(&shared, &term, &owner_info.name, "its record was read");
+            return term.end("another owner's record was read");
+        }
+        heartbeats.record_read(end);
+    }
+}
+
+/// Returns the owner that records name beside or after the one that sends `heartbeats`.
+fn successor(heartbeats: &Heartbeats, fetched: &Fetched) -> Option<OwnerInfo> {
+    let owners = fetched.records.iter().filter_map(topics::decode_owner_record);
+    owners.map(|(owner_info, _)| owner_info).find(|o| heartbeats.is_superseded_by(o))
+}
+
+/// Appends a record of the term, as long as this instance may send orders.
+async fn append_in_term(
+    shared: &Shared,
+    term: &Term,
+    append: Append<'_>,
+) -> Result<u64, StoreError> {
+    // Which attempt took effect is not known: a retry repeats the first answer.
+    let sent_at = shared.now();
+    let end = append_repeatedly(shared, append, |now| term.may_send_orders(now)).await?;
+    term.record_stored(sent_at);
+    Ok(end)
+}
+
+/// Ends a term after an append failed for good.
+fn end_term(shared: &Shared, term: &Term, error: &StoreError) {
+    match error {
+        StoreError::Fenced => term.end("a later owner has taken over"),
+        StoreError::SequenceMismatch { .. } => {
+            // Numbers of one incarnation have no gaps.
+            log_term_conflict(shared, term, "", &error.to_string());
+            term.end("another owner has appended in this term");
         }
+        StoreError::EndMismatch { .. }
+        | StoreError::NoResponse
+        | StoreError::Refused { .. }
+        | StoreError::Truncated { .. }
+        | StoreError::Unreachable => term.end("the store does not answer"),
     }
 }
 
+fn log_term_conflict(shared: &Shared, term: &Term, entry: &str, error: &str) {
+    let fields = [("term", term.number.into()), ("entry", entry.into()), ("error", error.into())];
+    shared.log.event(Event::TermConflict, &fields);
+}
+
 /// Loads the stored state and runs the owner's tasks.
 async fn act_as_owner(shared: Arc<Shared>, term: Arc<Term>) {
-    let mut sequence = 0;
-    if let Err(e) = fence_earlier_owners(&shared, &term, &mut sequence).await {
-        return term.end(&e.to_string());
+    let sequence = first_sequence(shared.incarnation);
+    if let Err(e) = fence_earlier_owners(&shared, &term, sequence).await {
+        return end_term(&shared, &term, &e);
     }
     let (jobs_next, workers_next, listed) = match load(&shared, &term).await {
         Ok(loaded) => loaded,
@@ -283,19 +384,14 @@
 async fn fence_earlier_owners(
     shared: &Shared,
     term: &Term,
-    sequence: &mut u64,
+    sequence: u64,
 ) -> Result<(), StoreError> {
-    loop {
-        let condition =
-            AppendCondition { expected_end: None, producer: Some((term.number, *sequence)) };
-        match shared.store.append(store::PROGRESS_TOPIC, &[], condition).await {
-            Ok(_) => return Ok(()),
-            Err(StoreError::Fenced) => return Err(StoreError::Fenced),
-            Err(StoreError::SequenceMismatch { expected }) => *sequence = expected,
-            Err(_) if !term.may_send_orders(shared.now()) => return Err(StoreError::NoResponse),
-            Err(_) => sleep(RETRY_DELAY).await,
-        }
-    }
+    let append = Append {
+        topic: store::PROGRESS_TOPIC,
+        records: &[],
+        condition: AppendCondition { expected_end: None, producer: Some((term.number, sequence)) },
+    };
+    append_in_term(shared, term, append).await.map(|_| ())
 }
 
 type Loaded = (u64, u64, IndexMap<Arc<str>, WorkerInfo>);
@@ -447,7 +543,7 @@
             return term.end(&e.to_string());
         }
         if let Err(e) = store_batch(&shared, &term, &batch, &mut sequence).await {
-            return term.end(&e.to_string());
+            return end_term(&shared, &term, &e);
         }
         apply_batch(&shared, &term, batch);
     }
@@ -509,38 +605,21 @@
         let (part, later) = rest.split_at(store::records_per_append(rest.iter().map(size)));
         let started = Instant::now();
         *sequence += 1;
-        append_progress(shared, term, part, sequence).await?;
+        let append = Append {
+            topic: store::PROGRESS_TOPIC,
+            records: part,
+            condition: AppendCondition {
+                expected_end: None,
+                producer: Some((term.number, *sequence)),
+            },
+        };
+        append_in_term(shared, term, append).await?;
         term.load.record_store(shared, part.iter().map(size).sum(), started);
         rest = later;
     }
     Ok(())
 }
 
-async fn append_progress(
-    shared: &Shared,
-    term: &Term,
-    records: &[(&str, Option<&[u8]>)],
-    sequence: &mut u64,
-) -> Result<(), StoreError> {
-    loop {
-        let condition =
-            AppendCondition { expected_end: None, producer: Some((term.number, *sequence)) };
-        let sent_at = shared.now();
-        match shared.store.append(store::PROGRESS_TOPIC, records, condition).await {
-            Ok(_) => {
-                term.record_stored(sent_at);
-                return Ok(());
-            }
-            Err(StoreError::Fenced) => return Err(StoreError::Fenced),
-            Err(StoreError::SequenceMismatch { expected }) => *sequence = expected,
-            Err(e) if !term.may_send_orders(shared.now()) => return Err(e),
-            // Retries with the same sequence number; the store repeats its response if the append
-            // took effect.
-            Err(_) => sleep(RETRY_DELAY).await,
-        }
-    }
-}
-
 fn apply_batch(shared: &Arc<Shared>, term: &Arc<Term>, batch: DecisionBatch) {
     if let Some(owner) = shared.owner.lock().as_mut() {
         owner.mark_stored(&batch);
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -1,8 +1,9 @@
 //! When instances take over as the owner, without I/O.
 
 use jacinthhook::instance::config::MachineSize;
-use jacinthhook::instance::election::{Election, HEARTBEAT_TIMEOUT, TakeoverReason};
+use jacinthhook::instance::election::{Election, HEARTBEAT_TIMEOUT, Heartbeats, TakeoverReason};
 use jacinthhook::instance::shared::OwnerInfo;
+use jacinthhook::platform::store::StoreError;
 use std::time::Duration;
 
 const SMALL: MachineSize = MachineSize { processors_milli: 120, link_mbps: 10 };
@@ -93,7 +94,7 @@
     assert!(after_gap.takeover_at().0 > ms(11_000));
 
     let mut after_failure = large.clone();
-    after_failure.record_failed_takeover(ms(10_000));
+    after_failure.record_failed_takeover(&StoreError::EndMismatch { end: 9 }, ms(10_000));
     after_failure.record_owner(small_owner.clone(), false, ms(10_100));
     assert!(after_failure.takeover_at().0 > ms(11_000));
 
@@ -122,3 +123,46 @@
     // It is no heartbeat of the latest owner either.
     assert!(election.takeover_at().0 < ms(12_000) + HEARTBEAT_TIMEOUT);
 }
+
+/// The store refuses a term as given although no record of it was read. Guards against trying the same
+/// term forever.
+#[test]
+fn next_term_refused() {
+    let mut election = follower("a", LARGE, &owner(5, "x", LARGE), ms(10_000));
+    election.record_failed_takeover(&StoreError::EndMismatch { end: 9 }, ms(12_000));
+    election.record_failed_takeover(&StoreError::NoResponse, ms(12_000));
+    assert_eq!(election.next_term(), 6);
+    election.record_failed_takeover(&StoreError::Fenced, ms(12_000));
+    assert_eq!(election.next_term(), 7);
+    election.record_failed_takeover(&StoreError::SequenceMismatch { expected: 3 }, ms(12_000));
+    assert_eq!(election.next_term(), 8);
+}
+
+/// Two instances that take over at the same time append with different sequence numbers. Guards
+/// against a store that takes the second append for a retry of the first, so that both count as owner.
+#[test]
+fn takeover_condition_two_incarnations() {
+    let condition = |incarnation: u64| {
+        let election = Election::new("a".into(), incarnation, LARGE, ms(0));
+        election.takeover_condition(4).producer.expect("an epoch")
+    };
+    let (first, second) = (condition(u64::MAX / 3), condition(u64::MAX / 5));
+    assert_eq!((first.0, second.0), (1, 1));
+    assert!(first.1.abs_diff(second.1) > 1_000_000, "{first:?} {second:?}");
+}
+
+/// Guards against an owner that does not notice another one of its term.
+#[test]
+fn heartbeats_record_of_another_owner() {
+    let mut heartbeats = Heartbeats::new(5, 7, 10);
+    assert_eq!(heartbeats.record_stored(11), None);
+    assert_eq!(heartbeats.record_stored(13), Some(11), "a record that is not its own");
+    assert_eq!(heartbeats.record_stored(14), Some(11), "it has not been read yet");
+    heartbeats.record_read(14);
+    assert_eq!(heartbeats.record_stored(15), None);
+    let by = |term, incarnation| OwnerInfo { incarnation, ..owner(term, "x", LARGE) };
+    assert!(heartbeats.is_superseded_by(&by(5, 8)));
+    assert!(heartbeats.is_superseded_by(&by(6, 8)));
+    assert!(!heartbeats.is_superseded_by(&by(4, 8)));
+    assert!(!heartbeats.is_superseded_by(&by(5, 7)));
+}
--- a/tests/instance.rs
+++ b/tests/instance.rs
@@ -443,3 +443,44 @@
     let starts = platform.start_counts();
     assert!(starts.values().all(|n| *n == 1), "{starts:?}");
 }
+
+/// Another incarnation's record of the owner's term is in the owner topic. Guards against two owners of
+/// one term that both go on: neither the store nor the workers can tell them apart.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn owner_of_given_term_ends() {
+    let (platform, address) = start_platform().await;
+    let a = start("conflict-a", address);
+    wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
+    let record = json!({
+        "term": 1, "life": 1, "name": "other", "zone": "z1", "peers": "127.0.0.1:1",
+        "resigned": false,
+    });
+    platform.put_record("keyed.owner", "owner", &record);
+    wait_until("the term ends", async || !a.events("OwnerGone").is_empty()).await;
+    assert_eq!(a.events("TermConflict")[0]["entry"], "other");
+    wait_until("there is an owner of the next term", async || {
+        a.events("OwnerHere").iter().any(|e| e["term"] == 2)
+    })
+    .await;
+}
+
+/// A heartbeat of an earlier owner reaches the store after another instance has taken over. Guards
+/// against a store that takes it: the earlier owner then counted as the owner again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_heartbeat_is_refused() {
+    let (_platform, address) = start_platform().await;
+    let mut a = start("late-a", address);
+    wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
+    let b = start("late-b", address);
+    wait_until("the other one follows", async || !b.events("OwnerSeen").is_empty()).await;
+    a.child.kill().expect("send the signal");
+    let client = reqwest::Client::new();
+    let query = "topic=keyed.owner&part=0&producer=owner&epoch=1&sequence=0";
+    let url = format!("http://{address}/-/log-append?{query}");
+    while b.events("OwnerHere").is_empty() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let answer: Value =
+        client.post(url).send().await.expect("an answer").json().await.expect("JSON");
+    assert_eq!(answer["reason"], "fenced");
+}
