Send an owner's appends again before their timeout

What callers saw: with a store that loses answers, up to nine terms in a minute, and seconds without decisions at each change.

Cause: a heartbeat without an answer was sent again 1.3 s later, after its timeout. With the 0.4 s between heartbeats one lost append made 1.7 s of silence, and others take over after 1.5 s.

Change: heartbeats, takeovers and the epoch of the progress topic are sent again after 0.25 s, appends of progress after 0.6 s, beside earlier attempts that may still be answered. Attempts share their sequence number, so the store carries out one of them.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -11,6 +11,7 @@
 pub mod owner_load;
 pub mod peers;
 pub mod process;
+pub mod repeated_append;
 pub mod shared;
 pub mod term;
 pub mod topics;
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -13,6 +13,7 @@
     Election, Heartbeats, RecordOutcome, TakeoverReason, first_sequence,
 };
 use crate::instance::owner_load::{self, OwnerLoad};
+use crate::instance::repeated_append::RepeatedAppend;
 use crate::instance::shared::{OwnerInfo, Shared};
 use crate::instance::topics::{self, OWNER_KEY};
 use crate::instance::{machine_orders, peers, workers};
@@ -40,6 +41,11 @@
 const EARLIER_OWNER_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time without an answer after which a small append is sent again beside the earlier attempts. Longer
+/// than a slow store takes, and several attempts fit into `HEARTBEAT_TIMEOUT`.
+const HEARTBEAT_RESEND_DELAY: Duration = Duration::from_millis(250);
+/// The same for an append of progress, which may take this long on a slow link.
+const PROGRESS_RESEND_DELAY: Duration = Duration::from_millis(600);
 /// Time for which an instance tries to take over before it reads the topic again.
 const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Longest wait of a read of callers' jobs.
@@ -154,13 +160,14 @@
 ) -> Result<u64, StoreError> {
     let term = election.next_term();
     let record = topics::encode_owner_record(shared, term, false);
-    let append = Append {
+    let append = RepeatedAppend {
         topic: store::OWNER_TOPIC,
         records: &[(OWNER_KEY, Some(&record))],
         condition: election.takeover_condition(topic_end),
+        resend_delay: HEARTBEAT_RESEND_DELAY,
     };
     let give_up_at = shared.now() + TAKEOVER_TIMEOUT;
-    let result = append_repeatedly(shared, append, |now| now < give_up_at).await;
+    let result = append.send(shared, |now| now < give_up_at).await;
     match &result {
         Ok(_) => {
             let machine = shared.cfg.machine;
@@ -181,34 +188,6 @@
     result
 }
 
-/// Append that the store carries out at most once, however often it is sent.
-struct Append<'a> {
-    topic: &'a str,
-    records: &'a [(&'a str, Option<&'a [u8]>)],
-    condition: AppendCondition,
-}
-
-/// Sends an append until the store answers it for good, or `may_retry` returns false. Returns the offset
-/// after the records.
-async fn append_repeatedly(
-    shared: &Shared,
-    append: Append<'_>,
-    may_retry: impl Fn(Time) -> bool,
-) -> Result<u64, StoreError> {
-    loop {
-        match shared.store.append(append.topic, append.records, append.condition).await {
-            Ok(end) => return Ok(end),
-            Err(
-                e @ (StoreError::Fenced
-                | StoreError::SequenceMismatch { .. }
-                | StoreError::EndMismatch { .. }),
-            ) => return Err(e),
-            Err(e) if !may_retry(shared.now()) => return Err(e),
-            Err(_) => sleep(RETRY_DELAY).await,
-        }
-    }
-}
-
 /// State shared by the tasks of one term.
 pub struct Term {
     pub number: u64,
@@ -295,10 +274,11 @@
         sleep(HEARTBEAT_INTERVAL).await;
         let stopping = shared.stopping.load(Ordering::Relaxed);
         let record = topics::encode_owner_record(&shared, term.number, stopping);
-        let append = Append {
+        let append = RepeatedAppend {
             topic: store::OWNER_TOPIC,
             records: &[(OWNER_KEY, Some(&record))],
             condition: heartbeats.condition(),
+            resend_delay: HEARTBEAT_RESEND_DELAY,
         };
         let end = match append_in_term(&shared, &term, append).await {
             Ok(end) => end,
@@ -331,11 +311,11 @@
 async fn append_in_term(
     shared: &Shared,
     term: &Term,
-    append: Append<'_>,
+    append: RepeatedAppend<'_>,
 ) -> Result<u64, StoreError> {
     // Which attempt took effect is not known: a retry repeats the first answer.
     let sent_at = shared.now();
-    let end = append_repeatedly(shared, append, |now| term.may_send_orders(now)).await?;
+    let end = append.send(shared, |now| term.may_send_orders(now)).await?;
     term.record_stored(sent_at);
     Ok(end)
 }
@@ -386,10 +366,11 @@
     term: &Term,
     sequence: u64,
 ) -> Result<(), StoreError> {
-    let append = Append {
+    let append = RepeatedAppend {
         topic: store::PROGRESS_TOPIC,
         records: &[],
         condition: AppendCondition { expected_end: None, producer: Some((term.number, sequence)) },
+        resend_delay: HEARTBEAT_RESEND_DELAY,
     };
     append_in_term(shared, term, append).await.map(|_| ())
 }
@@ -605,13 +586,14 @@
         let (part, later) = rest.split_at(store::records_per_append(rest.iter().map(size)));
         let started = Instant::now();
         *sequence += 1;
-        let append = Append {
+        let append = RepeatedAppend {
             topic: store::PROGRESS_TOPIC,
             records: part,
             condition: AppendCondition {
                 expected_end: None,
                 producer: Some((term.number, *sequence)),
             },
+            resend_delay: PROGRESS_RESEND_DELAY,
         };
         append_in_term(shared, term, append).await?;
         term.load.record_store(shared, part.iter().map(size).sum(), started);
