Log both incarnations and the source when a worker restarts

WorkerReborn named only the worker, so the log did not tell which process had taken the orders, nor how late the owner learned of the restart and from what.

Change: WorkerReborn has earlier_incarnation, incarnation and source (report or registry). It is also logged when the registry shows a new process of a worker that had been ended. No decision changes.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -49,6 +49,13 @@
 /// within the integers that JSON numbers hold exactly.
 const FENCE_COUNTER_BITS: u32 = 32;
 
+/// What showed the owner that a worker restarted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RestartSource {
+    Registry,
+    Report,
+}
+
 /// An outcome of a decision, for the event log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OwnerEvent {
@@ -57,7 +64,7 @@
     RunLost { task: TaskId, run: u32, worker: WorkerId, reason: &'static str },
     JobEnded { job: JobId, state: JobState, job_age: Duration },
     WorkerQuarantined { worker: WorkerId },
-    WorkerRestarted { worker: WorkerId },
+    WorkerRestarted { worker: WorkerId, earlier: u64, incarnation: u64, source: RestartSource },
     WorkerLeaseExpired { worker: WorkerId, tasks: u64 },
     MaintenanceBlocked { machine: Arc<str>, blocker: Blocker },
     BadRecord { error: String },
@@ -281,6 +288,12 @@
             let worker = self.workers.entry(id.clone()).or_insert_with(new);
             if worker.ended_incarnation.is_some_and(|incarnation| incarnation != entry.incarnation)
             {
+                self.events.push(OwnerEvent::WorkerRestarted {
+                    worker: id.clone(),
+                    earlier: worker.incarnation,
+                    incarnation: entry.incarnation,
+                    source: RestartSource::Registry,
+                });
                 worker.ended_incarnation = None;
                 worker.begin_incarnation(entry.incarnation, &mut self.fence_counter, now);
             }
@@ -370,8 +383,13 @@
         if worker.incarnation != incarnation && worker.clock_reading.is_some() {
             // Polled again under a higher fence, so that orders to the previous incarnation cannot
             // take effect.
+            self.events.push(OwnerEvent::WorkerRestarted {
+                worker: id.clone(),
+                earlier: worker.incarnation,
+                incarnation,
+                source: RestartSource::Report,
+            });
             worker.begin_incarnation(incarnation, &mut self.fence_counter, now);
-            self.events.push(OwnerEvent::WorkerRestarted { worker: id.clone() });
             return false;
         }
         let syncing = !worker.synced;
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -234,8 +234,15 @@
             OwnerEvent::WorkerQuarantined { worker } => {
                 self.log.event(Event::UpstreamSetAside, &[("instance", worker.into())]);
             }
-            OwnerEvent::WorkerRestarted { worker } => {
-                self.log.event(Event::WorkerReborn, &[("worker", worker.into())]);
+            OwnerEvent::WorkerRestarted { worker, earlier, incarnation, source } => {
+                let source = format!("{source:?}").to_lowercase();
+                let fields = [
+                    ("worker", worker.into()),
+                    ("earlier_incarnation", (*earlier).into()),
+                    ("incarnation", (*incarnation).into()),
+                    ("source", (&source).into()),
+                ];
+                self.log.event(Event::WorkerReborn, &fields);
             }
             OwnerEvent::WorkerLeaseExpired { worker, tasks } => {
                 let fields = [("worker", worker.into()), ("tasks", (*tasks).into())];
