Keep the runs of a restarted worker until its next report

A worker without runs restarted under its id, took a start 0.26 s later, and 0.4 s after that the task was started elsewhere as well.

Cause: a worker without runs is not polled, so the owner sends it a start by the clock and the fencing token of the process before, and the new process accepts it. The next poll shows the restart. Then the owner forgot the clock and took the worker's leases for over, so that the next pass gave up all its runs (lease_over) although they were running there.

Change: after a restart is learned of, the runs of the worker are settled by the first report under the raised token, or when the longest lease that a worker accepts is over on the slowest clock. If that report lists runs, they may have been started by the earlier clock and hold the longest lease from then on; otherwise nothing is left of before. Leases that are sent are as long as they were. A worker that answers is settled by its next poll, as before.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -295,7 +295,12 @@
                     source: RestartSource::Registry,
                 });
                 worker.ended_incarnation = None;
-                worker.begin_incarnation(entry.incarnation, &mut self.fence_counter, now);
+                worker.begin_incarnation(
+                    entry.incarnation,
+                    self.bounds.max_lease,
+                    &mut self.fence_counter,
+                    now,
+                );
             }
             worker.registered = worker.ended_incarnation.is_none();
             worker.info = entry.clone();
@@ -389,7 +394,8 @@
                 incarnation,
                 source: RestartSource::Report,
             });
-            worker.begin_incarnation(incarnation, &mut self.fence_counter, now);
+            let max_lease = self.bounds.max_lease;
+            worker.begin_incarnation(incarnation, max_lease, &mut self.fence_counter, now);
             return false;
         }
         let syncing = !worker.synced;
@@ -400,6 +406,9 @@
             worker.lease_until =
                 worker.lease_until.max(report.clock + LEASE_DURATION.min(self.bounds.max_lease));
         }
+        if worker.clock_reading.is_none() {
+            worker.settle_restart(!report.running.is_empty(), self.bounds.max_lease, now);
+        }
         worker.incarnation = incarnation;
         worker.clock_reading = Some((report.clock, now));
         worker.synced = true;
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -58,6 +58,9 @@
     /// By the owner's clock, when all leases given by previous owners have expired. Zero once the
     /// worker has been synced.
     pub prior_leases_until: Time,
+    /// By the owner's clock, when all leases have expired that this incarnation may have received by
+    /// the clock of the previous one. Zero if the owner has seen no restart.
+    pub restart_leases_until: Time,
     /// Tasks assigned to the worker, with the resources that each reserves.
     pub assigned: IndexMap<TaskId, Resources>,
     /// Index of the last finished run that was processed.
@@ -100,6 +103,7 @@
             clock_reading: None,
             lease_until: WorkerTime::ZERO,
             prior_leases_until,
+            restart_leases_until: Time::ZERO,
             assigned: IndexMap::new(),
             last_processed: 0,
             last_stored: 0,
@@ -114,18 +118,35 @@
         }
     }
 
-    /// Resets the state that belongs to the previous incarnation.
-    pub fn begin_incarnation(&mut self, incarnation: u64, fence_counter: &mut u32, now: Time) {
+    /// Resets the state that belongs to the previous incarnation. Orders that were sent before may
+    /// have reached the new one and given it a lease of at most `max_lease`.
+    pub fn begin_incarnation(
+        &mut self,
+        incarnation: u64,
+        max_lease: Duration,
+        fence_counter: &mut u32,
+        now: Time,
+    ) {
         self.incarnation = incarnation;
         self.incarnation_seen_at = now;
         self.resync(fence_counter);
         self.clock_reading = None;
         self.lease_until = WorkerTime::ZERO;
+        self.restart_leases_until = lease_end(now, max_lease);
         self.last_processed = 0;
         self.last_stored = 0;
         self.last_acknowledged = 0;
     }
 
+    /// Records the first report of an incarnation that may have received orders meant for the previous
+    /// one. From here on it rejects those. The leases of the runs that it has started may be full ones.
+    pub fn settle_restart(&mut self, has_runs: bool, max_lease: Duration, now: Time) {
+        if !self.restart_leases_until.is_zero() {
+            self.restart_leases_until =
+                if has_runs { lease_end(now, max_lease) } else { Time::ZERO };
+        }
+    }
+
     /// Raises the fence to the next value of the owner's counter and requires a new poll, so that
     /// orders in flight cannot take effect.
     pub fn resync(&mut self, fence_counter: &mut u32) {
@@ -142,12 +163,10 @@
 
     /// By the owner's clock, when all leases sent so far have expired for certain.
     pub fn leases_expire_at(&self) -> Time {
+        let earlier = self.prior_leases_until.max(self.restart_leases_until);
         match self.clock_reading {
-            None => self.prior_leases_until,
-            Some((clock, at)) => {
-                let remaining = self.lease_until.saturating_sub(clock).div_f64(MIN_CLOCK_RATE);
-                self.prior_leases_until.max(at + remaining)
-            }
+            None => earlier,
+            Some((clock, at)) => earlier.max(lease_end(at, self.lease_until.saturating_sub(clock))),
         }
     }
 
@@ -192,3 +211,9 @@
         self.quarantined_until = Time::ZERO;
     }
 }
+
+/// By the owner's clock, when a lease has expired for certain that had `remaining` left by a worker's
+/// clock at `at`.
+fn lease_end(at: Time, remaining: Duration) -> Time {
+    at + remaining.div_f64(MIN_CLOCK_RATE)
+}
--- a/tests/batch/mod.rs
+++ b/tests/batch/mod.rs
@@ -23,6 +23,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct FakeWorker {
     pub incarnation: u64,
+    /// When its clock started.
+    pub started_at: Duration,
     pub fence: u64,
     pub running: IndexMap<TaskId, u32>,
     pub finished: Vec<FinishedRun>,
@@ -244,7 +246,7 @@
         });
         WorkerReport {
             incarnation: fake_worker.incarnation,
-            clock: self.now,
+            clock: self.now - fake_worker.started_at,
             running: running.collect(),
             finished: fake_worker.finished.clone(),
             requested_at: self.now,
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -2,12 +2,41 @@
 
 mod batch;
 
-use batch::{Cluster, FakeWorker};
+use batch::{Cluster, FakeWorker, bounds, short_step};
 use jacinthhook::batch::job::WorkerId;
-use jacinthhook::batch::owner::{OwnerEvent, RestartSource};
+use jacinthhook::batch::orders::{StartOrder, StartOutcome};
+use jacinthhook::batch::owner::{LEASE_DURATION, OwnerEvent, RestartSource};
+use std::time::Duration;
+
+const JOB: &str = "00000000000000a1";
+/// Time between two passes of the owner.
+const PASS: Duration = Duration::from_millis(100);
 
 fn restart(cluster: &mut Cluster, worker: &str, incarnation: u64) {
-    cluster.fake_workers[worker] = FakeWorker { incarnation, ..FakeWorker::default() };
+    let started_at = cluster.now;
+    cluster.fake_workers[worker] = FakeWorker { incarnation, started_at, ..FakeWorker::default() };
+}
+
+/// Lets an idle worker restart unnoticed and carry out a start, and returns that start.
+fn start_on_restarted_worker(cluster: &mut Cluster) -> StartOrder {
+    cluster.submit(JOB, vec![short_step(1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    restart(cluster, &start.worker, 2);
+    cluster.carry_out_start(&start);
+    cluster.owner.record_start_outcome(&start, StartOutcome::Started, cluster.now);
+    cluster.advance(PASS);
+    start
+}
+
+/// Lets passes go by for `duration`. Returns the starts that they order.
+fn pass_for(cluster: &mut Cluster, duration: Duration) -> Vec<StartOrder> {
+    let until = cluster.now + duration;
+    let mut starts = Vec::new();
+    while cluster.now < until {
+        starts.extend(cluster.decide().orders.starts);
+        cluster.advance(PASS);
+    }
+    starts
 }
 
 /// Guards against a log from which the cause of a lost run cannot be read: which process restarted,
@@ -26,3 +55,85 @@
     };
     assert!(cluster.decide().events.contains(&event));
 }
+
+/// An idle worker restarts unnoticed and carries out a start. Guards against giving up that run once
+/// a poll shows the restart: it ran here and elsewhere.
+#[test]
+fn tick_restart_after_start() {
+    let mut cluster = Cluster::new(2);
+    let start = start_on_restarted_worker(&mut cluster);
+    cluster.poll(&start.worker);
+    let batch = cluster.decide();
+    assert_eq!(batch.orders.starts, [], "the task started twice");
+    assert!(cluster.owner.workers[&start.worker].assigned.contains_key(&start.task));
+    cluster.advance(PASS);
+    cluster.poll(&start.worker);
+    let batch = cluster.decide();
+    assert_eq!((batch.orders.starts, batch.orders.stops), (vec![], vec![]));
+    assert!(cluster.owner.workers[&start.worker].synced);
+    assert!(cluster.owner.workers[&start.worker].assigned.contains_key(&start.task));
+}
+
+/// Guards against starting a task elsewhere before a late start of it is void, and against never
+/// starting it again: the runs of the earlier process are over.
+#[test]
+fn tick_restart_with_earlier_run() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit(JOB, vec![short_step(1)]);
+    cluster.settle();
+    let (worker, task, run) = cluster.running_tasks().remove(0);
+    restart(&mut cluster, &worker, 2);
+    cluster.poll(&worker);
+    assert_eq!(pass_for(&mut cluster, PASS * 3), []);
+    cluster.poll(&worker);
+    let starts = pass_for(&mut cluster, PASS * 3);
+    assert_eq!(starts.len(), 1);
+    assert_eq!((&starts[0].task, starts[0].run), (&task, run + 1));
+    assert_ne!(starts[0].worker, worker);
+}
+
+/// A worker falls silent after a poll has shown its restart. Guards against giving up its run before
+/// the longest lease, which the start may have brought by the clock of the earlier process, is over
+/// on a slow clock, and against holding the task forever.
+#[test]
+fn tick_restart_then_silent() {
+    let mut cluster = Cluster::new(2);
+    let start = start_on_restarted_worker(&mut cluster);
+    cluster.poll(&start.worker);
+    cluster.owner.record_unanswered_poll(&start.worker);
+    assert_eq!(pass_for(&mut cluster, bounds().max_lease.div_f64(0.98)), []);
+    assert_eq!(pass_for(&mut cluster, PASS * 5).len(), 1);
+}
+
+/// A worker falls silent after the first report under the raised fencing token. Guards against taking
+/// the lease that is sent now for the one that the worker has: the start before may have brought the
+/// longest one.
+#[test]
+fn tick_restart_synced_then_silent() {
+    let mut cluster = Cluster::new(2);
+    let start = start_on_restarted_worker(&mut cluster);
+    cluster.poll(&start.worker);
+    cluster.advance(PASS);
+    cluster.poll(&start.worker);
+    assert!(cluster.owner.workers[&start.worker].synced);
+    cluster.owner.record_unanswered_poll(&start.worker);
+    assert_eq!(pass_for(&mut cluster, bounds().max_lease.div_f64(0.98)), []);
+    assert_eq!(pass_for(&mut cluster, PASS * 5).len(), 1);
+}
+
+/// Guards against holding the tasks of a restarted worker longer than its lease after it has listed no
+/// run of before: no order of before can take effect any more.
+#[test]
+fn tick_restart_synced_without_runs() {
+    let mut cluster = Cluster::new(1);
+    let worker: WorkerId = "w0".into();
+    restart(&mut cluster, &worker, 2);
+    cluster.poll(&worker);
+    cluster.advance(PASS);
+    cluster.poll(&worker);
+    cluster.submit(JOB, vec![short_step(1)]);
+    assert_eq!(pass_for(&mut cluster, PASS).len(), 1);
+    cluster.owner.record_unanswered_poll(&worker);
+    pass_for(&mut cluster, LEASE_DURATION.mul_f64(1.1));
+    assert!(cluster.owner.workers[&worker].assigned.is_empty());
+}
