Learn of a worker's restart from the registry

The registry names the new process, but the owner compared the entry's incarnation only for workers that it had ended.

Change: an entry with a newer incarnation than the one known counts as a restart at once: the fencing token rises, the worker gets no starts until it has been polled under it, and its poll loop is woken, which otherwise idles for up to 2 s. An older entry, one without an incarnation or one handled before changes nothing, so that an entry of another writer cannot keep a worker from being used. A worker is ended with the incarnation that it reported, not the one of its entry, and only a newer entry brings it back: its own late entry did so before.

Result: batch_restarts 9 passed; batch_owner 29, batch_late_orders 7, batch_maintenance 9, batch_moves 6, batch_ordered_machines 6, worker_report 2 passed. The wake of the poll loop has no test.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -277,8 +277,13 @@
     }
 
     /// Updates the workers from the registry. Workers that are not listed are marked as
-    /// unregistered.
-    pub fn update_workers(&mut self, registry: &IndexMap<WorkerId, WorkerInfo>, now: Time) {
+    /// unregistered. Returns those that restarted, which get no starts until they are polled again.
+    pub fn update_workers(
+        &mut self,
+        registry: &IndexMap<WorkerId, WorkerInfo>,
+        now: Time,
+    ) -> Vec<WorkerId> {
+        let mut restarted = Vec::new();
         for (id, worker) in &mut self.workers {
             worker.registered = registry.contains_key(id);
         }
@@ -286,8 +291,7 @@
             let (fence_counter, until) = (self.fence_counter, self.prior_leases_until);
             let new = || Worker::new(entry.clone(), fence_counter, until, now);
             let worker = self.workers.entry(id.clone()).or_insert_with(new);
-            if worker.ended_incarnation.is_some_and(|incarnation| incarnation != entry.incarnation)
-            {
+            if worker.is_restart(entry) {
                 self.events.push(OwnerEvent::WorkerRestarted {
                     worker: id.clone(),
                     earlier: worker.incarnation,
@@ -301,12 +305,14 @@
                     &mut self.fence_counter,
                     now,
                 );
+                restarted.push(id.clone());
             }
             worker.registered = worker.ended_incarnation.is_none();
             worker.info = entry.clone();
         }
         self.workers
             .retain(|id, w| w.registered || !w.assigned.is_empty() || registry.contains_key(id));
+        restarted
     }
 
     /// Returns the lease to send with a start order, or `None` if the order must not be sent, or
@@ -682,7 +688,7 @@
         self.expire_lease(id, now);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.registered = false;
-            worker.ended_incarnation = Some(worker.info.incarnation);
+            worker.ended_incarnation = Some(worker.incarnation);
         }
     }
 
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -138,6 +138,19 @@
         self.last_acknowledged = 0;
     }
 
+    /// Whether a registry entry names a newer incarnation than the one that the owner knows or knows to
+    /// have ended. An entry is news only once: the worker's report counts for more.
+    pub fn is_restart(&self, entry: &WorkerInfo) -> bool {
+        match self.ended_incarnation {
+            Some(ended) => entry.incarnation > ended,
+            None => {
+                self.incarnation != 0
+                    && entry.incarnation > self.incarnation
+                    && entry.incarnation != self.info.incarnation
+            }
+        }
+    }
+
     /// Records the first report of an incarnation that may have received orders meant for the previous
     /// one. From here on it rejects those. The leases of the runs that it has started may be full ones.
     pub fn settle_restart(&mut self, has_runs: bool, max_lease: Duration, now: Time) {
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -60,7 +60,11 @@
                 }
                 let mut lock = shared.owner.lock();
                 let Some(owner) = lock.as_mut() else { return term.end("the owner state is gone") };
-                owner.update_workers(&listed, shared.now());
+                let restarted = owner.update_workers(&listed, shared.now());
+                drop(lock);
+                for id in restarted {
+                    shared.worker_wake(&id).notify_one();
+                }
             }
             Err(StoreError::Truncated { .. }) => next = None,
             Err(_) => {}
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -3,9 +3,11 @@
 mod batch;
 
 use batch::{Cluster, FakeWorker, bounds, short_step};
+use indexmap::IndexMap;
 use jacinthhook::batch::job::WorkerId;
 use jacinthhook::batch::orders::{StartOrder, StartOutcome};
 use jacinthhook::batch::owner::{LEASE_DURATION, OwnerEvent, RestartSource};
+use jacinthhook::batch::worker::WorkerInfo;
 use std::time::Duration;
 
 const JOB: &str = "00000000000000a1";
@@ -137,3 +139,82 @@
     pass_for(&mut cluster, LEASE_DURATION.mul_f64(1.1));
     assert!(cluster.owner.workers[&worker].assigned.is_empty());
 }
+
+/// Lists all workers as they were, except that one's entry names another incarnation.
+fn list_incarnation(cluster: &mut Cluster, worker: &str, incarnation: u64) {
+    let mut listed: IndexMap<WorkerId, WorkerInfo> =
+        cluster.owner.workers.iter().map(|(id, w)| (id.clone(), w.info.clone())).collect();
+    listed[worker].incarnation = incarnation;
+    cluster.owner.update_workers(&listed, cluster.now);
+}
+
+/// The registry names a newer process of an idle worker. Guards against sending it starts that are
+/// meant for the process before, and against giving up a start that it has carried out already.
+#[test]
+fn update_workers_restarted_worker() {
+    let mut cluster = Cluster::new(1);
+    let worker: WorkerId = "w0".into();
+    let start = start_on_restarted_worker(&mut cluster);
+    let fence = cluster.owner.fence(&worker);
+    list_incarnation(&mut cluster, &worker, 2);
+    assert!(cluster.owner.fence(&worker) > fence, "orders in flight are void");
+    assert!(!cluster.owner.workers[&worker].synced);
+    assert!(cluster.owner.workers[&worker].needs_poll());
+    cluster.submit("00000000000000a2", vec![short_step(1)]);
+    let batch = cluster.decide();
+    assert_eq!(batch.orders.starts, []);
+    let event = OwnerEvent::WorkerRestarted {
+        worker: worker.clone(),
+        earlier: 1,
+        incarnation: 2,
+        source: RestartSource::Registry,
+    };
+    assert!(batch.events.contains(&event));
+    cluster.poll(&worker);
+    let starts = cluster.decide().orders.starts;
+    assert_eq!(starts.len(), 1);
+    assert_ne!(starts[0].task, start.task);
+    assert!(cluster.owner.workers[&worker].assigned.contains_key(&start.task));
+}
+
+/// Guards against taking an entry for a restart that is older than what the worker reports, that
+/// names no incarnation, or that was already handled and names one that the worker does not have.
+#[test]
+fn update_workers_stale_incarnation() {
+    let mut cluster = Cluster::new(1);
+    let worker: WorkerId = "w0".into();
+    restart(&mut cluster, &worker, 5);
+    cluster.poll(&worker);
+    cluster.poll(&worker);
+    let fence = cluster.owner.fence(&worker);
+    for stale in [1, 0, 4, 5] {
+        list_incarnation(&mut cluster, &worker, stale);
+        assert_eq!(cluster.owner.fence(&worker), fence, "entry with incarnation {stale}");
+        assert!(cluster.owner.workers[&worker].synced);
+    }
+    list_incarnation(&mut cluster, &worker, 9);
+    assert!(!cluster.owner.workers[&worker].synced);
+    cluster.poll(&worker);
+    list_incarnation(&mut cluster, &worker, 9);
+    assert!(cluster.owner.workers[&worker].synced, "polled again without end");
+}
+
+/// A worker ends before the registry has the entry of its last process. Guards against taking that
+/// late entry for a new process, and against ignoring the one after it.
+#[test]
+fn update_workers_ended_worker_late_entry() {
+    let mut cluster = Cluster::new(1);
+    let worker: WorkerId = "w0".into();
+    restart(&mut cluster, &worker, 2);
+    cluster.poll(&worker);
+    cluster.poll(&worker);
+    cluster.owner.end_incarnation(&worker, cluster.now);
+    for late in [1, 2] {
+        list_incarnation(&mut cluster, &worker, late);
+        assert!(!cluster.owner.workers[&worker].registered, "entry with incarnation {late}");
+        assert!(!cluster.owner.workers[&worker].needs_poll());
+    }
+    list_incarnation(&mut cluster, &worker, 3);
+    assert!(cluster.owner.workers[&worker].registered);
+    assert!(cluster.owner.workers[&worker].needs_poll());
+}
