Move what follows from a poll's answer into the core

No decision changes. What the owner concludes from an answer of another worker and from an acknowledgement, and which index a poll acknowledges, were decided in instance::workers, where only a test with processes reaches them. A report now also says whether its list of finished runs may be cut (a worker lists 500 at a time); nothing uses that yet.

--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -146,6 +146,8 @@
     pub clock: WorkerTime,
     pub running: Vec<RunningTask>,
     pub finished: Vec<FinishedRun>,
+    /// Whether more runs may have finished than `finished` lists.
+    pub more_finished: bool,
     /// When the poll was sent.
     pub requested_at: Time,
     /// Fencing token that the poll carried.
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -431,6 +431,19 @@
         }
     }
 
+    /// Records that another worker answered a poll that carried `fence`.
+    pub fn record_other_worker(&mut self, id: &WorkerId, _fence: u64, now: Time) {
+        self.end_incarnation(id, now);
+    }
+
+    /// Records that a worker answered a poll that carried `fence` and `acknowledged`, the index of the
+    /// last finished run to drop.
+    pub fn record_acknowledged(&mut self, id: &WorkerId, _fence: u64, acknowledged: u64) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.last_acknowledged = worker.last_acknowledged.max(acknowledged);
+        }
+    }
+
     fn process_finished_runs(
         &mut self,
         id: &WorkerId,
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -202,6 +202,11 @@
                 || self.last_acknowledged < self.last_processed)
     }
 
+    /// Index of the last finished run that a poll sent now may acknowledge.
+    pub fn next_acknowledged(&self) -> u64 {
+        self.last_stored
+    }
+
     /// Counts a failed run or a rejected start. Returns whether the worker is quarantined as a
     /// result.
     pub fn record_failure(&mut self, now: Time) -> bool {
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -151,8 +151,9 @@
         worker: id.clone(),
         fence: owner.fence(id),
     };
+    let acknowledged = worker.next_acknowledged();
     let lease = if synced { owner.extend_lease(shared.now(), id) } else { None };
-    PollStep::Poll(target, PollRequest { lease, acknowledged: stored, wait })
+    PollStep::Poll(target, PollRequest { lease, acknowledged, wait })
 }
 
 /// Polls a worker. Returns the pause before the next poll.
@@ -172,9 +173,7 @@
             let now = shared.now();
             let was_synced = owner.workers.get(id).is_some_and(|w| w.synced);
             let changed = owner.apply_report(id, report, now);
-            if let Some(worker) = owner.workers.get_mut(id) {
-                worker.last_acknowledged = worker.last_acknowledged.max(request.acknowledged);
-            }
+            owner.record_acknowledged(id, target.fence, request.acknowledged);
             drop(lock);
             if changed || !was_synced {
                 shared.plan_needed.notify_one();
@@ -183,7 +182,9 @@
         }
         Err(error) => {
             match error {
-                PollError::OtherWorker => owner.end_incarnation(id, shared.now()),
+                PollError::OtherWorker => {
+                    owner.record_other_worker(id, target.fence, shared.now());
+                }
                 PollError::Lost | PollError::Malformed => owner.record_unanswered_poll(id),
                 PollError::Fenced => end_term_if_fenced(term, owner, target),
                 PollError::Refused => {}
--- a/src/platform/worker_client.rs
+++ b/src/platform/worker_client.rs
@@ -18,6 +18,9 @@
 /// Additional timeout of a poll that waits for the end of a run.
 const POLL_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 
+/// Finished runs that a worker lists at a time. The others follow once these are acknowledged.
+const MAX_FINISHED_ROWS: usize = 500;
+
 /// Worker that a request addresses, with the fencing token of the sender.
 #[derive(Clone, Debug)]
 pub struct WorkerTarget {
@@ -174,11 +177,13 @@
         None => Some(&[][..]),
         Some(rows) => rows.as_array().map(Vec::as_slice),
     };
+    let finished = rows("finished")?;
     Some(WorkerReport {
         incarnation: json::number(body, "born"),
         clock: Duration::from_millis(body.get("clockMs")?.as_u64()?),
         running: rows("running")?.iter().map(decode_running).collect::<Option<_>>()?,
-        finished: rows("finished")?.iter().filter_map(decode_ended).collect(),
+        finished: finished.iter().filter_map(decode_ended).collect(),
+        more_finished: finished.len() >= MAX_FINISHED_ROWS,
         requested_at,
         fence,
     })
--- a/tests/batch/mod.rs
+++ b/tests/batch/mod.rs
@@ -249,6 +249,7 @@
             clock: self.now - fake_worker.started_at,
             running: running.collect(),
             finished: fake_worker.finished.clone(),
+            more_finished: false,
             requested_at: self.now,
             fence: self.owner.fence(id),
         }
--- a/tests/worker_report.rs
+++ b/tests/worker_report.rs
@@ -43,3 +43,15 @@
     assert!(cluster.owner.workers["w0"].synced);
     assert_eq!(cluster.owner.workers["w0"].assigned.len(), 1);
 }
+
+/// A list of finished runs is complete if it is shorter than what a worker lists at a time.
+#[test]
+fn decode_report_finished_list_cut() {
+    for (rows, more_finished) in [(0, false), (499, false), (500, true)] {
+        let row = |index| json!([index + 1, "00000000000000a1.0.0.0", 1, "done", ""]);
+        let finished: Vec<_> = (0..rows).map(row).collect();
+        let body = json!({ "clockMs": 5, "born": 1, "running": [], "finished": finished });
+        let report = decode_report(&body, AT, FENCE).expect("a report");
+        assert_eq!((report.finished.len(), report.more_finished), (rows, more_finished));
+    }
+}
