Ignore the answer of another worker to a poll before a restart

What callers could see: tasks that start elsewhere while they run, after a worker has restarted at another address.

Cause: a poll of the earlier process is in flight to its address, which another worker has taken (421). Before its answer arrives, the registry shows the new process elsewhere, and runs start there. The answer then ended the new process.

Change: such an answer counts only if the worker's fencing token is still the one that the poll carried; a restart raises it. Otherwise the next poll settles it.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -431,9 +431,12 @@
         }
     }
 
-    /// Records that another worker answered a poll that carried `fence`.
-    pub fn record_other_worker(&mut self, id: &WorkerId, _fence: u64, now: Time) {
-        self.end_incarnation(id, now);
+    /// Records that another worker answered a poll that carried `fence`. After a resync the poll may
+    /// have gone to the address of an earlier incarnation; the next one settles it.
+    pub fn record_other_worker(&mut self, id: &WorkerId, fence: u64, now: Time) {
+        if self.fence(id) == fence {
+            self.end_incarnation(id, now);
+        }
     }
 
     /// Records that a worker answered a poll that carried `fence` and `acknowledged`, the index of the
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -218,3 +218,25 @@
     assert!(cluster.owner.workers[&worker].registered);
     assert!(cluster.owner.workers[&worker].needs_poll());
 }
+
+/// A poll of the process before is answered by another worker, after the registry has shown the new
+/// process at another address. Guards against ending the new process: its runs started elsewhere
+/// while they went on.
+#[test]
+fn record_other_worker_earlier_poll() {
+    let mut cluster = Cluster::new(2);
+    let worker: WorkerId = "w0".into();
+    let polled_fence = cluster.owner.fence(&worker);
+    restart(&mut cluster, &worker, 2);
+    list_incarnation(&mut cluster, &worker, 2);
+    cluster.poll(&worker);
+    cluster.submit(JOB, vec![short_step(20)]);
+    cluster.settle();
+    let running = cluster.owner.workers[&worker].assigned.len();
+    assert!(running > 0);
+    cluster.owner.record_other_worker(&worker, polled_fence, cluster.now);
+    assert_eq!(cluster.owner.workers[&worker].assigned.len(), running, "runs were given up");
+    let fence = cluster.owner.fence(&worker);
+    cluster.owner.record_other_worker(&worker, fence, cluster.now);
+    assert!(cluster.owner.workers[&worker].assigned.is_empty());
+}
