Acknowledge finished runs only to the process that has listed them

What callers could see: a done task that runs again after its worker has restarted unnoticed; ends that stay unacknowledged while a worker is idle.

Cause: each poll repeated the index that was acknowledged last. The numbers start anew with a process, so the first poll of a restarted worker made it drop finished runs that the owner had not seen. The index was also counted as acknowledged for the new process, after its counts had been reset, so that its first ends did not lead to a poll.

Change: a poll carries the index only until the worker has answered one that did, and an answer counts only if the worker's fencing token is still the one that the poll carried.

What remains: a poll that acknowledges ends of a process that has just ended, and reaches the next one after that one has ended runs that were started unnoticed.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -440,8 +440,11 @@
     }
 
     /// Records that a worker answered a poll that carried `fence` and `acknowledged`, the index of the
-    /// last finished run to drop.
-    pub fn record_acknowledged(&mut self, id: &WorkerId, _fence: u64, acknowledged: u64) {
+    /// last finished run to drop. After a resync the index may belong to an earlier incarnation.
+    pub fn record_acknowledged(&mut self, id: &WorkerId, fence: u64, acknowledged: u64) {
+        if self.fence(id) != fence {
+            return;
+        }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.last_acknowledged = worker.last_acknowledged.max(acknowledged);
         }
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -202,9 +202,11 @@
                 || self.last_acknowledged < self.last_processed)
     }
 
-    /// Index of the last finished run that a poll sent now may acknowledge.
+    /// Index of the last finished run that a poll sent now acknowledges; 0 if there is none to
+    /// acknowledge. Never repeated once the worker has it: an incarnation that the owner does not know
+    /// of yet would drop finished runs that the owner has not seen.
     pub fn next_acknowledged(&self) -> u64 {
-        self.last_stored
+        if self.last_stored > self.last_acknowledged { self.last_stored } else { 0 }
     }
 
     /// Counts a failed run or a rejected start. Returns whether the worker is quarantined as a
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -5,7 +5,7 @@
 use batch::{Cluster, FakeWorker, bounds, short_step};
 use indexmap::IndexMap;
 use jacinthhook::batch::job::WorkerId;
-use jacinthhook::batch::orders::{StartOrder, StartOutcome};
+use jacinthhook::batch::orders::{RunOutcome, StartOrder, StartOutcome};
 use jacinthhook::batch::owner::{LEASE_DURATION, OwnerEvent, RestartSource};
 use jacinthhook::batch::worker::WorkerInfo;
 use std::time::Duration;
@@ -240,3 +240,42 @@
     cluster.owner.record_other_worker(&worker, fence, cluster.now);
     assert!(cluster.owner.workers[&worker].assigned.is_empty());
 }
+
+/// The poll that shows a restart acknowledged runs of the process before. Guards against counting
+/// that for the new one, whose finished runs then stayed unacknowledged while it was idle.
+#[test]
+fn record_acknowledged_restarted_worker() {
+    let mut cluster = Cluster::new(1);
+    let worker: WorkerId = "w0".into();
+    let polled_fence = cluster.owner.fence(&worker);
+    restart(&mut cluster, &worker, 2);
+    cluster.poll(&worker);
+    cluster.owner.record_acknowledged(&worker, polled_fence, 57);
+    cluster.poll(&worker);
+    cluster.submit(JOB, vec![short_step(1)]);
+    cluster.settle();
+    cluster.finish_all(RunOutcome::Done);
+    cluster.poll(&worker);
+    cluster.decide();
+    assert!(cluster.owner.workers[&worker].needs_poll(), "the end stays unacknowledged");
+    let fence = cluster.owner.fence(&worker);
+    cluster.owner.record_acknowledged(&worker, fence, 1);
+    assert!(!cluster.owner.workers[&worker].needs_poll());
+}
+
+/// Guards against an index in a poll that the worker has acknowledged before: after an unnoticed
+/// restart it makes the new process drop ends that the owner has not seen, and done tasks start again.
+#[test]
+fn next_acknowledged_repeated() {
+    let mut cluster = Cluster::new(1);
+    let worker: WorkerId = "w0".into();
+    cluster.submit(JOB, vec![short_step(1)]);
+    cluster.settle();
+    cluster.finish_all(RunOutcome::Done);
+    cluster.poll(&worker);
+    cluster.decide();
+    assert_eq!(cluster.owner.workers[&worker].next_acknowledged(), 1);
+    let fence = cluster.owner.fence(&worker);
+    cluster.owner.record_acknowledged(&worker, fence, 1);
+    assert_eq!(cluster.owner.workers[&worker].next_acknowledged(), 0);
+}
