Keep a run that a cut list of finished runs may contain

What callers could see: a done task that runs again, when a worker has 500 finished runs or more to list.

Cause: a worker lists 500 finished runs at a time. A confirmed run that is neither listed as running nor as finished was taken for lost (not_listed), although its end may be among those that follow.

Change: while the list may be cut, no run is taken for lost. The next poll acknowledges what was listed and gets the rest.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -608,6 +608,10 @@
             }
             self.update_checkpoint(task, running.run, &running.checkpoint);
         }
+        // The end of a run that is not listed as running may come with the next report.
+        if report.more_finished {
+            return;
+        }
         let Some(worker) = self.workers.get(id) else { return };
         let listed_tasks: IndexSet<&TaskId> =
             report.running.iter().filter_map(|r| r.task.as_ref()).collect();
--- a/tests/worker_report.rs
+++ b/tests/worker_report.rs
@@ -3,6 +3,8 @@
 mod batch;
 
 use batch::{Cluster, short_step};
+use jacinthhook::batch::job::JobState;
+use jacinthhook::batch::orders::RunOutcome;
 use jacinthhook::platform::worker_client::decode_report;
 use serde_json::json;
 use std::time::Duration;
@@ -44,6 +46,27 @@
     assert_eq!(cluster.owner.workers["w0"].assigned.len(), 1);
 }
 
+/// A worker lists its finished runs some at a time. Guards against taking a run for lost whose end is
+/// not listed yet: its task started again although it was done.
+#[test]
+fn apply_report_finished_list_cut() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit("00000000000000a1", vec![short_step(1)]);
+    cluster.settle();
+    let (worker, task, run) = cluster.running_tasks().remove(0);
+    cluster.finish_run(&worker, &task, run, RunOutcome::Done);
+    let mut report = cluster.report(&worker);
+    report.finished.clear();
+    report.more_finished = true;
+    cluster.owner.apply_report(&worker, report, cluster.now);
+    cluster.advance(Duration::from_millis(100));
+    assert_eq!(cluster.decide().orders.starts, []);
+    assert!(cluster.owner.workers[&worker].needs_poll());
+    cluster.poll(&worker);
+    cluster.decide();
+    assert_eq!(cluster.owner.jobs["00000000000000a1"].state, JobState::Complete);
+}
+
 /// A list of finished runs is complete if it is shorter than what a worker lists at a time.
 #[test]
 fn decode_report_finished_list_cut() {
