Learn of a worker's restart from its clock in the answer to a start

What callers could see: a task that runs twice, if a worker that has restarted unnoticed takes a start and falls silent before it answers a poll.

Cause: until a poll shows the restart, the owner reckons the lease of that start by the clock of the earlier process, 4.5 s ahead. The new process, whose clock starts at zero, holds the longest lease that a worker accepts. When the shorter one was over, the task started elsewhere.

Change: answers to starts carry the worker's clock. One that is below what the known process showed when the order was sent counts as a restart: the token rises, and the run is kept until the next report or the end of the longest lease. The slowest clock, late answers and answers overtaken by a later poll's do not count. WorkerReborn has the source start_clock.

What remains: the same, if the start gets no answer either.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -54,20 +54,57 @@
 pub enum RestartSource {
     Registry,
     Report,
+    /// The clock in the answer to a start, which does not name the new incarnation.
+    StartClock,
 }
 
 /// An outcome of a decision, for the event log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OwnerEvent {
-    TaskPlaced { task: TaskId, run: u32, worker: WorkerId, job_age: Duration },
-    RunEnded { task: TaskId, run: u32, worker: WorkerId, outcome: RunOutcome },
-    RunLost { task: TaskId, run: u32, worker: WorkerId, reason: &'static str },
-    JobEnded { job: JobId, state: JobState, job_age: Duration },
-    WorkerQuarantined { worker: WorkerId },
-    WorkerRestarted { worker: WorkerId, earlier: u64, incarnation: u64, source: RestartSource },
-    WorkerLeaseExpired { worker: WorkerId, tasks: u64 },
-    MaintenanceBlocked { machine: Arc<str>, blocker: Blocker },
-    BadRecord { error: String },
+    TaskPlaced {
+        task: TaskId,
+        run: u32,
+        worker: WorkerId,
+        job_age: Duration,
+    },
+    RunEnded {
+        task: TaskId,
+        run: u32,
+        worker: WorkerId,
+        outcome: RunOutcome,
+    },
+    RunLost {
+        task: TaskId,
+        run: u32,
+        worker: WorkerId,
+        reason: &'static str,
+    },
+    JobEnded {
+        job: JobId,
+        state: JobState,
+        job_age: Duration,
+    },
+    WorkerQuarantined {
+        worker: WorkerId,
+    },
+    /// `incarnation` is 0 if the source does not name it.
+    WorkerRestarted {
+        worker: WorkerId,
+        earlier: u64,
+        incarnation: u64,
+        source: RestartSource,
+    },
+    WorkerLeaseExpired {
+        worker: WorkerId,
+        tasks: u64,
+    },
+    MaintenanceBlocked {
+        machine: Arc<str>,
+        blocker: Blocker,
+    },
+    BadRecord {
+        error: String,
+    },
 }
 
 /// Decisions that have been made but not stored.
@@ -328,6 +365,33 @@
         self.extend_lease(now, &start.worker)
     }
 
+    /// Processes the worker's clock in the answer to a start order that was sent at `sent_at`. A clock
+    /// that went back shows a restart, and that the new incarnation took the lease by the clock of the
+    /// previous one.
+    pub fn record_start_clock(
+        &mut self,
+        start: &StartOrder,
+        clock: WorkerTime,
+        sent_at: Time,
+        now: Time,
+    ) {
+        if self.fence(&start.worker) != start.fence {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(&start.worker) else { return };
+        if !worker.clock_went_back(clock, sent_at) {
+            return;
+        }
+        self.events.push(OwnerEvent::WorkerRestarted {
+            worker: start.worker.clone(),
+            earlier: worker.incarnation,
+            incarnation: 0,
+            source: RestartSource::StartClock,
+        });
+        let (known, max_lease) = (worker.incarnation, self.bounds.max_lease);
+        worker.begin_incarnation(known, max_lease, &mut self.fence_counter, now);
+    }
+
     /// Processes the outcome of a start order.
     pub fn record_start_outcome(&mut self, start: &StartOrder, outcome: StartOutcome, now: Time) {
         let Some(worker) = self.workers.get_mut(&start.worker) else { return };
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -11,6 +11,8 @@
 /// Lower bound for the rate of a worker's clock relative to the owner's. The platform guarantees a
 /// deviation of at most 2%.
 const MIN_CLOCK_RATE: f64 = 0.97;
+/// Resolution of the readings of a worker's clock.
+const CLOCK_RESOLUTION: Duration = Duration::from_millis(1);
 /// Consecutive failures after which a worker is quarantined.
 pub const FAILURES_BEFORE_QUARANTINE: u32 = 3;
 /// Duration of the first quarantine; doubles with each consecutive one.
@@ -174,6 +176,13 @@
         Some(clock + now.saturating_sub(at).mul_f64(MIN_CLOCK_RATE))
     }
 
+    /// Whether a reading of the worker's clock, made after `sent_at`, is below what the clock of the
+    /// known incarnation showed at that time.
+    pub fn clock_went_back(&self, clock: WorkerTime, sent_at: Time) -> bool {
+        self.clock_reading.is_some_and(|(_, at)| at <= sent_at)
+            && self.estimate_clock(sent_at).is_some_and(|c| c > clock + CLOCK_RESOLUTION)
+    }
+
     /// By the owner's clock, when all leases sent so far have expired for certain.
     pub fn leases_expire_at(&self) -> Time {
         let earlier = self.prior_leases_until.max(self.restart_leases_until);
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -4,7 +4,7 @@
 //! `known_owner` before `recent_jobs`. No lock is held across an await.
 
 use crate::batch::declarations::ActiveConfig;
-use crate::batch::owner::{Owner, OwnerEvent};
+use crate::batch::owner::{Owner, OwnerEvent, RestartSource};
 use crate::event::{Event, Log};
 use crate::ids::{EntryId, JobId, Time, ZoneId};
 use crate::instance::append_queue::AppendQueue;
@@ -235,12 +235,16 @@
                 self.log.event(Event::UpstreamSetAside, &[("instance", worker.into())]);
             }
             OwnerEvent::WorkerRestarted { worker, earlier, incarnation, source } => {
-                let source = format!("{source:?}").to_lowercase();
+                let source = match source {
+                    RestartSource::Registry => "registry",
+                    RestartSource::Report => "report",
+                    RestartSource::StartClock => "start_clock",
+                };
                 let fields = [
                     ("worker", worker.into()),
                     ("earlier_incarnation", (*earlier).into()),
                     ("incarnation", (*incarnation).into()),
-                    ("source", (&source).into()),
+                    ("source", source.into()),
                 ];
                 self.log.event(Event::WorkerReborn, &fields);
             }
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -243,8 +243,15 @@
     let mut outcome = StartOutcome::NotSent;
     for _ in 0..MAX_START_ATTEMPTS {
         let Some((target, lease)) = authorize_start(shared, term, &start) else { break };
-        let attempt = shared.worker_client.start(&target, &start, lease).await;
+        let sent_at = shared.now();
+        let (attempt, clock) = shared.worker_client.start(&target, &start, lease).await;
         outcome = outcome.merge_retry(attempt);
+        if attempt != StartOutcome::OtherWorker
+            && let Some(clock) = clock
+            && let Some(owner) = shared.owner.lock().as_mut()
+        {
+            owner.record_start_clock(&start, clock, sent_at, shared.now());
+        }
         if attempt == StartOutcome::Fenced
             && let Some(owner) = shared.owner.lock().as_ref()
         {
--- a/src/platform/worker_client.rs
+++ b/src/platform/worker_client.rs
@@ -68,13 +68,14 @@
         WorkerClient { http }
     }
 
-    /// Sends an order to start a task.
+    /// Sends an order to start a task. Returns its outcome and the worker's clock if it answered with
+    /// one.
     pub async fn start(
         &self,
         target: &WorkerTarget,
         start: &StartOrder,
         lease: WorkerTime,
-    ) -> StartOutcome {
+    ) -> (StartOutcome, Option<WorkerTime>) {
         let mut body = json!({
             "task": start.task.to_string(),
             "run": start.run,
@@ -87,9 +88,12 @@
             body["checkpoint"] = json!(&*start.checkpoint);
         }
         match self.send_order(target, "/-/run-start", &body, ORDER_TIMEOUT).await {
-            Ok(response) => decode_start_outcome(&response),
-            Err(CallFailure::NotSent) => StartOutcome::NotSent,
-            Err(CallFailure::NoResponse) => StartOutcome::Unknown,
+            Ok(response) => {
+                let clock = response.json().get("clockMs").and_then(Value::as_u64);
+                (decode_start_outcome(&response), clock.map(Duration::from_millis))
+            }
+            Err(CallFailure::NotSent) => (StartOutcome::NotSent, None),
+            Err(CallFailure::NoResponse) => (StartOutcome::Unknown, None),
         }
     }
 
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -279,3 +279,45 @@
     cluster.owner.record_acknowledged(&worker, fence, 1);
     assert_eq!(cluster.owner.workers[&worker].next_acknowledged(), 0);
 }
+
+/// A worker that has restarted unnoticed answers a start and then falls silent. Guards against giving
+/// up its run when the lease by the clock of the process before is over: it may hold the longest one.
+#[test]
+fn record_start_clock_then_silent() {
+    let mut cluster = Cluster::new(2);
+    let start = start_on_restarted_worker(&mut cluster);
+    let (clock, sent_at) = (cluster.report(&start.worker).clock, cluster.now);
+    cluster.owner.record_start_clock(&start, clock, sent_at, cluster.now);
+    assert!(!cluster.owner.workers[&start.worker].synced);
+    cluster.owner.record_unanswered_poll(&start.worker);
+    assert_eq!(pass_for(&mut cluster, bounds().max_lease.div_f64(0.98)), []);
+    assert_eq!(pass_for(&mut cluster, PASS * 5).len(), 1);
+}
+
+/// Guards against taking a worker for restarted whose clock is slow, whose answer is late or was
+/// overtaken by that to a later poll, or that answered under an earlier fencing token.
+#[test]
+fn record_start_clock_same_process() {
+    let mut cluster = Cluster::new(1);
+    cluster.submit(JOB, vec![short_step(1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    let worker = &start.worker;
+    let (clock, polled_at) = (cluster.report(worker).clock, cluster.now);
+    for millis in [0, 1, 3, 50, 600, 5_000, 60_000] {
+        let passed = Duration::from_millis(millis);
+        let slow_clock = clock + Duration::from_millis(millis * 98 / 100);
+        let late = polled_at + passed + PASS;
+        cluster.owner.record_start_clock(&start, slow_clock, polled_at + passed, late);
+        assert!(cluster.owner.workers[worker].synced, "after {millis} ms");
+    }
+    let overtaken = clock - PASS;
+    cluster.owner.record_start_clock(&start, overtaken, polled_at - PASS, cluster.now);
+    assert!(cluster.owner.workers[worker].synced);
+    restart(&mut cluster, worker, 2);
+    cluster.poll(worker);
+    cluster.poll(worker);
+    let fence = cluster.owner.fence(worker);
+    cluster.advance(PASS);
+    cluster.owner.record_start_clock(&start, Duration::ZERO, cluster.now, cluster.now);
+    assert_eq!(cluster.owner.fence(worker), fence);
+}
