Repeat a wave's status that got no response before another one is appended

Operators could see a wave as running forever, or not at all, although all its machines had had their maintenance.

Cause: after an append without a response the next status, of the same or another wave, went out under the same sequence number. If the first one had been stored, the store took the second for its repeat and confirmed it without storing it.

Change: WaveReports gives a number to one record only, and repeats a record without a response until the store settles it.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -15,4 +15,5 @@
 pub mod shared;
 pub mod term;
 pub mod topics;
+pub mod wave_reports;
 pub mod workers;
--- a/src/instance/machine_orders.rs
+++ b/src/instance/machine_orders.rs
@@ -7,12 +7,12 @@
 use crate::ids::Time;
 use crate::instance::shared::Shared;
 use crate::instance::term::Term;
+use crate::instance::wave_reports::{WaveReport, WaveReports};
 use crate::platform::machines::{LeaseHolder, MachineOutcome, Machines};
 use crate::platform::operator_records;
 use crate::platform::store::{self, AppendCondition, StoreError};
 use futures::stream::{self, StreamExt};
 use indexmap::IndexMap;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -28,14 +28,13 @@
 pub async fn run(shared: Arc<Shared>, term: Arc<Term>) {
     let Some(address) = shared.cfg.machines_addr.clone() else { return };
     let machines = Machines::new(shared.http.clone(), address);
-    let mut reported_waves: HashMap<u64, bool> = HashMap::new();
-    let mut status_sequence = 0;
+    let mut reports = WaveReports::default();
     loop {
         sleep(PASS_INTERVAL).await;
         if !term.may_send_orders(shared.now()) {
             continue;
         }
-        let open_waves = open_waves(&shared, &reported_waves);
+        let open_waves = open_waves(&shared, &reports);
         let Some(mut listed) = list_machines(&shared, &machines).await else { continue };
         let maintenance_ordered = order_maintenance(&shared, &term, &machines, &listed).await;
         order_moves(&shared, &term, &machines, &listed).await;
@@ -46,11 +45,9 @@
         }
         for wave in open_waves {
             let complete = is_complete(&shared, wave, &listed);
-            if reported_waves.get(&wave) == Some(&complete) {
-                continue;
-            }
-            if report_wave(&shared, &term, wave, complete, &mut status_sequence).await {
-                reported_waves.insert(wave, complete);
+            if let Some(report) = reports.next(wave, complete) {
+                let result = append_report(&shared, &term, report).await;
+                reports.record_result(report, &result);
             }
         }
     }
@@ -71,9 +68,9 @@
 }
 
 /// Returns the declared waves that have not been reported as complete.
-fn open_waves(shared: &Shared, reported_waves: &HashMap<u64, bool>) -> Vec<u64> {
+fn open_waves(shared: &Shared, reports: &WaveReports) -> Vec<u64> {
     let active_config = shared.active_config();
-    active_config.waves.keys().copied().filter(|w| reported_waves.get(w) != Some(&true)).collect()
+    active_config.waves.keys().copied().filter(|w| !reports.is_complete(*w)).collect()
 }
 
 /// Stores which machines are about to receive orders. Returns the time until which the orders may
@@ -249,28 +246,17 @@
     owner.wave_progress.remaining_machines(wave).all(|m| !listed.contains_key(m))
 }
 
-async fn report_wave(
+async fn append_report(
     shared: &Shared,
     term: &Term,
-    wave: u64,
-    complete: bool,
-    sequence: &mut u64,
-) -> bool {
+    report: WaveReport,
+) -> Result<u64, StoreError> {
+    let WaveReport { wave, complete, sequence } = report;
     let (key, value) = operator_records::encode_wave_status(wave, complete);
-    let condition =
-        AppendCondition { expected_end: None, producer: Some((term.number, *sequence)) };
-    match shared.store.append(store::STATUS_TOPIC, &[(&key, Some(&value))], condition).await {
-        Ok(_) => {
-            *sequence += 1;
-            if complete {
-                shared.log.event(Event::WaveComplete, &[("wave", wave.into())]);
-            }
-            true
-        }
-        Err(StoreError::SequenceMismatch { expected }) => {
-            *sequence = expected;
-            false
-        }
-        Err(_) => false,
+    let condition = AppendCondition { expected_end: None, producer: Some((term.number, sequence)) };
+    let result = shared.store.append(store::STATUS_TOPIC, &[(&key, Some(&value))], condition).await;
+    if result.is_ok() && complete {
+        shared.log.event(Event::WaveComplete, &[("wave", wave.into())]);
     }
+    result
 }
