Count a response that leaves open what happened as no response

Callers could be told with 503 that a job is not stored and never runs, and then see it run; a machine could be taken away while tasks were started on it.

Cause: every unexpected status of the store and of the machine service counted as a refusal, also 500, 502 and 504, which a gateway gives for calls that may be carried out.

--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -109,6 +109,12 @@
     }
 }
 
+/// Whether a service that responds with this status has not carried out the call. Other errors may
+/// come from a call that was carried out.
+pub fn had_no_effect(status: u16) -> bool {
+    matches!(status, 400..=499 | 503 | 507)
+}
+
 /// Returns `None` if a part is not valid in a request.
 fn build_request(call: Call<'_>) -> Option<Request<Full<Bytes>>> {
     let uri = Uri::builder().scheme("http").authority(call.address).path_and_query(call.path);
--- a/src/platform/machines.rs
+++ b/src/platform/machines.rs
@@ -1,7 +1,7 @@
 //! Client of the service that manages the workers' machines.
 
 use crate::batch::maintenance::{Machine, MachineId, MachineState};
-use crate::platform::http::{Call, CallFailure, Http, HttpResponse};
+use crate::platform::http::{self, Call, CallFailure, Http, HttpResponse};
 use crate::platform::json;
 use bytes::Bytes;
 use hyper::Method;
@@ -119,13 +119,15 @@
     }
 }
 
-fn decode_outcome(response: &HttpResponse) -> MachineOutcome {
+/// Decodes the response to an order.
+pub fn decode_outcome(response: &HttpResponse) -> MachineOutcome {
     match (response.status, json::text(&response.json(), "reason")) {
         (200, _) => MachineOutcome::Begun,
         (409, "fence") => MachineOutcome::Fenced,
         (409, "busy") => MachineOutcome::Busy,
         (409 | 400, _) => MachineOutcome::Unfit,
-        _ => MachineOutcome::Refused,
+        (status, _) if http::had_no_effect(status) => MachineOutcome::Refused,
+        _ => MachineOutcome::Unknown,
     }
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,7 +1,7 @@
 //! Client of the platform's metadata store, an append-only log divided into topics. Keyed topics
 //! also serve the latest record of each key.
 
-use crate::platform::http::{Call, CallFailure, Http, HttpResponse};
+use crate::platform::http::{self, Call, CallFailure, Http, HttpResponse};
 use crate::platform::json;
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
@@ -139,7 +139,8 @@
                 Err(StoreError::SequenceMismatch { expected: json::number(&body, "sequence") })
             }
             (409, _) => Err(StoreError::Fenced),
-            (status, _) => Err(StoreError::Refused { status }),
+            (status, _) if http::had_no_effect(status) => Err(StoreError::Refused { status }),
+            _ => Err(StoreError::NoResponse),
         }
     }
 
--- a/tests/store_client.rs
+++ b/tests/store_client.rs
@@ -3,7 +3,9 @@
 use bytes::Bytes;
 use jacinthhook::instance::append_queue::{AppendOutcome, AppendQueue};
 use jacinthhook::platform::http::Http;
-use jacinthhook::platform::store::{MAX_APPEND_BYTES, Store, StoreError, records_per_append};
+use jacinthhook::platform::store::{
+    AppendCondition, MAX_APPEND_BYTES, Store, StoreError, records_per_append,
+};
 use serde_json::json;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -126,3 +128,38 @@
     assert_eq!(records_per_append([1, 2, 3].into_iter()), 3);
     assert_eq!(records_per_append(std::iter::empty()), 0);
 }
+
+/// Starts a server that gives one response with this status and body.
+async fn store_responding(status: u16, body: &'static str) -> Store {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a free port");
+    let address = listener.local_addr().expect("a local address").to_string();
+    tokio::spawn(async move {
+        let (mut connection, _) = listener.accept().await.expect("a connection");
+        let mut buf = [0; 1_024];
+        let _ = connection.read(&mut buf).await.expect("a request");
+        let head = format!("HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n\r\n", body.len());
+        connection.write_all(head.as_bytes()).await.expect("send the head");
+        connection.write_all(body.as_bytes()).await.expect("send the body");
+        sleep(Duration::from_secs(1)).await;
+    });
+    Store::new(Http::new(), address)
+}
+
+/// Guards against telling a caller that its job is not stored and never runs, after an append that a
+/// gateway gave up and the store may still carry out.
+#[tokio::test]
+async fn append_unclear_status() {
+    for (status, expected) in [
+        (500, StoreError::NoResponse),
+        (502, StoreError::NoResponse),
+        (504, StoreError::NoResponse),
+        (429, StoreError::Refused { status: 429 }),
+        (503, StoreError::Refused { status: 503 }),
+        (507, StoreError::Refused { status: 507 }),
+    ] {
+        let store = store_responding(status, "{}").await;
+        let record: (&str, Option<&[u8]>) = ("job", Some(b"x"));
+        let result = store.append("keyed.jobs", &[record], AppendCondition::default()).await;
+        assert_eq!(result, Err(expected), "{status}");
+    }
+}
