Do not take an unreadable response for an empty list or a final rejection

Callers could see every task start again after a change of owner, and operators a wave as complete that was not.

Cause: a body that is no JSON object counted as a page without records or machines, and a rejection without a readable reason as one for good, which skips the machine in its wave.

--- a/src/platform/machines.rs
+++ b/src/platform/machines.rs
@@ -63,6 +63,9 @@
                 return None;
             }
             let body = response.json();
+            if !body.is_object() {
+                return None;
+            }
             let machines = json::list(&body, "machines").iter().filter_map(decode_machine);
             found.extend(machines.map(|m| (m.id.clone(), m)));
             page_token = json::non_empty_text(&body, "nextToken").map(|t| t.to_string());
@@ -125,7 +128,7 @@
         (200, _) => MachineOutcome::Begun,
         (409, "fence") => MachineOutcome::Fenced,
         (409, "busy") => MachineOutcome::Busy,
-        (409 | 400, _) => MachineOutcome::Unfit,
+        (409, "wave") | (400, _) => MachineOutcome::Unfit,
         (status, _) if http::had_no_effect(status) => MachineOutcome::Refused,
         _ => MachineOutcome::Unknown,
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -180,6 +180,9 @@
                 return Err(StoreError::Refused { status: response.status });
             }
             let body = response.json();
+            if !body.is_object() {
+                return Err(StoreError::NoResponse);
+            }
             let end = json::number(&body, "end");
             // The pages are no consistent snapshot. Changes after the first page are read from its
             // end offset on.
--- a/tests/store_client.rs
+++ b/tests/store_client.rs
@@ -163,3 +163,11 @@
         assert_eq!(result, Err(expected), "{status}");
     }
 }
+
+/// Guards against taking an unreadable page for a topic without records: a new owner would start
+/// every task again.
+#[tokio::test]
+async fn read_latest_unreadable_page() {
+    let error = store_responding(200, "oops").await.read_latest("keyed.progress").await.err();
+    assert_eq!(error, Some(StoreError::NoResponse));
+}
