Reserve the slot and tolerance of a maintenance order without a response

Users of long-running tasks could lose more tasks of a step than it may miss, and a wave could have more machines down than it allows.

Cause: the machine service may carry out an order seconds after its response was lost. The owner counted the machine as possibly down only until its worker answered the next poll, and then gave the slot and the tolerance to another machine. The machine's own tasks were counted twice meanwhile, so that the order was not repeated.

Change: for 12 s, or until the machine list or a repeated order shows the maintenance, the machine keeps its slot, goes first, and its tasks count as unavailable for other machines.

Orders of an earlier owner are not covered: a later owner does not know which of them got no response.

--- a/src/batch/maintenance.rs
+++ b/src/batch/maintenance.rs
@@ -9,6 +9,10 @@
 use crate::ids::{JobId, PoolId, Time, ZoneId};
 use indexmap::{IndexMap, IndexSet};
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest time after which the platform carries out an order that got no response.
+pub const LATE_ORDER_WINDOW: Duration = Duration::from_secs(12);
 
 /// Name of a machine; stays the same when the worker on it changes.
 pub type MachineId = Arc<str>;
@@ -87,6 +91,10 @@
         if !self.ordered_machines.previous_orders_settled(now) {
             return Vec::new();
         }
+        self.unanswered_maintenance.retain(|machine, at| {
+            let is_down = |m: &Machine| m.state == MachineState::Maintenance;
+            now < *at + LATE_ORDER_WINDOW && !machines.get(machine).is_some_and(is_down)
+        });
         let active_config = self.active_config.clone();
         let mut chosen = Vec::new();
         let mut lost_tasks = StepCounts::new();
@@ -100,7 +108,7 @@
                 .count();
             let mut available_slots = (wave.max_at_once as usize).saturating_sub(away);
             let mut cordons_left = available_slots + DRAIN_AHEAD;
-            for machine in self.due_machines(wave, machines) {
+            for machine in self.due_machines(wave, machines, now) {
                 let worker = machine.worker.as_ref().filter(|w| self.workers.contains_key(*w));
                 if let Some(worker) = worker
                     && cordons_left > 0
@@ -112,7 +120,7 @@
                     continue;
                 }
                 let lost_with_machine = match worker {
-                    Some(worker) => self.tasks_lost_with(worker, &lost_tasks),
+                    Some(worker) => self.tasks_lost_with(worker, &lost_tasks, now),
                     None => Ok(lost_tasks.clone()),
                 };
                 match lost_with_machine {
@@ -124,7 +132,13 @@
                             wave: wave.number,
                         });
                     }
-                    Err(blocker) => blocked.push((machine.id.clone(), blocker)),
+                    Err(blocker) => {
+                        // The machine may go down without another order.
+                        if self.may_begin_maintenance(&machine.id, now) {
+                            available_slots -= 1;
+                        }
+                        blocked.push((machine.id.clone(), blocker));
+                    }
                 }
             }
         }
@@ -161,12 +175,13 @@
         confirmed
     }
 
-    /// Returns the machines of a wave that can begin maintenance, those with the fewest tasks
-    /// first.
+    /// Returns the machines of a wave that can begin maintenance: those whose order got no response
+    /// first, then those with the fewest tasks.
     fn due_machines<'a>(
         &self,
         wave: &Wave,
         machines: &'a IndexMap<MachineId, Machine>,
+        now: Time,
     ) -> Vec<&'a Machine> {
         let remaining =
             self.wave_progress.remaining_machines(wave).filter_map(|id| machines.get(id));
@@ -177,8 +192,9 @@
         // Machines that are already being drained stay first; otherwise they would have been
         // drained for nothing.
         due_machines.sort_by_key(|m| {
-            worker(m)
-                .map_or((false, 0), |w| (!w.cordoned && !w.assigned.is_empty(), w.assigned.len()))
+            let (is_new, tasks) = worker(m)
+                .map_or((false, 0), |w| (!w.cordoned && !w.assigned.is_empty(), w.assigned.len()));
+            (!self.may_begin_maintenance(&m.id, now), is_new, tasks)
         });
         due_machines
     }
@@ -189,8 +205,8 @@
     fn evict_excess_task(&mut self, blocker: &Blocker, lost_tasks: &StepCounts, now: Time) {
         let Blocker::Tolerance { task, here, may_miss, .. } = blocker else { return };
         // Counted again because evictions from other machines in this pass may have changed it.
-        let away =
-            self.count_unavailable(task) + lost_tasks.get(&step_key(task)).copied().unwrap_or(0);
+        let away = self.count_unavailable(task, None, now)
+            + lost_tasks.get(&step_key(task)).copied().unwrap_or(0);
         if here > may_miss && away < *may_miss {
             self.stop_task(task, now);
         }
@@ -199,6 +215,8 @@
     /// Records that a machine's maintenance has begun, now or earlier. The platform gives the same
     /// answer to a repeated order, so only the list of machines shows whether its worker has ended.
     pub fn record_maintenance_start(&mut self, order: &MaintenanceOrder) {
+        // A repeated order has no further effect.
+        self.unanswered_maintenance.swap_remove(&order.machine);
         self.wave_progress.mark_begun(order.wave, order.machine.clone());
         self.dirty_waves.insert(order.wave);
     }
@@ -231,7 +249,8 @@
         self.dirty_waves.insert(order.wave);
     }
 
-    /// Records that a maintenance order got no response, so the machine may be down.
+    /// Records that a maintenance order got no response, so the machine may be down, or may go down
+    /// within `LATE_ORDER_WINDOW`.
     pub fn record_unanswered_maintenance(&mut self, order: &MaintenanceOrder, now: Time) {
         self.unanswered_maintenance.insert(order.machine.clone(), now);
     }
@@ -243,9 +262,11 @@
         &self,
         worker: &str,
         lost_tasks: &StepCounts,
+        now: Time,
     ) -> Result<StepCounts, Blocker> {
         let mut total = lost_tasks.clone();
         let Some(worker) = self.workers.get(worker) else { return Ok(total) };
+        let machine = &*worker.info.machine;
         for task in worker.assigned.keys() {
             if self.step_of(task).is_none_or(|step| !step.long_running) {
                 return Err(Blocker::ShortTask { task: task.clone() });
@@ -257,7 +278,7 @@
                 continue;
             };
             let here = total.get(&step_key(task)).copied().unwrap_or(0);
-            let away = self.count_unavailable(task);
+            let away = self.count_unavailable(task, Some(machine), now);
             if away + here > may_miss {
                 return Err(Blocker::Tolerance { task: task.clone(), away, here, may_miss });
             }
@@ -265,9 +286,10 @@
         Ok(total)
     }
 
-    /// Counts the tasks of the same step that do not run at full speed or whose machine may be
-    /// down.
-    fn count_unavailable(&self, task: &TaskId) -> u32 {
+    /// Counts the tasks of the same step that do not run at full speed, whose machine may be down, or
+    /// whose machine may go down on an order that got no response; the last not for the machine
+    /// `except`.
+    fn count_unavailable(&self, task: &TaskId, except: Option<&str>, now: Time) -> u32 {
         let Some(job) = self.jobs.get(&task.job) else { return 0 };
         let Some(occurrence) = job.open_occurrences.iter().find(|o| o.number == task.occurrence)
         else {
@@ -278,17 +300,24 @@
             Phase::Assigned(assignment) => {
                 assignment.stop_ordered
                     || assignment.full_speed_since.is_none()
-                    || self.may_be_down(&assignment.worker)
+                    || self.may_be_down(&assignment.worker, except, now)
             }
             Phase::Waiting | Phase::Done => true,
         });
         away.count() as u32
     }
 
-    fn may_be_down(&self, worker: &str) -> bool {
+    fn may_be_down(&self, worker: &str, except: Option<&str>, now: Time) -> bool {
         let Some(worker) = self.workers.get(worker) else { return true };
-        let unanswered_at = self.unanswered_maintenance.get(&worker.info.machine);
-        worker.unanswered_polls > 0 || unanswered_at.is_some_and(|at| *at >= worker.last_answer_at)
+        let machine = &*worker.info.machine;
+        worker.unanswered_polls > 0
+            || (except != Some(machine) && self.may_begin_maintenance(machine, now))
+    }
+
+    /// Whether a maintenance order without a response may still take effect on the machine.
+    fn may_begin_maintenance(&self, machine: &str, now: Time) -> bool {
+        let unanswered_at = self.unanswered_maintenance.get(machine);
+        unanswered_at.is_some_and(|at| now < *at + LATE_ORDER_WINDOW)
     }
 }
 
--- a/tests/batch_maintenance.rs
+++ b/tests/batch_maintenance.rs
@@ -5,7 +5,9 @@
 use batch::{Cluster, long_running_step, short_step};
 use indexmap::IndexMap;
 use jacinthhook::batch::declarations::Wave;
-use jacinthhook::batch::maintenance::{Machine, MachineId, MachineState, MaintenanceOrder};
+use jacinthhook::batch::maintenance::{
+    LATE_ORDER_WINDOW, Machine, MachineId, MachineState, MaintenanceOrder,
+};
 use std::time::Duration;
 
 fn machines(cluster: &Cluster) -> IndexMap<MachineId, Machine> {
@@ -221,3 +223,74 @@
     cluster.owner.apply_machine_list(&machine_list, cluster.now, cluster.now);
     assert!(!cluster.owner.workers["w0"].registered);
 }
+
+/// Orders maintenance of a machine without a response. A short task then keeps the machine up.
+fn order_without_response(cluster: &mut Cluster) -> MaintenanceOrder {
+    let machine_list = machines(cluster);
+    let order = cluster.owner.plan_maintenance(&machine_list, cluster.now).remove(0);
+    cluster.owner.record_unanswered_maintenance(&order, cluster.now);
+    for worker in cluster.owner.workers.values_mut() {
+        worker.cordoned = worker.info.machine != order.machine;
+    }
+    cluster.submit("00000000000000a2", vec![short_step(1)]);
+    cluster.settle();
+    let short_task =
+        cluster.running_tasks().into_iter().find(|(_, task, _)| task.job.ends_with("a2"));
+    let (worker, _, _) = short_task.expect("the short task");
+    assert_eq!(cluster.owner.workers[&worker].info.machine, order.machine);
+    order
+}
+
+/// The platform may begin a maintenance seconds after the response to its order was lost, on a worker
+/// that responds meanwhile. Guards against ending the task of another machine in that time: the step
+/// would miss two.
+#[test]
+fn plan_maintenance_late_order_takes_tolerance() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit("00000000000000a1", vec![long_running_step(2, 1)]);
+    cluster.settle();
+    with_wave(&mut cluster, 2);
+    let ordered_at = cluster.now;
+    order_without_response(&mut cluster);
+    let machine_list = machines(&cluster);
+    while cluster.now < ordered_at + LATE_ORDER_WINDOW {
+        let orders = cluster.owner.plan_maintenance(&machine_list, cluster.now);
+        assert!(orders.is_empty(), "{orders:?} after {:?}", cluster.now - ordered_at);
+        cluster.advance(Duration::from_millis(500));
+        cluster.poll_all();
+    }
+    assert_eq!(cluster.owner.plan_maintenance(&machine_list, cluster.now).len(), 1);
+}
+
+/// Guards against a second machine of a wave that allows one at a time, while an order without a
+/// response may still take the first one down.
+#[test]
+fn plan_maintenance_late_order_takes_slot() {
+    let mut cluster = Cluster::new(2);
+    with_wave(&mut cluster, 1);
+    let ordered_at = cluster.now;
+    let first = order_without_response(&mut cluster);
+    let machine_list = machines(&cluster);
+    while cluster.now < ordered_at + LATE_ORDER_WINDOW {
+        let orders = cluster.owner.plan_maintenance(&machine_list, cluster.now);
+        assert!(orders.is_empty(), "{orders:?} after {:?}", cluster.now - ordered_at);
+        cluster.advance(Duration::from_millis(500));
+        cluster.poll_all();
+    }
+    let orders = cluster.owner.plan_maintenance(&machine_list, cluster.now);
+    assert!(orders.len() == 1 && orders[0].machine != first.machine, "{orders:?}");
+}
+
+/// An order without a response is repeated, and its own machine does not count against it.
+#[test]
+fn plan_maintenance_repeats_unanswered_order() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit("00000000000000a1", vec![long_running_step(2, 1)]);
+    cluster.settle();
+    with_wave(&mut cluster, 2);
+    let machine_list = machines(&cluster);
+    let first = cluster.owner.plan_maintenance(&machine_list, cluster.now).remove(0);
+    cluster.owner.record_unanswered_maintenance(&first, cluster.now);
+    cluster.advance(Duration::from_millis(150));
+    assert_eq!(cluster.owner.plan_maintenance(&machine_list, cluster.now), [first]);
+}
