Start nothing on a machine whose move got no response until it is settled

Callers could see tasks end that had just started: their machine was moved by an order that had been given up.

Cause: a move that the machine list did not show after 4 s was forgotten, and at once if a repeat was refused, and the worker got starts again. The machine service may carry the order out up to 12 s later.

Change: a move without a response is repeated every 4 s, and its worker gets no starts, until the list shows it or 12 s are over.

Orders of an earlier owner are not covered.

--- a/src/batch/moves.rs
+++ b/src/batch/moves.rs
@@ -8,7 +8,7 @@
 
 use crate::batch::forecast::Arrivals;
 use crate::batch::job::{Job, Step, Task};
-use crate::batch::maintenance::{Machine, MachineId, MachineState};
+use crate::batch::maintenance::{LATE_ORDER_WINDOW, Machine, MachineId, MachineState};
 use crate::batch::owner::Owner;
 use crate::batch::scheduler::startable_tasks;
 use crate::fair::Resources;
@@ -32,7 +32,8 @@
 const LONG_RUNNING_WAIT: Duration = Duration::from_millis(300);
 /// Consecutive unanswered polls after which a worker no longer counts as capacity.
 const MAX_UNANSWERED_POLLS: u32 = 2;
-/// Time after which a move that the machine list does not show is ordered again.
+/// Time after which a move that the machine list does not show is forgotten, or ordered again if its
+/// order got no response.
 const MOVE_RETRY_DELAY: Duration = Duration::from_secs(4);
 
 /// An order to move a machine.
@@ -42,11 +43,20 @@
     pub to: PoolId,
 }
 
+/// A move that the machine list may not show yet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MoveInFlight {
+    pub to: PoolId,
+    pub ordered_at: Time,
+    /// Until when an order without a response may take effect; zero if there is none. The worker on
+    /// the machine gets no starts as long.
+    pub unanswered_until: Time,
+}
+
 /// Moves in flight, and the recent demand of each pool.
 #[derive(Clone, Debug, Default)]
 pub struct MoveState {
-    /// Target pool and order time of moves that the machine list may not show yet.
-    pub in_flight: IndexMap<MachineId, (PoolId, Time)>,
+    pub in_flight: IndexMap<MachineId, MoveInFlight>,
     /// For each pool, when it last wanted at least `i + 1` machines, at index `i`.
     last_wanted_at: IndexMap<PoolId, Vec<Time>>,
     /// Current and wanted number of machines of each pool at the last pass.
@@ -101,7 +111,8 @@
         for (pool, _) in pools.iter().filter(|(_, p)| !p.standby) {
             machines_by_pool.insert(pool.clone(), self.pool_machines(pool, machines, now));
         }
-        let mut moves = Vec::new();
+        let mut moves = self.repeated_moves(machines, now);
+        let repeated = moves.len();
         while let Some(pool) = neediest_pool(&machines_by_pool) {
             let from_pool = || take_surplus_machine(&mut machines_by_pool, &pool);
             let Some(machine) = spare.pop().or_else(from_pool) else { break };
@@ -124,19 +135,45 @@
                 }
             }
         }
-        for order in &moves {
-            self.moves.in_flight.insert(order.machine.clone(), (order.to.clone(), now));
+        for order in &moves[repeated..] {
+            let (to, unanswered_until) = (order.to.clone(), Time::ZERO);
+            let in_flight = MoveInFlight { to, ordered_at: now, unanswered_until };
+            self.moves.in_flight.insert(order.machine.clone(), in_flight);
         }
         self.cordon_moving_workers();
         moves
     }
 
-    /// Forgets a move that will not be carried out.
+    /// Returns the moves to order again. An order that got no response may still take effect, so the
+    /// machine is of no use until it has moved.
+    fn repeated_moves(&mut self, machines: &IndexMap<MachineId, Machine>, now: Time) -> Vec<Move> {
+        let mut repeated = Vec::new();
+        for (id, in_flight) in &mut self.moves.in_flight {
+            let is_up = machines.get(id).is_some_and(|m| m.state == MachineState::Up);
+            if is_up && now >= in_flight.ordered_at + MOVE_RETRY_DELAY {
+                in_flight.ordered_at = now;
+                repeated.push(Move { machine: id.clone(), to: in_flight.to.clone() });
+            }
+        }
+        repeated
+    }
+
+    /// Forgets a move that will not be carried out, unless an earlier order of it may still be.
     pub fn abandon_move(&mut self, order: &Move) {
-        self.moves.in_flight.swap_remove(&order.machine);
+        let moves = &mut self.moves.in_flight;
+        if moves.get(&order.machine).is_some_and(|m| m.unanswered_until.is_zero()) {
+            moves.swap_remove(&order.machine);
+        }
         self.cordon_moving_workers();
     }
 
+    /// Records that the order of a move got no response.
+    pub fn record_unanswered_move(&mut self, order: &Move, now: Time) {
+        if let Some(in_flight) = self.moves.in_flight.get_mut(&order.machine) {
+            in_flight.unanswered_until = now + LATE_ORDER_WINDOW;
+        }
+    }
+
     /// Whether a machine may receive an order: it has no move in flight, and no previous owner
     /// ordered it recently.
     pub(super) fn can_be_ordered(&self, machine: &str) -> bool {
@@ -154,9 +191,10 @@
 
     /// Forgets moves that the machine list shows as done, and those that are due for a retry.
     fn expire_moves(&mut self, machines: &IndexMap<MachineId, Machine>, now: Time) {
-        self.moves.in_flight.retain(|id, (to, at)| {
-            let arrived = machines.get(id).is_none_or(|m| m.pool == *to);
-            !arrived && now < *at + MOVE_RETRY_DELAY
+        self.moves.in_flight.retain(|id, in_flight| {
+            let arrived = machines.get(id).is_none_or(|m| m.pool == in_flight.to);
+            let until = (in_flight.ordered_at + MOVE_RETRY_DELAY).max(in_flight.unanswered_until);
+            !arrived && now < until
         });
     }
 
@@ -180,12 +218,11 @@
         machines: &IndexMap<MachineId, Machine>,
         now: Time,
     ) -> PoolMachines {
-        let leaving =
-            |m: &Machine| self.moves.in_flight.get(&m.id).is_some_and(|(to, _)| to != pool);
+        let leaving = |m: &Machine| self.moves.in_flight.get(&m.id).is_some_and(|m| m.to != *pool);
         let here: Vec<&Machine> =
             machines.values().filter(|m| m.pool == *pool && !leaving(m)).collect();
-        let arriving = self.moves.in_flight.iter().filter(|(id, (to, _))| {
-            to == pool && machines.get(*id).is_some_and(|m| m.pool != *pool)
+        let arriving = self.moves.in_flight.iter().filter(|(id, in_flight)| {
+            in_flight.to == *pool && machines.get(*id).is_some_and(|m| m.pool != *pool)
         });
         let current = here.iter().filter(|m| self.counts_as_capacity(m)).count() + arriving.count();
         let idle = here.iter().filter(|m| m.state == MachineState::Up && self.is_idle(m));
--- a/src/instance/machine_orders.rs
+++ b/src/instance/machine_orders.rs
@@ -162,7 +162,8 @@
         match outcome {
             MachineOutcome::Fenced => self.end_term(),
             // The worker on the machine gets no starts until the list of machines shows the result.
-            MachineOutcome::Begun | MachineOutcome::Unknown => {}
+            MachineOutcome::Begun => {}
+            MachineOutcome::Unknown => owner.record_unanswered_move(&order, self.shared.now()),
             MachineOutcome::Busy | MachineOutcome::Unfit | MachineOutcome::Refused => {
                 owner.abandon_move(&order);
             }
--- a/tests/batch_moves.rs
+++ b/tests/batch_moves.rs
@@ -5,7 +5,7 @@
 use batch::{Cluster, long_running_step, short_step};
 use indexmap::IndexMap;
 use jacinthhook::batch::declarations::{Declarations, Pool};
-use jacinthhook::batch::maintenance::{Machine, MachineId, MachineState};
+use jacinthhook::batch::maintenance::{LATE_ORDER_WINDOW, Machine, MachineId, MachineState};
 use jacinthhook::batch::moves::Move;
 use jacinthhook::batch::orders::RunOutcome;
 use std::sync::Arc;
@@ -134,3 +134,53 @@
     assert_eq!(moves.len(), 1, "{moves:?}");
     assert_eq!(&*moves[0].to, "pool");
 }
+
+/// The platform may carry out a move seconds after its response was lost. Guards against starting
+/// tasks on the machine before, which the move would end; the order is repeated instead.
+#[test]
+fn record_unanswered_move_no_starts() {
+    let mut cluster = Cluster::new(5);
+    let machine_list = machines(&mut cluster, 0);
+    cluster.owner.plan_moves(&machine_list, cluster.now);
+    cluster.advance(Duration::from_secs(3));
+    let moves = cluster.owner.plan_moves(&machine_list, cluster.now);
+    cluster.owner.record_unanswered_move(&moves[0], cluster.now);
+    let ordered_at = cluster.now;
+    let worker = cluster.owner.workers.values().find(|w| w.info.machine == moves[0].machine);
+    let worker = worker.expect("a worker on the machine").info.id.clone();
+    let mut repeated = 0;
+    while cluster.now < ordered_at + LATE_ORDER_WINDOW {
+        cluster.poll_all();
+        cluster.owner.plan_maintenance(&machine_list, cluster.now);
+        let again = cluster.owner.plan_moves(&machine_list, cluster.now);
+        let again = again.into_iter().filter(|order| order.machine == moves[0].machine);
+        for order in again {
+            repeated += 1;
+            assert_eq!(order, moves[0], "the machine may be in another pool already");
+            cluster.owner.abandon_move(&order);
+        }
+        assert!(cluster.owner.workers[&worker].cordoned, "{:?}", cluster.now - ordered_at);
+        cluster.advance(Duration::from_millis(500));
+    }
+    assert_eq!(repeated, 2);
+    cluster.owner.plan_moves(&machine_list, cluster.now);
+    cluster.owner.plan_maintenance(&machine_list, cluster.now);
+    cluster.submit(JOB, vec![short_step(80)]);
+    let starts = cluster.decide().orders.starts;
+    assert!(starts.iter().any(|start| start.worker == worker), "the machine stays unused");
+}
+
+/// Guards against repeating a move that is done: it was applied although its response was lost.
+#[test]
+fn record_unanswered_move_done() {
+    let mut cluster = Cluster::new(5);
+    let mut machine_list = machines(&mut cluster, 0);
+    cluster.owner.plan_moves(&machine_list, cluster.now);
+    cluster.advance(Duration::from_secs(3));
+    let moves = cluster.owner.plan_moves(&machine_list, cluster.now);
+    cluster.owner.record_unanswered_move(&moves[0], cluster.now);
+    machine_list[&moves[0].machine].pool = moves[0].to.clone();
+    cluster.advance(Duration::from_secs(5));
+    let again = cluster.owner.plan_moves(&machine_list, cluster.now);
+    assert!(again.iter().all(|order| order.machine != moves[0].machine), "{again:?}");
+}
