--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -89,3 +89,24 @@
     assert!(requests[0].contains(&format!("host: {address}\r\n")), "{}", requests[0]);
     assert!(requests[1].contains("x-test: 1\r\n"), "{}", requests[1]);
 }
+
+/// The service closes a connection that it kept, after it has read the next request. Guards against
+/// sending that request again on another connection, and against reporting it as not sent.
+#[tokio::test]
+async fn call_kept_connection_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let service = tokio::spawn(async move {
+        let (mut kept, _) = listener.accept().await.expect("a connection");
+        read_request(&mut kept).await;
+        kept.write_all(RESPONSE).await.expect("a response");
+        read_request(&mut kept).await;
+        drop(kept);
+        let next = tokio::time::timeout(Duration::from_millis(300), listener.accept()).await;
+        assert!(next.is_err(), "the request was sent again");
+    });
+    let http = Http::new();
+    assert!(post(&http, address).await.is_ok());
+    assert_eq!(post(&http, address).await.err(), Some(CallFailure::NoResponse));
+    service.await.expect("the service");
+}
