Reckon with the longest lease of a young worker after a change of owner

What callers could see: a task that runs twice, if a worker restarts unnoticed, takes a start of the previous owner, and falls silent after its first report to the next one.

Cause: the next owner took the leases of the previous one for at most 4.5 s. By the clock of the process before, a start gives the new process the longest lease that a worker accepts.

Change: if the first report lists runs and the worker's clock shows that it started less than two longest leases ago, its runs may hold the longest one. Other workers are given up after 4.5 s as before.

What remains: a worker that is silent from the change of owner on.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -477,7 +477,8 @@
                 worker.lease_until.max(report.clock + LEASE_DURATION.min(self.bounds.max_lease));
         }
         if worker.clock_reading.is_none() {
-            worker.settle_restart(!report.running.is_empty(), self.bounds.max_lease, now);
+            let has_runs = !report.running.is_empty();
+            worker.settle_first_report(report.clock, has_runs, self.bounds.max_lease, now);
         }
         worker.incarnation = incarnation;
         worker.clock_reading = Some((report.clock, now));
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -61,7 +61,7 @@
     /// worker has been synced.
     pub prior_leases_until: Time,
     /// By the owner's clock, when all leases have expired that this incarnation may have received by
-    /// the clock of the previous one. Zero if the owner has seen no restart.
+    /// the clock of the previous one. Zero if there are none.
     pub restart_leases_until: Time,
     /// Tasks assigned to the worker, with the resources that each reserves.
     pub assigned: IndexMap<TaskId, Resources>,
@@ -153,13 +153,20 @@
         }
     }
 
-    /// Records the first report of an incarnation that may have received orders meant for the previous
-    /// one. From here on it rejects those. The leases of the runs that it has started may be full ones.
-    pub fn settle_restart(&mut self, has_runs: bool, max_lease: Duration, now: Time) {
-        if !self.restart_leases_until.is_zero() {
-            self.restart_leases_until =
-                if has_runs { lease_end(now, max_lease) } else { Time::ZERO };
-        }
+    /// Records the first report of an incarnation, with the clock that it shows. From here on the worker
+    /// rejects orders of before. If it has runs, orders meant for a previous incarnation may have given
+    /// it a lease of `max_lease`. That includes orders of a previous owner if the worker started less
+    /// than `2 * max_lease` ago: an owner learns of a restart within one `max_lease`.
+    pub fn settle_first_report(
+        &mut self,
+        clock: WorkerTime,
+        has_runs: bool,
+        max_lease: Duration,
+        now: Time,
+    ) {
+        let has_restarted = !self.restart_leases_until.is_zero() || clock < 2 * max_lease;
+        self.restart_leases_until =
+            if has_runs && has_restarted { lease_end(now, max_lease) } else { Time::ZERO };
     }
 
     /// Raises the fence to the next value of the owner's counter and requires a new poll, so that
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -2,11 +2,12 @@
 
 mod batch;
 
-use batch::{Cluster, FakeWorker, bounds, short_step};
+use batch::{Cluster, FakeWorker, active_config, bounds, short_step, worker_info};
 use indexmap::IndexMap;
 use jacinthhook::batch::job::WorkerId;
 use jacinthhook::batch::orders::{RunOutcome, StartOrder, StartOutcome};
 use jacinthhook::batch::owner::{LEASE_DURATION, OwnerEvent, RestartSource};
+use jacinthhook::batch::records;
 use jacinthhook::batch::worker::WorkerInfo;
 use std::time::Duration;
 
@@ -321,3 +322,51 @@
     cluster.owner.record_start_clock(&start, Duration::ZERO, cluster.now, cluster.now);
     assert_eq!(cluster.owner.fence(worker), fence);
 }
+
+/// The previous owner had a start carried out by a worker that had restarted unnoticed. Guards against
+/// a new owner that gives up the run of the worker, silent after its first report, when the lease that
+/// owners send is over: it may hold the longest one.
+#[test]
+fn apply_report_new_owner_young_worker() {
+    let mut cluster = Cluster::new(2);
+    let start = start_on_restarted_worker(&mut cluster);
+    let mut next = next_owner(&cluster);
+    next.poll_all();
+    assert!(next.owner.workers[&start.worker].assigned.contains_key(&start.task));
+    next.owner.record_unanswered_poll(&start.worker);
+    assert_eq!(pass_for(&mut next, bounds().max_lease.div_f64(0.98)), []);
+    assert_eq!(pass_for(&mut next, PASS * 5).len(), 1);
+}
+
+/// Guards against a new owner that waits for the longest lease at each silent worker: only one that
+/// restarted shortly before can hold it.
+#[test]
+fn apply_report_new_owner_old_worker() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit(JOB, vec![short_step(1)]);
+    cluster.settle();
+    let (worker, _, _) = cluster.running_tasks().remove(0);
+    let mut next = next_owner(&cluster);
+    next.poll_all();
+    next.owner.record_unanswered_poll(&worker);
+    assert_eq!(pass_for(&mut next, LEASE_DURATION), []);
+    assert_eq!(pass_for(&mut next, LEASE_DURATION.mul_f64(0.1)).len(), 1);
+}
+
+/// Returns the owner of the next term with the same workers, which it has not polled yet.
+fn next_owner(cluster: &Cluster) -> Cluster {
+    let mut next = Cluster::with_term(2, active_config());
+    next.now = cluster.now;
+    next.submit(JOB, vec![short_step(1)]);
+    let record = records::encode_job(&JOB.into(), &cluster.owner.jobs[JOB]).value;
+    next.owner.restore_record(JOB, &record.expect("a value"), next.now);
+    let listed = cluster.fake_workers.iter().enumerate().map(|(i, (id, fake_worker))| {
+        let incarnation = fake_worker.incarnation;
+        (id.clone(), WorkerInfo { incarnation, ..worker_info(id, i) })
+    });
+    next.owner.update_workers(&listed.collect(), next.now);
+    next.owner.finish_restore(next.now);
+    next.fake_workers = cluster.fake_workers.clone();
+    next.advance(PASS);
+    next
+}
