See a restart by the clock if a report names no incarnation

What callers could see: a done task that runs again, if a worker restarts and its reports do not name an incarnation.

Cause: such a report was taken for one of the known process. Its finished runs are numbered anew, so they counted as processed before, and a run whose end was listed was taken for lost.

Change: in a report without an incarnation, a clock that went back shows a restart.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -452,16 +452,18 @@
             // Orders that have been voided since may still take effect.
             return false;
         }
-        // A report without an incarnation does not show a restart.
         let incarnation =
             if report.incarnation == 0 { worker.incarnation } else { report.incarnation };
-        if worker.incarnation != incarnation && worker.clock_reading.is_some() {
+        // A report without an incarnation shows a restart only by its clock.
+        let has_restarted = worker.incarnation != incarnation && worker.clock_reading.is_some()
+            || report.incarnation == 0 && worker.clock_went_back(report.clock, report.requested_at);
+        if has_restarted {
             // Polled again under a higher fence, so that orders to the previous incarnation cannot
             // take effect.
             self.events.push(OwnerEvent::WorkerRestarted {
                 worker: id.clone(),
                 earlier: worker.incarnation,
-                incarnation,
+                incarnation: report.incarnation,
                 source: RestartSource::Report,
             });
             let max_lease = self.bounds.max_lease;
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -4,7 +4,7 @@
 
 use batch::{Cluster, FakeWorker, active_config, bounds, short_step, worker_info};
 use indexmap::IndexMap;
-use jacinthhook::batch::job::WorkerId;
+use jacinthhook::batch::job::{JobState, WorkerId};
 use jacinthhook::batch::orders::{RunOutcome, StartOrder, StartOutcome};
 use jacinthhook::batch::owner::{LEASE_DURATION, OwnerEvent, RestartSource};
 use jacinthhook::batch::records;
@@ -370,3 +370,27 @@
     next.advance(PASS);
     next
 }
+
+/// A worker restarts that does not name its incarnation. Guards against taking the end of a run for
+/// one of the process before, so that a done task starts again: the numbers of ends start anew.
+#[test]
+fn apply_report_restart_without_incarnation() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit(JOB, vec![short_step(1)]);
+    cluster.settle();
+    cluster.finish_all(RunOutcome::Done);
+    cluster.settle();
+    cluster.submit("00000000000000a2", vec![short_step(1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    assert_eq!(cluster.owner.workers[&start.worker].last_processed, 1);
+    restart(&mut cluster, &start.worker, 0);
+    cluster.carry_out_start(&start);
+    cluster.owner.record_start_outcome(&start, StartOutcome::Started, cluster.now);
+    cluster.advance(PASS);
+    cluster.finish_all(RunOutcome::Done);
+    cluster.poll(&start.worker);
+    assert_eq!(pass_for(&mut cluster, PASS * 3), []);
+    cluster.poll(&start.worker);
+    cluster.decide();
+    assert_eq!(cluster.owner.jobs["00000000000000a2"].state, JobState::Complete);
+}
