--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -49,7 +49,7 @@
 /// within the integers that JSON numbers hold exactly.
 const FENCE_COUNTER_BITS: u32 = 32;
 
-/// What showed the owner that a worker restarted.
+/// What showed the owner that a worker restarted. The new incarnation is 0 if this does not name it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RestartSource {
     Registry,
@@ -61,50 +61,15 @@
 /// An outcome of a decision, for the event log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OwnerEvent {
-    TaskPlaced {
-        task: TaskId,
-        run: u32,
-        worker: WorkerId,
-        job_age: Duration,
-    },
-    RunEnded {
-        task: TaskId,
-        run: u32,
-        worker: WorkerId,
-        outcome: RunOutcome,
-    },
-    RunLost {
-        task: TaskId,
-        run: u32,
-        worker: WorkerId,
-        reason: &'static str,
-    },
-    JobEnded {
-        job: JobId,
-        state: JobState,
-        job_age: Duration,
-    },
-    WorkerQuarantined {
-        worker: WorkerId,
-    },
-    /// `incarnation` is 0 if the source does not name it.
-    WorkerRestarted {
-        worker: WorkerId,
-        earlier: u64,
-        incarnation: u64,
-        source: RestartSource,
-    },
-    WorkerLeaseExpired {
-        worker: WorkerId,
-        tasks: u64,
-    },
-    MaintenanceBlocked {
-        machine: Arc<str>,
-        blocker: Blocker,
-    },
-    BadRecord {
-        error: String,
-    },
+    TaskPlaced { task: TaskId, run: u32, worker: WorkerId, job_age: Duration },
+    RunEnded { task: TaskId, run: u32, worker: WorkerId, outcome: RunOutcome },
+    RunLost { task: TaskId, run: u32, worker: WorkerId, reason: &'static str },
+    JobEnded { job: JobId, state: JobState, job_age: Duration },
+    WorkerQuarantined { worker: WorkerId },
+    WorkerRestarted { worker: WorkerId, earlier: u64, incarnation: u64, source: RestartSource },
+    WorkerLeaseExpired { worker: WorkerId, tasks: u64 },
+    MaintenanceBlocked { machine: Arc<str>, blocker: Blocker },
+    BadRecord { error: String },
 }
 
 /// Decisions that have been made but not stored.
