Reckon with the longest lease of a restarted worker that listed no run

What callers could see: a task that runs twice.

Cause: the poll that meets a restart, or a start, carries a lease by the clock of the earlier process, which the new one cuts to the longest lease. If its first report under the raised token listed no run, the owner took that lease for void. It is not: a lease applies to everything that runs on the worker and never shortens (PROTOCOL.md, deadlineMs). A run that starts after that report holds it too. When the worker then fell silent, the owner gave the run up after its own lease of 4.5 s.

Change: after a restart, and for a young worker after a change of owner, the longest lease counts from the first report on, whether that lists runs or not. A worker that answers is not affected.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -444,8 +444,7 @@
                 worker.lease_until.max(report.clock + LEASE_DURATION.min(self.bounds.max_lease));
         }
         if worker.clock_reading.is_none() {
-            let has_runs = !report.running.is_empty();
-            worker.settle_first_report(report.clock, has_runs, self.bounds.max_lease, now);
+            worker.settle_first_report(report.clock, self.bounds.max_lease, now);
         }
         worker.incarnation = incarnation;
         worker.clock_reading = Some((report.clock, now));
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -154,19 +154,14 @@
     }
 
     /// Records the first report of an incarnation, with the clock that it shows. From here on the worker
-    /// rejects orders of before. If it has runs, orders meant for a previous incarnation may have given
-    /// it a lease of `max_lease`. That includes orders of a previous owner if the worker started less
-    /// than `2 * max_lease` ago: an owner learns of a restart within one `max_lease`.
-    pub fn settle_first_report(
-        &mut self,
-        clock: WorkerTime,
-        has_runs: bool,
-        max_lease: Duration,
-        now: Time,
-    ) {
+    /// rejects orders of before. Orders meant for a previous incarnation may have given it a lease of
+    /// `max_lease`, which also holds for runs that start later. That includes orders of a previous owner
+    /// if the worker started less than `2 * max_lease` ago: an owner learns of a restart within one
+    /// `max_lease`.
+    pub fn settle_first_report(&mut self, clock: WorkerTime, max_lease: Duration, now: Time) {
         let has_restarted = !self.restart_leases_until.is_zero() || clock < 2 * max_lease;
         self.restart_leases_until =
-            if has_runs && has_restarted { lease_end(now, max_lease) } else { Time::ZERO };
+            if has_restarted { lease_end(now, max_lease) } else { Time::ZERO };
     }
 
     /// Raises the fence to the next value of the owner's counter and requires a new poll, so that
