Send no acknowledgement in the poll after one without a response

What callers could see: a done task that runs again.

Cause: a worker restarted while it delayed its answer to a poll with an acknowledgement. The poll was lost, a start that was under way ran and ended on the new process, and the next poll carried the same index again. The new process, which counts its ends anew, dropped the end of that run unread; the run counted as not listed, and the task started elsewhere.

Change: after a poll without a response, the next ones carry no acknowledgement until one is answered (Worker::next_acknowledged). That answer shows a restart; if there was none, the poll after it carries the index. What remains: a restart between two polls that are both answered.

--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -215,9 +215,11 @@
 
     /// Index of the last finished run that a poll sent now acknowledges; 0 if there is none to
     /// acknowledge. Never repeated once the worker has it: an incarnation that the owner does not know
-    /// of yet would drop finished runs that the owner has not seen.
+    /// of yet would drop finished runs that the owner has not seen. For the same reason, the poll after
+    /// one without a response carries none.
     pub fn next_acknowledged(&self) -> u64 {
-        if self.last_stored > self.last_acknowledged { self.last_stored } else { 0 }
+        let is_pending = self.last_stored > self.last_acknowledged;
+        if is_pending && self.unanswered_polls == 0 { self.last_stored } else { 0 }
     }
 
     /// Counts a failed run or a rejected start. Returns whether the worker is quarantined as a
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -284,6 +284,27 @@
     assert_eq!(cluster.owner.workers[&worker].next_acknowledged(), 0);
 }
 
+/// A worker restarts while it delays its answer to a poll with an acknowledgement. Guards against
+/// sending the index to the new process, which would drop finished runs that the owner has not seen,
+/// and against never sending it to a process that goes on.
+#[test]
+fn next_acknowledged_unanswered_poll() {
+    let mut cluster = Cluster::new(1);
+    let worker: WorkerId = "w0".into();
+    cluster.submit(JOB, vec![short_step(1)]);
+    cluster.settle();
+    cluster.finish_all(RunOutcome::Done);
+    cluster.poll_all();
+    cluster.decide();
+    assert_eq!(cluster.owner.workers[&worker].next_acknowledged(), 1);
+    cluster.owner.record_unanswered_poll(&worker);
+    assert_eq!(cluster.owner.workers[&worker].next_acknowledged(), 0);
+    assert!(cluster.owner.workers[&worker].needs_poll());
+    cluster.poll(&worker);
+    assert_eq!(cluster.owner.workers[&worker].next_acknowledged(), 1);
+    assert!(cluster.owner.workers[&worker].needs_poll());
+}
+
 /// A worker that has restarted unnoticed answers a start and then falls silent. Guards against giving
 /// up its run when the lease by the clock of the process before is over: it may hold the longest one.
 #[test]
