Name the sequence in which a replaced owner starts a done task

A test only. owner_seed_5456 fails and is in KNOWN-RED.txt: an owner that was replaced while it was frozen sends a start again within its permission of 6 s, to a worker that has restarted since and so has no fence. owner_seed_1113 passes since the commit before, because its sequence draws other faults now, and left KNOWN-RED.txt; the fault that it showed is that of owner_seed_642.

--- a/tests/owner_fuzz.rs
+++ b/tests/owner_fuzz.rs
@@ -88,3 +88,10 @@
 fn owner_seed_1113() {
     run_seed(1_113);
 }
+
+/// Guards against a start that a replaced owner, which has not learned of that yet, sends again: its
+/// worker restarted after the end of the run, and has no fence that rejects the order.
+#[test]
+fn owner_seed_5456() {
+    run_seed(5_456);
+}
