Do not refuse for good what an earlier call may have stored

Callers could be told with 503 that a job never runs, and then see it run: the first call got no response from the store and ended with 504, and the job was sent again to the same instance while the store refused appends.

Cause: only the calls of one append were known to be uncertain, not the key.

Change: for 12 s after an append without a response, a refused record of the same key counts as unknown (504 at the deadline). Other instances do not know of it.

--- a/src/instance/append_queue.rs
+++ b/src/instance/append_queue.rs
@@ -6,6 +6,7 @@
 
 use crate::platform::store::{self, AppendCondition, Store, StoreError};
 use bytes::Bytes;
+use indexmap::IndexMap;
 use parking_lot::Mutex;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,12 +15,14 @@
 
 /// Pause before an append without a response is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Longest time after which the store carries out an append that got no response.
+const LATE_APPEND_WINDOW: Duration = Duration::from_secs(12);
 
 /// Outcome of an attempt to store a record.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AppendOutcome {
     Stored,
-    /// The record is not stored and never will be.
+    /// The record is not stored and never will be, by any call at this instance.
     NotStored,
     /// The record is stored, or may still be stored later.
     Unknown,
@@ -38,6 +41,8 @@
 #[derive(Default)]
 pub struct AppendQueue {
     pending: Mutex<Vec<PendingAppend>>,
+    /// Until when the record of a key may be stored by an append that got no response.
+    uncertain_until: Mutex<IndexMap<String, Instant>>,
     wake: Notify,
 }
 
@@ -68,14 +73,15 @@
             match store.append(store::JOBS_TOPIC, &records, AppendCondition::default()).await {
                 Ok(_) => complete(batch, AppendOutcome::Stored),
                 Err(StoreError::NoResponse) => {
-                    batch.iter_mut().for_each(|p| p.maybe_stored = true);
+                    self.record_uncertain(&mut batch);
                     self.requeue(batch);
                     sleep(RETRY_DELAY).await;
                 }
                 // This append had no effect, but an earlier one of the same record may have had.
                 Err(_) => {
-                    let (maybe_stored, not_stored) =
-                        batch.into_iter().partition(|p| p.maybe_stored);
+                    let (maybe_stored, not_stored) = batch
+                        .into_iter()
+                        .partition(|p| p.maybe_stored || self.is_uncertain(&p.key));
                     complete(not_stored, AppendOutcome::NotStored);
                     self.requeue(maybe_stored);
                     sleep(RETRY_DELAY).await;
@@ -84,6 +90,21 @@
         }
     }
 
+    fn record_uncertain(&self, batch: &mut [PendingAppend]) {
+        let now = Instant::now();
+        let mut uncertain_until = self.uncertain_until.lock();
+        uncertain_until.retain(|_, until| now < *until);
+        for pending in batch {
+            pending.maybe_stored = true;
+            uncertain_until.insert(pending.key.clone(), now + LATE_APPEND_WINDOW);
+        }
+    }
+
+    /// Whether an earlier call's record of this key may be stored or become so.
+    fn is_uncertain(&self, key: &str) -> bool {
+        self.uncertain_until.lock().get(key).is_some_and(|until| Instant::now() < *until)
+    }
+
     fn take_batch(&self) -> Vec<PendingAppend> {
         let mut pending = self.pending.lock();
         let count = store::records_per_append(pending.iter().map(|p| p.key.len() + p.value.len()));
--- a/tests/store_client.rs
+++ b/tests/store_client.rs
@@ -171,3 +171,30 @@
     let error = store_responding(200, "oops").await.read_latest("keyed.progress").await.err();
     assert_eq!(error, Some(StoreError::NoResponse));
 }
+
+/// Guards against telling a caller that its job never runs when it is sent again: the append of the
+/// first call got no response and may still be carried out.
+#[tokio::test]
+async fn append_queue_resubmitted_record() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a free port");
+    let address = listener.local_addr().expect("a local address").to_string();
+    tokio::spawn(async move {
+        let (mut connection, _) = listener.accept().await.expect("a connection");
+        let _ = connection.read(&mut [0; 1_024]).await.expect("a request");
+        drop(connection);
+        while let Ok((mut connection, _)) = listener.accept().await {
+            let _ = connection.read(&mut [0; 1_024]).await;
+            let head = b"HTTP/1.1 503 Busy\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+            let _ = connection.write_all(head).await;
+        }
+    });
+    let queue = Arc::new(AppendQueue::default());
+    tokio::spawn(queue.clone().run(Store::new(Http::new(), address)));
+    let store = |key: &'static str| {
+        let deadline = Instant::now() + Duration::from_millis(300);
+        queue.store(key, Bytes::from_static(b"x"), deadline)
+    };
+    assert_eq!(store("job").await, AppendOutcome::Unknown);
+    assert_eq!(store("job").await, AppendOutcome::Unknown);
+    assert_eq!(store("other").await, AppendOutcome::NotStored);
+}
