Wait for all earlier owners, not only for the last one

What callers could see: a task that runs twice after two changes of owner within 6 s.

Cause: a new owner asks the owner before it whether it has stopped, and then waits for one lease duration only. If that owner's term was short, the one before it may still be within its permission of 6 s, cut off from the store, and extend leases of workers that the new owner does not reach.

Change: the earlier owner's confirmation holds for its own orders; for those of the owners before it counts when the latest term began, plus the permission. Owner records name the age of the term, so that an instance that has just started knows a long term.

Evidence: earlier_owners_stopped_at_short_term, earlier_owners_stopped_at_long_term and record_previous_owners_stopped_ahead are for functions that are new or take a time ahead; they could not run before.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -234,10 +234,11 @@
         }
     }
 
-    /// Records that the previous owner has stopped sending orders. Its last leases expire within
-    /// one lease duration.
-    pub fn record_previous_owner_stopped(&mut self, now: Time) {
-        self.prior_leases_until = self.prior_leases_until.min(now + LEASE_DURATION.mul_f64(1.05));
+    /// Records that all previous owners have stopped sending orders by `stopped_at`, which may lie ahead.
+    /// Their last leases expire within one lease duration.
+    pub fn record_previous_owners_stopped(&mut self, stopped_at: Time) {
+        let until = stopped_at + LEASE_DURATION.mul_f64(1.05);
+        self.prior_leases_until = self.prior_leases_until.min(until);
         for worker in self.workers.values_mut() {
             worker.prior_leases_until = worker.prior_leases_until.min(self.prior_leases_until);
         }
--- a/src/instance/election.rs
+++ b/src/instance/election.rs
@@ -4,6 +4,7 @@
 //! try at the same time. The delays here decide who tries first: the owner's work grows with the
 //! whole fleet, so instances on larger machines go before those on smaller ones.
 
+use crate::batch::owner::MAX_STORE_OUTAGE;
 use crate::ids::{EntryId, Time};
 use crate::instance::config::MachineSize;
 use crate::instance::shared::OwnerInfo;
@@ -86,6 +87,8 @@
     silent_since: Time,
     /// Start of the period in which every read succeeded and `latest_owner` was the owner.
     followed_since: Time,
+    /// By when the term of `latest_owner` had begun for certain.
+    latest_term_began_by: Time,
 }
 
 impl Election {
@@ -100,6 +103,7 @@
             has_resigned: true,
             silent_since: now,
             followed_since: now,
+            latest_term_began_by: now,
         }
     }
 
@@ -119,8 +123,10 @@
                 return RecordOutcome::SameTerm;
             }
             Some(latest) if owner.term == latest.term => {}
-            Some(_) | None => self.followed_since = now,
+            Some(_) | None => (self.followed_since, self.latest_term_began_by) = (now, now),
         }
+        self.latest_term_began_by =
+            self.latest_term_began_by.min(now.saturating_sub(owner.term_age));
         self.latest_owner = Some(owner);
         self.has_resigned = has_resigned;
         self.silent_since = now;
@@ -162,6 +168,12 @@
         self.latest_owner.as_ref()
     }
 
+    /// Returns when the owners before the latest one have certainly stopped sending orders: the store has
+    /// confirmed no append of theirs since its term began.
+    pub fn earlier_owners_stopped_at(&self) -> Time {
+        self.latest_term_began_by + MAX_STORE_OUTAGE
+    }
+
     /// Returns the term of this incarnation that is in force although its append was not confirmed.
     /// `last_ended_term` is the latest term of this incarnation that has ended.
     pub fn unconfirmed_term(&self, last_ended_term: u64) -> Option<u64> {
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -41,6 +41,8 @@
     pub peers: String,
     /// Size of its machine, by which other instances decide when to take over.
     pub machine: MachineSize,
+    /// Time since the term began, at the latest when its record was appended.
+    pub term_age: Duration,
 }
 
 /// This instance's view of the configuration that operators declare.
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -95,7 +95,9 @@
         if shared.now() < takeover_at {
             continue;
         }
-        let (earlier, term) = (election.latest_owner().cloned(), election.next_term());
+        let earlier = election.latest_owner().cloned();
+        let earlier = earlier.map(|owner| (owner, election.earlier_owners_stopped_at()));
+        let term = election.next_term();
         let sent_at = shared.now();
         match try_take_over(&shared, &election, topic_end, reason).await {
             Ok(topic_end) => {
@@ -159,7 +161,7 @@
     reason: TakeoverReason,
 ) -> Result<u64, StoreError> {
     let term = election.next_term();
-    let record = topics::encode_owner_record(shared, term, false);
+    let record = topics::encode_owner_record(shared, term, Duration::ZERO, false);
     let append = RepeatedAppend {
         topic: store::OWNER_TOPIC,
         records: &[(OWNER_KEY, Some(&record))],
@@ -231,8 +233,14 @@
 }
 
 /// Runs a term until a later owner takes over, the store does not respond for too long, or the
-/// process stops. The owner topic ended at `topic_end` when it was known last.
-async fn run_term(shared: &Arc<Shared>, term: Term, topic_end: u64, earlier: Option<OwnerInfo>) {
+/// process stops. The owner topic ended at `topic_end` when it was known last. `earlier` is the owner
+/// before, and when those before it have stopped.
+async fn run_term(
+    shared: &Arc<Shared>,
+    term: Term,
+    topic_end: u64,
+    earlier: Option<(OwnerInfo, Time)>,
+) {
     let number = term.number;
     let term = Arc::new(term);
     *shared.term.lock() = Some(number);
@@ -251,15 +259,16 @@
     shared.log.event(Event::OwnerGone, &fields);
 }
 
-/// Queries the earlier owner until it confirms that it no longer sends orders.
-async fn await_earlier_owner(shared: Arc<Shared>, earlier: Option<OwnerInfo>) {
-    let Some(earlier) = earlier else { return };
+/// Queries the earlier owner until it confirms that it no longer sends orders. It does not know of the
+/// orders of owners before it, which may go on until they have stopped for certain.
+async fn await_earlier_owner(shared: Arc<Shared>, earlier: Option<(OwnerInfo, Time)>) {
+    let Some((earlier, others_stopped_at)) = earlier else { return };
     loop {
         let is_loaded = shared.owner.lock().is_some();
         if is_loaded && peers::has_ended_term(&earlier.peers, earlier.term).await {
-            let now = shared.now();
+            let stopped_at = shared.now().max(others_stopped_at);
             if let Some(owner) = shared.owner.lock().as_mut() {
-                owner.record_previous_owner_stopped(now);
+                owner.record_previous_owners_stopped(stopped_at);
             }
             let fields = [("entry", (&earlier.name).into()), ("term", earlier.term.into())];
             return shared.log.event(Event::EarlierOwnerOver, &fields);
@@ -270,10 +279,12 @@
 
 /// Appends heartbeats of the owner.
 async fn send_heartbeats(shared: Arc<Shared>, term: Arc<Term>, mut heartbeats: Heartbeats) {
+    let began_at = shared.now();
     loop {
         sleep(HEARTBEAT_INTERVAL).await;
         let stopping = shared.stopping.load(Ordering::Relaxed);
-        let record = topics::encode_owner_record(&shared, term.number, stopping);
+        let term_age = shared.now().saturating_sub(began_at);
+        let record = topics::encode_owner_record(&shared, term.number, term_age, stopping);
         let append = RepeatedAppend {
             topic: store::OWNER_TOPIC,
             records: &[(OWNER_KEY, Some(&record))],
--- a/src/instance/topics.rs
+++ b/src/instance/topics.rs
@@ -34,6 +34,9 @@
     machine: MachineSize,
     /// Whether the owner has resigned.
     resigned: bool,
+    /// Absent in records of earlier versions.
+    #[serde(default)]
+    term_age_ms: u64,
 }
 
 /// Follows the operators' topic for as long as the process runs.
@@ -144,8 +147,14 @@
     }
 }
 
-/// Encodes the record by which this instance declares itself the owner.
-pub fn encode_owner_record(shared: &Shared, term: u64, resigned: bool) -> Vec<u8> {
+/// Encodes the record by which this instance declares itself the owner of a term that began `term_age`
+/// ago.
+pub fn encode_owner_record(
+    shared: &Shared,
+    term: u64,
+    term_age: Duration,
+    resigned: bool,
+) -> Vec<u8> {
     let record = OwnerRecord {
         term,
         incarnation: shared.incarnation,
@@ -154,6 +163,7 @@
         peers: shared.cfg.peers_addr.to_string(),
         machine: shared.cfg.machine,
         resigned,
+        term_age_ms: u64::try_from(term_age.as_millis()).unwrap_or(u64::MAX),
     };
     // Serializing numbers and strings cannot fail.
     serde_json::to_vec(&record).unwrap_or_default()
@@ -172,6 +182,7 @@
         zone: record.zone.as_str().into(),
         peers: record.peers,
         machine: record.machine,
+        term_age: Duration::from_millis(record.term_age_ms),
     };
     Some((owner_info, record.resigned))
 }
--- a/tests/batch_owner.rs
+++ b/tests/batch_owner.rs
@@ -319,12 +319,33 @@
     next.advance(LEASE_DURATION);
     next.decide();
     assert_eq!(next.owner.workers["w0"].assigned.len(), 1);
-    next.owner.record_previous_owner_stopped(next.now);
+    next.owner.record_previous_owners_stopped(next.now);
     next.advance(LEASE_DURATION.mul_f64(1.1));
     next.decide();
     assert!(next.owner.workers.get("w0").is_none_or(|w| w.assigned.is_empty()));
 }
 
+/// The owner directly before is gone, and the one before that may act for some time. Guards against
+/// starting a task elsewhere while that owner still extends the lease of its run.
+#[test]
+fn record_previous_owners_stopped_ahead() {
+    let mut cluster = Cluster::new(1);
+    cluster.submit(JOB, vec![short_step(1)]);
+    let record = cluster.decide().updates.remove(0).value.expect("a value");
+    let mut next = Cluster::with_term(3, active_config());
+    next.submit(JOB, vec![short_step(1)]);
+    next.owner.restore_record(JOB, &record, next.now);
+    next.owner.finish_restore(next.now);
+    let others_act_for = Duration::from_secs(4);
+    next.owner.record_previous_owners_stopped(next.now + others_act_for);
+    next.advance(others_act_for + LEASE_DURATION);
+    next.decide();
+    assert_eq!(next.owner.workers["w0"].assigned.len(), 1);
+    next.advance(LEASE_DURATION.mul_f64(0.1));
+    next.decide();
+    assert!(next.owner.workers.get("w0").is_none_or(|w| w.assigned.is_empty()));
+}
+
 /// A team does not exceed its limit.
 #[test]
 fn schedule_tasks_team_limit() {
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -1,5 +1,6 @@
 //! When instances take over as the owner, without I/O.
 
+use jacinthhook::batch::owner::MAX_STORE_OUTAGE;
 use jacinthhook::instance::config::MachineSize;
 use jacinthhook::instance::election::{Election, HEARTBEAT_TIMEOUT, Heartbeats, TakeoverReason};
 use jacinthhook::instance::shared::OwnerInfo;
@@ -23,6 +24,7 @@
         zone: "z1".into(),
         peers: "127.0.0.1:1".into(),
         machine,
+        term_age: Duration::ZERO,
     }
 }
 
@@ -166,3 +168,24 @@
     assert!(!heartbeats.is_superseded_by(&by(4, 8)));
     assert!(!heartbeats.is_superseded_by(&by(5, 7)));
 }
+
+/// Two owners follow each other within seconds, and only the later one is asked whether it has stopped.
+/// Guards against taking the orders of the one before for over: cut off from the store, it extends
+/// leases until its permission ends.
+#[test]
+fn earlier_owners_stopped_at_short_term() {
+    let mut election = follower("a", LARGE, &owner(5, "x", LARGE), ms(10_000));
+    election.record_owner(owner(6, "b", LARGE), false, ms(11_600));
+    election.record_owner(owner(6, "b", LARGE), false, ms(12_000));
+    assert_eq!(election.earlier_owners_stopped_at(), ms(11_600) + MAX_STORE_OUTAGE);
+}
+
+/// An instance that has just started reads that the term is old. Guards against waiting for owners
+/// that were replaced long ago.
+#[test]
+fn earlier_owners_stopped_at_long_term() {
+    let mut election = Election::new("a".into(), 8, LARGE, ms(20_000));
+    let old = OwnerInfo { term_age: ms(15_000), ..owner(5, "x", LARGE) };
+    election.record_owner(old, false, ms(20_100));
+    assert!(election.earlier_owners_stopped_at() < ms(20_100));
+}
--- a/tests/election_fuzz.rs
+++ b/tests/election_fuzz.rs
@@ -204,6 +204,7 @@
             zone: "z1".into(),
             peers: "127.0.0.1:1".into(),
             machine: MACHINE,
+            term_age: Duration::ZERO,
         };
         (info, false)
     }
--- a/tests/owner_model/world.rs
+++ b/tests/owner_model/world.rs
@@ -463,7 +463,7 @@
             return self.schedule(now + EARLIER_OWNER_POLL_INTERVAL, event);
         }
         if let Some(owner) = self.processes[process].owner.as_mut() {
-            owner.record_previous_owner_stopped(now);
+            owner.record_previous_owners_stopped(now);
         }
     }
 
