Cancel jobs whose submission arrives after the cancellation

What callers could see: a job that runs although its cancellation was confirmed.

Cause: an instance that cannot ask the owner stores a cancellation also of a job that the owner does not know. The owner ignored it, and took the submission that the store applied after it for a new job. Only the next owner applied the cancellation.

Change: the owner keeps such cancellations for as long as ended jobs.

Evidence: add_job_cancelled_before failed before (tests/batch_late_orders.rs:121: one start).

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -137,6 +137,8 @@
     ordered_paces: IndexMap<TaskId, (u32, u32)>,
     /// Until when orders of previous owners may have effect on workers that are not synced.
     prior_leases_until: Time,
+    /// When jobs were cancelled whose submission has not been read yet.
+    early_cancellations: IndexMap<JobId, Time>,
 }
 
 impl Owner {
@@ -162,6 +164,7 @@
             stop_ordered_at: IndexMap::new(),
             ordered_paces: IndexMap::new(),
             prior_leases_until: now + MAX_STORE_OUTAGE + LEASE_DURATION.mul_f64(1.05),
+            early_cancellations: IndexMap::new(),
         }
     }
 
@@ -185,7 +188,8 @@
         (self.term << FENCE_COUNTER_BITS) | u64::from(counter)
     }
 
-    /// Adds a stored job. Does nothing if the job is already known. Returns whether it is new.
+    /// Adds a stored job. Does nothing if the job is already known. Returns whether it is new. A job whose
+    /// cancellation was stored before it ends at once.
     pub fn add_job(
         &mut self,
         id: JobId,
@@ -194,9 +198,14 @@
         team: Option<TeamId>,
         now: Time,
     ) -> bool {
-        let new = !self.jobs.contains_key(&id);
-        self.jobs.entry(id).or_insert_with(|| Job::new(spec, queue, team, now));
-        new
+        if self.jobs.contains_key(&id) {
+            return false;
+        }
+        self.jobs.insert(id.clone(), Job::new(spec, queue, team, now));
+        if self.early_cancellations.swap_remove(&id).is_some() {
+            self.end_job(&id, JobState::Cancelled, now);
+        }
+        true
     }
 
     /// Counts a newly submitted job toward the expected demand of its pool.
@@ -268,9 +277,12 @@
         }
     }
 
-    /// Cancels a job. Returns whether the job is known.
+    /// Cancels a job, also one whose submission arrives later. Returns whether the job is known.
     pub fn cancel(&mut self, id: &str, now: Time) -> bool {
-        let Some((id, job)) = self.jobs.get_key_value(id) else { return false };
+        let Some((id, job)) = self.jobs.get_key_value(id) else {
+            self.early_cancellations.insert(id.into(), now);
+            return false;
+        };
         if job.state.is_final() {
             return true;
         }
@@ -778,6 +790,7 @@
     /// Drops jobs whose retention has passed.
     fn drop_old_jobs(&mut self, now: Time) {
         let retention = self.bounds.ended_job_retention;
+        self.early_cancellations.retain(|_, at| now <= *at + retention);
         let is_expired = |j: &Job| j.ended_at.is_some_and(|at| now > at + retention);
         let expired: Vec<JobId> =
             self.jobs.iter().filter(|(_, j)| is_expired(j)).map(|(id, _)| id.clone()).collect();
--- a/tests/batch_late_orders.rs
+++ b/tests/batch_late_orders.rs
@@ -110,3 +110,14 @@
     let next = cluster.decide().orders.starts.remove(0);
     assert_ne!(next.worker, start.worker);
 }
+
+/// The store applies a submission after the job's cancellation, because its first answer was lost.
+/// Guards against running a job whose cancellation was confirmed.
+#[test]
+fn add_job_cancelled_before() {
+    let mut cluster = Cluster::new(1);
+    assert!(!cluster.owner.cancel(JOB, cluster.now));
+    cluster.submit(JOB, vec![short_step(1)]);
+    assert_eq!(cluster.decide().orders.starts, []);
+    assert_eq!(cluster.owner.jobs[JOB].published_state, JobState::Cancelled);
+}
