Acknowledge stored ends only to the process that listed them

What callers could see: a done task that runs again, if a worker restarts while its ends are being stored and the clock in the answer to a start shows it.

Cause: a restart that the clock shows keeps the known incarnation number, by which mark_stored told processes apart. The index of the process before was then acknowledged to the new one.

Change: when the owner learned of the process tells them apart.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -80,9 +80,9 @@
     pub events: Vec<OwnerEvent>,
     /// Jobs whose state may be shown to callers once this batch is stored.
     published_states: Vec<(JobId, JobState)>,
-    /// Worker, incarnation, and index of its last finished run that may be acknowledged once this
-    /// batch is stored.
-    processed_runs: Vec<(WorkerId, u64, u64)>,
+    /// Worker, when the owner learned of its process, and index of that one's last finished run that may
+    /// be acknowledged once this batch is stored. An incarnation is not known of each process.
+    processed_runs: Vec<(WorkerId, Time, u64)>,
     /// Latest announcement of machine orders that this batch stores.
     announcement: u64,
 }
@@ -975,7 +975,7 @@
         for worker in self.workers.values().filter(|w| w.last_processed > w.last_stored) {
             batch.processed_runs.push((
                 worker.info.id.clone(),
-                worker.incarnation,
+                worker.incarnation_seen_at,
                 worker.last_processed,
             ));
         }
@@ -990,8 +990,8 @@
             }
         }
         self.ordered_machines.mark_stored(batch.announcement);
-        for (id, incarnation, last_processed) in &batch.processed_runs {
-            let worker = self.workers.get_mut(id).filter(|w| w.incarnation == *incarnation);
+        for (id, seen_at, last_processed) in &batch.processed_runs {
+            let worker = self.workers.get_mut(id).filter(|w| w.incarnation_seen_at == *seen_at);
             if let Some(worker) = worker {
                 worker.last_stored = worker.last_stored.max(*last_processed);
             }
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -418,3 +418,49 @@
     cluster.decide();
     assert_eq!(cluster.owner.jobs["00000000000000a2"].state, JobState::Complete);
 }
+
+/// Ends of the process before are stored after the clock in the answer to a start has shown a restart.
+/// Guards against acknowledging ends of the new process that nobody has read: a done task ran again.
+#[test]
+fn mark_stored_after_start_clock() {
+    let mut cluster = Cluster::new(1);
+    let worker: WorkerId = "w0".into();
+    cluster.submit(JOB, vec![short_step(1)]);
+    cluster.settle();
+    cluster.submit("00000000000000a2", vec![short_step(1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    cluster.finish_all(RunOutcome::Done);
+    cluster.poll(&worker);
+    cluster.owner.tick(cluster.now, Duration::ZERO);
+    let batch = cluster.owner.take_decisions(cluster.now);
+    cluster.advance(PASS);
+    restart(&mut cluster, &worker, 2);
+    cluster.carry_out_start(&start);
+    let (clock, sent_at) = (cluster.report(&worker).clock, cluster.now);
+    cluster.owner.record_start_clock(&start, clock, sent_at, cluster.now);
+    cluster.owner.record_start_outcome(&start, StartOutcome::Started, cluster.now);
+    cluster.owner.mark_stored(&batch);
+    cluster.advance(PASS);
+    cluster.finish_all(RunOutcome::Done);
+    assert_eq!(cluster.owner.workers[&worker].next_acknowledged(), 0);
+    cluster.poll(&worker);
+    assert_eq!(pass_for(&mut cluster, PASS * 5), []);
+}
+
+/// The same if a report without an incarnation has shown the restart.
+#[test]
+fn mark_stored_after_report_without_incarnation() {
+    let mut cluster = Cluster::new(1);
+    let worker: WorkerId = "w0".into();
+    cluster.submit(JOB, vec![short_step(1)]);
+    cluster.settle();
+    cluster.finish_all(RunOutcome::Done);
+    cluster.poll(&worker);
+    cluster.owner.tick(cluster.now, Duration::ZERO);
+    let batch = cluster.owner.take_decisions(cluster.now);
+    cluster.advance(PASS);
+    restart(&mut cluster, &worker, 0);
+    cluster.poll(&worker);
+    cluster.owner.mark_stored(&batch);
+    assert_eq!(cluster.owner.workers[&worker].next_acknowledged(), 0);
+}
