Do not wait for leases that no earlier owner can have given

Cause: each worker younger than two longest leases counted as one that may hold the longest lease by an order of an earlier owner, also one that joined long after the change of owner.

Change: only while leases of earlier owners may last.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -449,6 +449,7 @@
             return false;
         }
         let syncing = !worker.synced;
+        let had_previous_owner = now < worker.prior_leases_until;
         if syncing {
             // From here on the worker rejects orders of previous owners. The last lease that they
             // sent is at most one full lease.
@@ -457,7 +458,8 @@
                 worker.lease_until.max(report.clock + LEASE_DURATION.min(self.bounds.max_lease));
         }
         if worker.clock_reading.is_none() {
-            worker.settle_first_report(report.clock, self.bounds.max_lease, now);
+            let max_lease = self.bounds.max_lease;
+            worker.settle_first_report(report.clock, had_previous_owner, max_lease, now);
         }
         worker.incarnation = incarnation;
         worker.clock_reading = Some((report.clock, now));
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -154,12 +154,19 @@
     }
 
     /// Records the first report of an incarnation, with the clock that it shows. From here on the worker
-    /// rejects orders of before. Orders meant for a previous incarnation may have given it a lease of
-    /// `max_lease`, which also holds for runs that start later. That includes orders of a previous owner
-    /// if the worker started less than `2 * max_lease` ago: an owner learns of a restart within one
-    /// `max_lease`.
-    pub fn settle_first_report(&mut self, clock: WorkerTime, max_lease: Duration, now: Time) {
-        let has_restarted = !self.restart_leases_until.is_zero() || clock < 2 * max_lease;
+    /// rejects orders of before, but a lease that it has got lasts, also for runs that start later. An
+    /// order meant for a previous incarnation may have brought one of `max_lease`: after a restart, and
+    /// by an order of a previous owner, if there may be any, to a worker that started less than
+    /// `2 * max_lease` ago. An owner usually learns of a restart within one `max_lease`.
+    pub fn settle_first_report(
+        &mut self,
+        clock: WorkerTime,
+        had_previous_owner: bool,
+        max_lease: Duration,
+        now: Time,
+    ) {
+        let has_restarted =
+            !self.restart_leases_until.is_zero() || had_previous_owner && clock < 2 * max_lease;
         self.restart_leases_until =
             if has_restarted { lease_end(now, max_lease) } else { Time::ZERO };
     }
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -2,7 +2,9 @@
 
 mod batch;
 
-use batch::{Cluster, FakeWorker, active_config, bounds, short_step, worker_info};
+use batch::{
+    Cluster, FakeWorker, active_config, bounds, long_running_step, short_step, worker_info,
+};
 use indexmap::IndexMap;
 use jacinthhook::batch::job::{JobState, WorkerId};
 use jacinthhook::batch::orders::{RunOutcome, StartOrder, StartOutcome};
@@ -464,3 +466,39 @@
     cluster.owner.mark_stored(&batch);
     assert_eq!(cluster.owner.workers[&worker].next_acknowledged(), 0);
 }
+
+/// A worker joins in the middle of a term, takes a long-running task and crashes. Guards against waiting
+/// for a lease that only earlier owners could have given it: the task was missing for more than twice as
+/// long.
+#[test]
+fn settle_first_report_new_worker() {
+    let mut cluster = Cluster::new(1);
+    cluster.advance(Duration::from_secs(60));
+    cluster.poll_all();
+    let (first, id): (WorkerId, WorkerId) = ("w0".into(), "w9".into());
+    let mut listed: IndexMap<WorkerId, WorkerInfo> =
+        cluster.owner.workers.iter().map(|(id, w)| (id.clone(), w.info.clone())).collect();
+    listed.insert(id.clone(), worker_info("w9", 9));
+    let started_at = cluster.now;
+    let new = FakeWorker { incarnation: 1, started_at, ..FakeWorker::default() };
+    cluster.fake_workers.insert(id.clone(), new);
+    cluster.owner.update_workers(&listed, cluster.now);
+    cluster.owner.workers[&first].cordoned = true;
+    cluster.advance(PASS);
+    cluster.poll(&id);
+    cluster.submit(JOB, vec![long_running_step(1, 1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    assert_eq!(start.worker, id);
+    cluster.carry_out_start(&start);
+    cluster.owner.record_start_outcome(&start, StartOutcome::Started, cluster.now);
+    cluster.advance(PASS);
+    cluster.poll(&id);
+    cluster.owner.record_unanswered_poll(&id);
+    cluster.owner.workers[&first].cordoned = false;
+    let until = cluster.now + LEASE_DURATION.mul_f64(1.1);
+    while cluster.now < until {
+        cluster.advance(PASS);
+        cluster.poll(&first);
+    }
+    assert_eq!(cluster.decide().orders.starts.len(), 1);
+}
