--- a/src/batch/moves.rs
+++ b/src/batch/moves.rs
@@ -189,7 +189,7 @@
         }
     }
 
-    /// Forgets moves that the machine list shows as done, and those that are due for a retry.
+    /// Forgets moves that the machine list shows as done, and answered ones that it does not show in time.
     fn expire_moves(&mut self, machines: &IndexMap<MachineId, Machine>, now: Time) {
         self.moves.in_flight.retain(|id, in_flight| {
             let arrived = machines.get(id).is_none_or(|m| m.pool == in_flight.to);
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -49,7 +49,8 @@
     pub synced: bool,
     /// Raised to invalidate orders in flight.
     pub fence_counter: u32,
-    /// Incarnation that the reported runs and the clock belong to.
+    /// Latest incarnation that the worker or the registry has named; older than the process while only a
+    /// clock has shown its restart.
     pub incarnation: u64,
     /// When the owner learned of this incarnation.
     pub incarnation_seen_at: Time,
@@ -221,9 +222,9 @@
     }
 
     /// Index of the last finished run that a poll sent now acknowledges; 0 if there is none to
-    /// acknowledge. Never repeated once the worker has it: an incarnation that the owner does not know
-    /// of yet would drop finished runs that the owner has not seen. For the same reason, the poll after
-    /// one without a response carries none.
+    /// acknowledge. Not repeated once the worker has it, and not sent in the poll after one without a
+    /// response: an incarnation that the owner does not know of yet would drop finished runs that the
+    /// owner has not seen.
     pub fn next_acknowledged(&self) -> u64 {
         let is_pending = self.last_stored > self.last_acknowledged;
         if is_pending && self.unanswered_polls == 0 { self.last_stored } else { 0 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -130,8 +130,8 @@
     TaskPlaced, 830, Info, "task run worker job_age_ms", "A task was assigned to a worker.", "None.";
     StartFailed, 831, Info, "task run worker answer", "A worker did not confirm the start of a task.", "Check the worker if this repeats.";
     RunEnded, 832, Info, "task run worker how", "A worker reported the end of a run.", "None.";
-    RunLost, 833, Info, "task run worker reason", "A run is certainly over, but its end was not reported; the task was queued again.", "None.";
-    WorkerReborn, 840, Info, "worker earlier_incarnation incarnation source", "A worker restarted; its earlier tasks are no longer running.", "None.";
+    RunLost, 833, Info, "task run worker reason", "A run counts as over although its end was not reported; the task was queued again.", "None.";
+    WorkerReborn, 840, Info, "worker earlier_incarnation incarnation source", "A worker restarted; its next report settles the tasks that it had.", "None.";
     WorkerLapsed, 841, Warning, "worker tasks", "A worker did not respond before its lease expired.", "Check the worker.";
     LookFailed, 842, Info, "worker error", "A worker did not respond to a poll.", "Check the worker if this repeats.";
     PaceFailed, 843, Info, "task worker", "A worker did not accept a new speed for a task.", "None.";
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -339,7 +339,7 @@
     match error {
         StoreError::Fenced => term.end("a later owner has taken over"),
         StoreError::SequenceMismatch { .. } => {
-            // Numbers of one incarnation have no gaps.
+            // An incarnation counts its own appends without gaps, so another one has the same term.
             log_term_conflict(shared, term, "", &error.to_string());
             term.end("another owner has appended in this term");
         }
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -502,3 +502,44 @@
     }
     assert_eq!(cluster.decide().orders.starts.len(), 1);
 }
+
+/// A worker restarts unnoticed, takes a start of the previous owner by the earlier clock, and is silent
+/// from the change of owner on. Guards against starting the task elsewhere within the longest lease.
+#[test]
+fn finish_restore_silent_restarted_worker() {
+    let mut cluster = Cluster::new(2);
+    let start = start_on_restarted_worker(&mut cluster);
+    let mut next = next_owner(&cluster);
+    next.owner.record_previous_owners_stopped(next.now);
+    let other = next.fake_workers.keys().find(|id| **id != start.worker).expect("another").clone();
+    next.poll(&other);
+    next.owner.record_unanswered_poll(&start.worker);
+    assert_eq!(pass_for(&mut next, bounds().max_lease.mul_f64(0.9)), []);
+}
+
+/// A worker restarts between two polls that it answers, and the answer to a start that it carries out is
+/// lost. Guards against acknowledging the end of that run by the index of the process before.
+#[test]
+fn next_acknowledged_unnoticed_restart() {
+    let mut cluster = Cluster::new(1);
+    let worker: WorkerId = "w0".into();
+    cluster.submit(JOB, vec![short_step(1)]);
+    cluster.settle();
+    cluster.submit("00000000000000a2", vec![short_step(1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    cluster.finish_all(RunOutcome::Done);
+    cluster.poll(&worker);
+    cluster.decide();
+    cluster.advance(PASS);
+    restart(&mut cluster, &worker, 2);
+    cluster.carry_out_start(&start);
+    cluster.owner.record_start_outcome(&start, StartOutcome::Unknown, cluster.now);
+    cluster.finish_all(RunOutcome::Done);
+    cluster.advance(PASS);
+    let acknowledged = cluster.owner.workers[&worker].next_acknowledged();
+    cluster.fake_workers[&worker].finished.retain(|run| run.index > acknowledged);
+    cluster.poll(&worker);
+    cluster.advance(PASS);
+    cluster.poll(&worker);
+    assert_eq!(pass_for(&mut cluster, PASS * 5), []);
+}
