--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -1,9 +1,9 @@
 //! The project's instances as separate processes, and the clients that call them.
 
 use crate::http;
-use crate::platform::{listen, Platform};
+use crate::platform::Platform;
 use std::fs;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -16,6 +16,19 @@
 /// How long a client waits for an answer.
 const CLIENT_DEADLINE: Duration = Duration::from_millis(3_000);
 
+/// Ports below those that the system gives to outgoing connections, which could take one before an
+/// instance does.
+const FIRST_PORT: u16 = 12_000;
+const PORTS: u16 = 18_000;
+
+/// Returns ports on which nothing listens. Cases that run at the same time begin to look at different ones.
+fn free_ports(count: usize) -> Vec<SocketAddr> {
+    let offset = (std::process::id() % u32::from(PORTS / 20)) as u16 * 20;
+    let ports = (0..PORTS).map(|n| FIRST_PORT + (offset + n) % PORTS);
+    let addrs = ports.map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    addrs.filter(|addr| TcpListener::bind(addr).is_ok()).take(count).collect()
+}
+
 pub struct Fleet {
     platform: Arc<Platform>,
     children: Vec<Child>,
@@ -57,9 +70,7 @@
             readiness: Vec::new(),
             folder,
         };
-        let held: Vec<_> = (0..3 * count).map(|_| listen()).collect();
-        let ports: Vec<SocketAddr> = held.iter().filter_map(|l| l.local_addr().ok()).collect();
-        drop(held);
+        let ports = free_ports(3 * count);
         for index in 0..count {
             let [front, ready, control] = [ports[3 * index], ports[3 * index + 1], ports[3 * index + 2]];
             let store = platform.serve_store(index);
