--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review/standin ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec target/review/standin crashes "$folder"
+exec target/review/standin resend "$folder"
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -119,6 +119,13 @@
         Ok(fleet)
     }
 
+    /// Sends a signal to an instance.
+    pub fn signal(&self, instance: usize, signal: &str) {
+        let pid = self.children[instance].id().to_string();
+        self.platform.note(&format!("frontend-{} gets SIG{signal}", instance + 1));
+        let _ = Command::new("kill").args(["-s", signal, &pid]).status();
+    }
+
     fn is_ready(&self, instance: usize) -> bool {
         let addr = self.readiness[instance];
         let answer = http::call(addr, "GET", "/-/readyz", &[], "", Duration::from_secs(1));
