--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -121,9 +121,9 @@
 
     /// Sends a signal to an instance.
     pub fn signal(&self, instance: usize, signal: &str) {
-        let pid = self.children[instance].id().to_string();
+        let command = format!("kill -s {signal} {}", self.children[instance].id());
         self.platform.note(&format!("frontend-{} gets SIG{signal}", instance + 1));
-        let _ = Command::new("kill").args(["-s", signal, &pid]).status();
+        let _ = Command::new("sh").args(["-c", &command]).status();
     }
 
     fn is_ready(&self, instance: usize) -> bool {
