--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -89,6 +89,7 @@
             "{\"spec\":\"short\",\"steps\":[{\"count\":12,\"cpu\":1000,\"memMb\":256,\"estimateMs\":500}]}",
         )?;
         sleep(Duration::from_millis(300));
+        fleet.job_state(2, job);
     }
     // `finish_s` after the end of the traffic.
     sleep(Duration::from_secs(14));
