--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -82,11 +82,11 @@
     sleep(Duration::from_millis(500));
     let jobs: Vec<String> = (1..=JOBS).map(|n| format!("00000000000000e{n}")).collect();
     for job in &jobs {
-        add_job(platform, job, vec![work(12, 1_000, 500)]);
+        add_job(platform, job, vec![work(24, 600, 500)]);
         fleet.submit(
             0,
             job,
-            "{\"spec\":\"short\",\"steps\":[{\"count\":12,\"cpu\":1000,\"memMb\":256,\"estimateMs\":500}]}",
+            "{\"spec\":\"short\",\"steps\":[{\"count\":24,\"cpu\":600,\"memMb\":256,\"estimateMs\":500}]}",
         )?;
         sleep(Duration::from_millis(300));
         fleet.job_state(2, job);
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -10,6 +10,8 @@
 
 /// The store's answers take this long.
 const STORE_DELAY: Duration = Duration::from_millis(4);
+/// Way to a runner in another zone and back.
+const RUNNER_DELAY: Duration = Duration::from_millis(1);
 /// Time between two registrations of a runner.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// Silence after which the store removes a registration: three heartbeats.
@@ -541,6 +543,7 @@
     }
 
     fn runner_call(&self, index: usize, request: &Request) -> Reply {
+        thread::sleep(RUNNER_DELAY);
         let mut state = self.state();
         let runner = &state.runners[index];
         if runner.cut {
