Count a crash only under runs that may have started

Cause: a run that was lost with its worker counted as a crash without a sign that it had started. Idle workers are not polled, so one that has crashed still gets starts. The first answer wakes its poll loop; the poll, answered by another process, ends the worker and gives up its runs while starts are in flight. As a newer process runs on the machine, each of these runs was blamed at once, and the answers, all of them refusals, came too late to matter. Three such workers in a row gave the job up.

Ruled out: the choice of a worker that the registry still lists. The same happens before the registry shows the new process.

Change: an assignment knows whether its start is in flight, unanswered, inherited or confirmed. A refused or unsent start takes its run out of the losses; one in flight delays the decision; an unanswered one counts only if it was ordered before the newer process began, by the clock of that one's report, and is never blamed. Only a job with two crashes under confirmed runs is certain to be the cause; the count is stored. Five crashes in all still end a job, so a task that crashes workers before they answer cannot start without end (tick_unanswered_start_before_restart). WorkerCrashed says how many of the runs were confirmed.

--- a/src/batch/crashes.rs
+++ b/src/batch/crashes.rs
@@ -2,16 +2,19 @@
 //!
 //! A task may crash each worker that starts it. A run that was lost counts as a crash once a newer
 //! process runs under the worker's id or on its machine, unless the machine was moved, maintained or
-//! drained. A worker that is only silent may be cut off, and proves nothing.
+//! drained. A worker that is only silent may be cut off, and proves nothing. A run that never started, or
+//! that was ordered after the newer process began, does not count.
 //!
-//! Runs that had just started on a crashed worker are blamed, and their jobs suspected until their tasks
-//! end otherwise. Suspects are placed apart from other work and from each other as far as there is room.
+//! Runs that had just started on a crashed worker are blamed, unless it is open whether they had, and their
+//! jobs suspected until their tasks end otherwise. Suspects are placed apart from other work and from each other as far as there is room.
 //! A job that is blamed twice runs alone, on one worker at a time. It fails once the evidence is certain.
 
 use crate::batch::job::{
-    Job, JobState, Phase, QueueId, Step, Task, TaskCrashes, TaskId, WorkerId, WorkerProcess,
+    Job, JobState, Phase, QueueId, StartStatus, Step, Task, TaskCrashes, TaskId, WorkerId,
+    WorkerProcess,
 };
-use crate::batch::owner::{Owner, OwnerEvent};
+use crate::batch::orders::StartOrder;
+use crate::batch::owner::{LossCounts, Owner, OwnerEvent};
 use crate::batch::placement::accepts_starts;
 use crate::batch::worker::Worker;
 use crate::ids::{JobId, PoolId, RackId, TeamId, Time};
@@ -22,6 +25,9 @@
 /// Crashes blamed on a task after which the job that has most of them on a worker is their cause. The
 /// platform allows giving up a task after two.
 const CERTAIN_CRASHES: u32 = 3;
+/// Confirmed crashes without which no task counts as the cause: the runs of the others may never have
+/// started.
+const MIN_CONFIRMED_CRASHES: u32 = 2;
 /// Crashes after which a task is given up without certainty. The platform allows two starts after the
 /// third crash.
 const MAX_CRASHES: u32 = 5;
@@ -85,6 +91,7 @@
     run: u32,
     process: WorkerProcess,
     assigned_at: Time,
+    start: StartStatus,
     confirmed_at: Option<Time>,
 }
 
@@ -105,10 +112,31 @@
 struct RunInLoss {
     task: TaskId,
     run: u32,
+    assigned_at: Time,
+    start: StartStatus,
     /// It had just started.
     is_fresh: bool,
 }
 
+impl RunInLoss {
+    /// Whether the worker crashed under the run; `None` as long as that is open.
+    fn has_crashed(&self, newer: &NewerProcess) -> Option<bool> {
+        match self.start {
+            StartStatus::Started | StartStatus::Inherited => Some(true),
+            StartStatus::Unanswered => newer.began_by.map(|began_by| self.assigned_at <= began_by),
+            StartStatus::InFlight => None,
+        }
+    }
+}
+
+/// Process that runs in place of a lost one.
+#[derive(Clone, Copy, Debug)]
+struct NewerProcess {
+    incarnation: u64,
+    /// By the owner's clock, when it ran at the latest; `None` while its clock is not known.
+    began_by: Option<Time>,
+}
+
 /// What the owner knows about crashes.
 #[derive(Clone, Debug, Default)]
 pub struct CrashState {
@@ -131,6 +159,23 @@
         self.losses.retain(|loss| &*loss.worker != worker);
     }
 
+    /// Records what is known about the start of a run, if it is among the losses; `None` if it never started.
+    pub(super) fn record_start_status(&mut self, start: &StartOrder, status: Option<StartStatus>) {
+        for loss in self.losses.iter_mut().filter(|loss| loss.worker == start.worker) {
+            let is_run = |r: &RunInLoss| {
+                r.start == StartStatus::InFlight && r.task == start.task && r.run == start.run
+            };
+            match status {
+                Some(status) => {
+                    let runs = loss.runs.iter_mut().filter(|r| is_run(r));
+                    runs.for_each(|r| r.start = status);
+                }
+                None => loss.runs.retain(|r| !is_run(r)),
+            }
+        }
+        self.losses.retain(|loss| !loss.runs.is_empty());
+    }
+
     /// Forgets the losses on a machine whose maintenance begins.
     pub(super) fn forget_machine(&mut self, machine: &str) {
         self.losses.retain(|loss| &*loss.machine != machine);
@@ -149,6 +194,7 @@
                 run: state.run,
                 process: assignment.process.clone(),
                 assigned_at: assignment.assigned_at,
+                start: assignment.start,
                 confirmed_at: assignment.confirmed_at,
             })
         };
@@ -180,14 +226,15 @@
                 continue;
             }
             let is_fresh = self.is_fresh(&lost.task, lost.assigned_at, lost.confirmed_at, at);
-            let run = RunInLoss { task: lost.task, run: lost.run, is_fresh };
-            match losses.iter_mut().find(|l| l.incarnation == lost.process.incarnation) {
+            let LostRun { task, run, process, assigned_at, start, .. } = lost;
+            let run = RunInLoss { task, run, assigned_at, start, is_fresh };
+            match losses.iter_mut().find(|l| l.incarnation == process.incarnation) {
                 Some(loss) => loss.runs.push(run),
                 None => losses.push(Loss {
                     worker: id.clone(),
-                    machine: lost.process.machine,
+                    machine: process.machine,
                     rack: rack.clone(),
-                    incarnation: lost.process.incarnation,
+                    incarnation: process.incarnation,
                     at,
                     runs: vec![run],
                 }),
@@ -227,11 +274,22 @@
     fn settle_losses(&mut self, now: Time) {
         let mut open = Vec::new();
         let mut crashed = Vec::new();
-        for loss in std::mem::take(&mut self.crashes.losses) {
-            match self.newer_process(&loss) {
-                Some(incarnation) => crashed.push((loss, incarnation)),
-                None if now < loss.at + EVIDENCE_WINDOW && !self.is_alive(&loss) => open.push(loss),
-                None => {}
+        for mut loss in std::mem::take(&mut self.crashes.losses) {
+            let newer = self.newer_process(&loss);
+            if let Some(newer) = newer {
+                let runs = std::mem::take(&mut loss.runs);
+                let (unsettled, settled): (Vec<_>, Vec<_>) =
+                    runs.into_iter().partition(|r| r.has_crashed(&newer).is_none());
+                let runs = settled.into_iter().filter(|r| r.has_crashed(&newer) == Some(true));
+                let counted = Loss { runs: runs.collect(), ..loss.clone() };
+                if !counted.runs.is_empty() {
+                    crashed.push((counted, newer.incarnation));
+                }
+                loss.runs = unsettled;
+            }
+            let is_open = newer.is_some() || !self.is_alive(&loss);
+            if is_open && !loss.runs.is_empty() && now < loss.at + EVIDENCE_WINDOW {
+                open.push(loss);
             }
         }
         self.crashes.losses = open;
@@ -248,16 +306,22 @@
         })
     }
 
-    /// Returns the start time of the process that runs in place of the one that was lost.
-    fn newer_process(&self, loss: &Loss) -> Option<u64> {
+    /// Returns the process that runs in place of the one that was lost.
+    fn newer_process(&self, loss: &Loss) -> Option<NewerProcess> {
         let same_worker = self.workers.get(&loss.worker);
-        let same_worker = same_worker.map(|w| w.incarnation.max(w.info.incarnation));
+        let same_worker = same_worker.map(|w| (w, w.incarnation.max(w.info.incarnation)));
         let same_machine = self
             .workers
             .values()
             .filter(|w| w.registered && !loss.machine.is_empty() && w.info.machine == loss.machine)
-            .map(|w| w.info.incarnation);
-        same_worker.into_iter().chain(same_machine).find(|born| *born > loss.incarnation)
+            .map(|w| (w, w.info.incarnation));
+        let newer = same_worker.into_iter().chain(same_machine);
+        let newer: Vec<(&Worker, u64)> = newer.filter(|(_, b)| *b > loss.incarnation).collect();
+        let (_, incarnation) = *newer.first()?;
+        let reported = newer.iter().filter(|(w, _)| w.incarnation > loss.incarnation);
+        // The lost process ended before the first of them began.
+        let began_by = reported.filter_map(|(w, _)| w.began_by()).min();
+        Some(NewerProcess { incarnation, began_by })
     }
 
     /// Tracks which workers do not respond, and clears tasks that have been at work for long enough.
@@ -353,8 +417,11 @@
     fn count_crash(&mut self, loss: &Loss, incarnation: u64, now: Time) {
         let mut by_job: IndexMap<JobId, (TaskId, TaskCrashes)> = IndexMap::new();
         let jobs: IndexSet<&JobId> = loss.runs.iter().map(|r| &r.task.job).collect();
-        for RunInLoss { task: id, run, is_fresh } in &loss.runs {
-            let is_blamed = *is_fresh && !self.is_common_loss(loss, incarnation, id);
+        for RunInLoss { task: id, run, start, is_fresh, .. } in &loss.runs {
+            let is_confirmed = *start == StartStatus::Started;
+            let is_blamed = *is_fresh
+                && (is_confirmed || *start == StartStatus::Inherited)
+                && !self.is_common_loss(loss, incarnation, id);
             let Some(job) = self.jobs.get_mut(&id.job).filter(|j| !j.state.is_final()) else {
                 continue;
             };
@@ -365,6 +432,7 @@
             task.crashes.last_run = *run;
             task.crashes.total += 1;
             task.crashes.blamed += u32::from(is_blamed);
+            task.crashes.confirmed += u32::from(is_confirmed);
             let crashes = task.crashes;
             self.crashes.suspects.insert(id.job.clone(), now);
             let counted = self.crashes.counted.entry(id.clone()).or_default();
@@ -375,18 +443,24 @@
                 *entry = (id.clone(), crashes);
             }
         }
+        let started = loss.runs.iter().filter(|r| r.start == StartStatus::Started).count();
         self.emit(OwnerEvent::WorkerCrashed {
             worker: loss.worker.clone(),
             earlier: loss.incarnation,
             incarnation,
-            runs: loss.runs.len() as u64,
-            jobs: jobs.len() as u64,
+            counts: LossCounts {
+                runs: loss.runs.len() as u64,
+                started: started as u64,
+                jobs: jobs.len() as u64,
+            },
         });
         let most = by_job.values().map(|(_, c)| c.blamed).max().unwrap_or(0);
         let has_most = by_job.values().filter(|(_, c)| c.blamed == most).count();
         for (job, (task, crashes)) in by_job {
             let is_first = crashes.blamed == most && has_most == 1;
-            let is_certain = is_first && crashes.blamed >= CERTAIN_CRASHES;
+            let is_certain = is_first
+                && crashes.blamed >= CERTAIN_CRASHES
+                && crashes.confirmed >= MIN_CONFIRMED_CRASHES;
             if is_certain || crashes.total >= MAX_CRASHES {
                 self.give_up(&job, task, now);
             }
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -137,12 +137,26 @@
     pub machine: Arc<str>,
 }
 
+/// What the owner knows about whether a run has started.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartStatus {
+    /// The order waits to be sent, or for its response.
+    InFlight,
+    /// The order got no response, or one that does not tell.
+    Unanswered,
+    /// An earlier owner decided on the run; it may not have sent the order.
+    Inherited,
+    /// The worker has confirmed the start or listed the run.
+    Started,
+}
+
 /// Assignment of a task's run to a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Assignment {
     pub worker: WorkerId,
     pub process: WorkerProcess,
     pub assigned_at: Time,
+    pub start: StartStatus,
     /// When the worker confirmed the start; `None` while the start order may still be in flight.
     pub confirmed_at: Option<Time>,
     /// A stop order was issued.
@@ -161,6 +175,8 @@
     pub total: u32,
     /// Crashes soon after the run began, and at a time at which few other workers were lost.
     pub blamed: u32,
+    /// Crashes under runs that the worker had confirmed.
+    pub confirmed: u32,
     /// Latest run that is counted. Later evidence of the same crash is not counted again.
     pub last_run: u32,
 }
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -1,6 +1,6 @@
 //! Orders that the owner sends to workers, and what workers report back.
 
-use crate::batch::job::{JobSpec, TaskId, WorkerId};
+use crate::batch::job::{JobSpec, StartStatus, TaskId, WorkerId};
 use crate::ids::Time;
 use indexmap::IndexMap;
 use std::sync::Arc;
@@ -87,6 +87,23 @@
 }
 
 impl StartOutcome {
+    /// Returns what the outcome tells about the run; `None` if the run has not started and cannot any more.
+    pub fn start_status(self) -> Option<StartStatus> {
+        match self {
+            StartOutcome::Started => Some(StartStatus::Started),
+            // The run may have ended, or been stopped before it started.
+            StartOutcome::Over | StartOutcome::Unknown => Some(StartStatus::Unanswered),
+            StartOutcome::Fenced
+            | StartOutcome::Late
+            | StartOutcome::NoRoom
+            | StartOutcome::NoTicket
+            | StartOutcome::Busy
+            | StartOutcome::OtherWorker
+            | StartOutcome::NotSent
+            | StartOutcome::Malformed => None,
+        }
+    }
+
     /// Combines the outcome with that of a retry of the same order. After an unknown outcome, the
     /// first order may still take effect even if the retry is rejected, so only a confirmation that
     /// the worker knows the run settles it.
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -8,8 +8,8 @@
 use crate::batch::declarations::{ActiveConfig, Bounds, Queue};
 use crate::batch::drains::MissingMachines;
 use crate::batch::job::{
-    Assignment, Job, JobSpec, JobState, Occurrence, Phase, QueueId, Step, TaskId, WorkerId,
-    WorkerProcess,
+    Assignment, Job, JobSpec, JobState, Occurrence, Phase, QueueId, StartStatus, Step, TaskId,
+    WorkerId, WorkerProcess,
 };
 use crate::batch::maintenance::{Blocker, WaveProgress};
 use crate::batch::moves::MoveState;
@@ -66,6 +66,15 @@
     StartClock,
 }
 
+/// Size of a worker's loss.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LossCounts {
+    pub runs: u64,
+    /// Runs that the worker had confirmed.
+    pub started: u64,
+    pub jobs: u64,
+}
+
 /// An outcome of a decision, for the event log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OwnerEvent {
@@ -81,7 +90,7 @@
     // The registry lists a worker that this owner did not know.
     WorkerListed { worker: WorkerId, machine: Arc<str>, incarnation: u64 },
     // Runs were lost with the process `earlier` of a worker; `incarnation` runs in its place.
-    WorkerCrashed { worker: WorkerId, earlier: u64, incarnation: u64, runs: u64, jobs: u64 },
+    WorkerCrashed { worker: WorkerId, earlier: u64, incarnation: u64, counts: LossCounts },
     // With the runs of the task, and their workers, that this owner counted.
     JobGivenUp { task: TaskId, crashes: Vec<(u32, WorkerId)> },
     MaintenanceBlocked { machine: Arc<str>, blocker: Blocker },
@@ -503,6 +512,7 @@
 
     /// Processes the outcome of a start order.
     pub fn record_start_outcome(&mut self, start: &StartOrder, outcome: StartOutcome, now: Time) {
+        self.record_start_status(start, outcome);
         let Some(worker) = self.workers.get_mut(&start.worker) else { return };
         if !matches!(outcome, StartOutcome::Unknown | StartOutcome::NotSent) {
             worker.last_answer_at = now;
@@ -538,6 +548,19 @@
         self.abandon_run(&start.task, start.run, reason, now);
     }
 
+    /// Records what the outcome of a start order tells about its run, which may have been given up.
+    fn record_start_status(&mut self, start: &StartOrder, outcome: StartOutcome) {
+        let status = outcome.start_status();
+        match (self.assignment_mut(&start.task, start.run), status) {
+            // A list of the worker may have shown the run.
+            (Some(assignment), Some(status)) if assignment.start != StartStatus::Started => {
+                assignment.start = status;
+            }
+            (Some(_), _) => {}
+            (None, _) => self.crashes.record_start_status(start, status),
+        }
+    }
+
     fn confirm_start(&mut self, start: &StartOrder, now: Time) {
         if let Some(assignment) = self.assignment_mut(&start.task, start.run) {
             assignment.confirmed_at.get_or_insert(now);
@@ -791,6 +814,7 @@
             let Some(task) = &running.task else { continue };
             match self.assignment_mut(task, running.run) {
                 Some(assignment) if assignment.worker == *id => {
+                    assignment.start = StartStatus::Started;
                     assignment.confirmed_at.get_or_insert(now);
                     assignment.speed_percent = running.speed_percent;
                     if running.speed_percent < 100 {
@@ -1050,6 +1074,7 @@
             worker: worker.clone(),
             process,
             assigned_at: now,
+            start: StartStatus::InFlight,
             confirmed_at: None,
             stop_ordered: false,
             speed_percent: 0,
--- a/src/batch/records.rs
+++ b/src/batch/records.rs
@@ -5,7 +5,8 @@
 //! reads the records and then polls every worker therefore knows of every run.
 
 use crate::batch::job::{
-    Assignment, Job, JobState, Occurrence, Phase, Task, TaskCrashes, WorkerId, WorkerProcess,
+    Assignment, Job, JobState, Occurrence, Phase, StartStatus, Task, TaskCrashes, WorkerId,
+    WorkerProcess,
 };
 use crate::batch::maintenance::MachineId;
 use crate::batch::ordered_machines::Announcement;
@@ -66,6 +67,9 @@
     /// rows of a fixed length.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     crashes: Vec<CrashRow>,
+    /// Of these, the confirmed ones.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    confirmed_crashes: Vec<ConfirmedRow>,
     /// Process of each worker to which a task is assigned, where it is known.
     #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
     processes: IndexMap<WorkerId, (u64, Arc<str>)>,
@@ -75,6 +79,10 @@
 #[derive(Deserialize, Serialize)]
 struct CrashRow(u32, u32, u32, u32, u32, u32);
 
+/// Occurrence, step and index of a task, and crashes under runs that their workers had confirmed.
+#[derive(Deserialize, Serialize)]
+struct ConfirmedRow(u32, u32, u32, u32);
+
 /// Run number, number of failed runs, latest failed run, checkpoint, assigned worker (empty for
 /// none), and whether the task is done.
 #[derive(Deserialize, Serialize)]
@@ -93,6 +101,7 @@
         open,
         ended_ms: job.ended_at.as_ref().and_then(unix_millis),
         crashes: crash_rows(job),
+        confirmed_crashes: confirmed_rows(job),
         processes: processes(job),
     };
     encode_progress(id, &progress)
@@ -113,6 +122,7 @@
         open: Vec::new(),
         ended_ms: unix_millis(cancelled_at),
         crashes: Vec::new(),
+        confirmed_crashes: Vec::new(),
         processes: IndexMap::new(),
     };
     encode_progress(id, &progress)
@@ -149,7 +159,7 @@
 fn crash_rows(job: &Job) -> Vec<CrashRow> {
     let mut rows = Vec::new();
     visit_tasks(job, |occurrence, step, index, task| {
-        let TaskCrashes { total, blamed, last_run } = task.crashes;
+        let TaskCrashes { total, blamed, last_run, .. } = task.crashes;
         if total > 0 {
             rows.push(CrashRow(occurrence, step, index, total, blamed, last_run));
         }
@@ -157,6 +167,16 @@
     rows
 }
 
+fn confirmed_rows(job: &Job) -> Vec<ConfirmedRow> {
+    let mut rows = Vec::new();
+    visit_tasks(job, |occurrence, step, index, task| {
+        if task.crashes.confirmed > 0 {
+            rows.push(ConfirmedRow(occurrence, step, index, task.crashes.confirmed));
+        }
+    });
+    rows
+}
+
 fn processes(job: &Job) -> IndexMap<WorkerId, (u64, Arc<str>)> {
     let mut processes = IndexMap::new();
     visit_tasks(job, |_, _, _, task| {
@@ -204,10 +224,13 @@
         open.push(occurrence);
     }
     for CrashRow(number, step, index, total, blamed, last_run) in progress.crashes {
-        let occurrence = open.iter_mut().find(|o: &&mut Occurrence| o.number == number);
-        let tasks = occurrence.and_then(|o| o.steps.get_mut(step as usize));
-        if let Some(task) = tasks.and_then(|t| t.get_mut(index as usize)) {
-            task.crashes = TaskCrashes { total, blamed, last_run };
+        if let Some(task) = task_at(&mut open, number, step, index) {
+            task.crashes = TaskCrashes { total, blamed, last_run, confirmed: 0 };
+        }
+    }
+    for ConfirmedRow(number, step, index, confirmed) in progress.confirmed_crashes {
+        if let Some(task) = task_at(&mut open, number, step, index) {
+            task.crashes.confirmed = confirmed;
         }
     }
     job.state = progress.state;
@@ -219,6 +242,11 @@
     Ok(())
 }
 
+fn task_at(open: &mut [Occurrence], number: u32, step: u32, index: u32) -> Option<&mut Task> {
+    let occurrence = open.iter_mut().find(|o| o.number == number)?;
+    occurrence.steps.get_mut(step as usize)?.get_mut(index as usize)
+}
+
 fn restored_task(
     row: TaskRow,
     state: JobState,
@@ -234,6 +262,7 @@
             process: WorkerProcess { incarnation: process.0, machine: process.1 },
             worker,
             assigned_at: now,
+            start: StartStatus::Inherited,
             confirmed_at: Some(now),
             stop_ordered: state.is_final(),
             speed_percent: 0,
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -292,6 +292,12 @@
         Some(clock + now.saturating_sub(at).mul_f64(MIN_CLOCK_RATE))
     }
 
+    /// Returns when the incarnation that last reported had begun at the latest, by the owner's clock.
+    pub fn began_by(&self) -> Option<Time> {
+        let (clock, at) = self.clock_reading?;
+        Some(at.saturating_sub(clock))
+    }
+
     /// Whether a reading of the worker's clock, made after `sent_at`, is below what the clock of the
     /// known incarnation showed at that time.
     pub fn clock_went_back(&self, clock: WorkerTime, sent_at: Time) -> bool {
--- a/src/event.rs
+++ b/src/event.rs
@@ -140,7 +140,7 @@
     PaceFailed, 843, Info, "task worker", "A worker did not accept a new speed for a task.", "None.";
     WorkerDraining, 844, Info, "worker tasks left_ms", "A worker reported that it leaves, in left_ms at the earliest.", "None.";
     WorkerListed, 845, Info, "worker machine incarnation", "A worker was listed that this owner did not know.", "None.";
-    WorkerCrashed, 846, Warning, "worker earlier_incarnation incarnation runs jobs", "A worker crashed under the runs of so many jobs; a newer process runs in its place.", "Check the worker if this repeats without BatchJobGivenUp.";
+    WorkerCrashed, 846, Warning, "worker earlier_incarnation incarnation runs started jobs", "A worker crashed under the runs of so many jobs, of which it had confirmed those started; a newer process runs in its place.", "Check the worker if this repeats without BatchJobGivenUp.";
     WaveAsked, 850, Info, "wave machines", "Operators requested maintenance of machines.", "None.";
     UpkeepOrdered, 851, Info, "machine wave answer", "Maintenance of a machine was ordered.", "None.";
     WaveComplete, 852, Info, "wave", "Maintenance of all machines of a wave was completed.", "None.";
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -305,14 +305,15 @@
                 ];
                 self.log.event(Event::WorkerListed, &fields);
             }
-            OwnerEvent::WorkerCrashed { worker, earlier, incarnation, runs, jobs } => {
+            OwnerEvent::WorkerCrashed { worker, earlier, incarnation, counts } => {
                 self.metrics.record_worker_crash();
                 let fields = [
                     ("worker", worker.into()),
                     ("earlier_incarnation", (*earlier).into()),
                     ("incarnation", (*incarnation).into()),
-                    ("runs", (*runs).into()),
-                    ("jobs", (*jobs).into()),
+                    ("runs", counts.runs.into()),
+                    ("started", counts.started.into()),
+                    ("jobs", counts.jobs.into()),
                 ];
                 self.log.event(Event::WorkerCrashed, &fields);
             }
--- a/tests/owner_fuzz.rs
+++ b/tests/owner_fuzz.rs
@@ -155,6 +155,12 @@
     run_seed(1_368);
 }
 
+/// As seed 642.
+#[test]
+fn owner_seed_285() {
+    run_seed(285);
+}
+
 /// As seed 5456.
 #[test]
 fn owner_seed_793() {
