Take the process that lists a run for the one that runs it

Callers could see a job suspected, and after more of the same failed, for a crash that never was: an idle worker restarts unnoticed and takes a start, and the run keeps the process to which it had been ordered. When the worker is silent later for a whole lease and answers again, the process that had run the task all along counted as the one that replaced it.

Cause and change: Assignment::process was set when the task was placed, and never again. A list that shows the run now sets its incarnation.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -810,11 +810,14 @@
     /// Compares a worker's reported runs with its assignments.
     fn reconcile(&mut self, id: &WorkerId, report: &WorkerReport, syncing: bool, now: Time) {
         let mut unassigned_runs = Resources::default();
+        let incarnation = self.workers.get(id).map_or(0, |w| w.incarnation);
         for running in &report.running {
             let Some(task) = &running.task else { continue };
             match self.assignment_mut(task, running.run) {
                 Some(assignment) if assignment.worker == *id => {
                     assignment.start = StartStatus::Started;
+                    // The worker may have restarted before the start reached it.
+                    assignment.process.incarnation = incarnation;
                     assignment.confirmed_at.get_or_insert(now);
                     assignment.speed_percent = running.speed_percent;
                     if running.speed_percent < 100 {
--- a/tests/batch_crash_evidence.rs
+++ b/tests/batch_crash_evidence.rs
@@ -187,3 +187,29 @@
         report_restart(&mut cluster, &"w0".into());
     }
 }
+
+/// An idle worker restarted unnoticed and runs a task; later it is silent until its lease is over, and answers
+/// again. Guards against taking the process that ran the task for the one that replaced it: a crash that never was.
+#[test]
+fn apply_report_run_of_unnoticed_restart() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit(JOB, vec![short_step(1)]);
+    let (start, mut events) = next_start(&mut cluster);
+    let worker = start.worker.clone();
+    restart(&mut cluster, &worker, 2);
+    cluster.carry_out_start(&start);
+    let now = cluster.now;
+    cluster.owner.record_start_outcome(&start, StartOutcome::Started, now);
+    report_restart(&mut cluster, &worker);
+    assert!(cluster.owner.workers[&worker].assigned.contains_key(&start.task));
+    for _ in 0..150 {
+        cluster.owner.record_unanswered_poll(&worker);
+        events.extend(cluster.decide().events);
+        cluster.advance(PASS);
+    }
+    assert!(!cluster.owner.workers[&worker].assigned.contains_key(&start.task));
+    cluster.fake_workers[&worker].running.clear();
+    report_restart(&mut cluster, &worker);
+    events.extend(cluster.decide().events);
+    assert_eq!(crashes(&events), Vec::<u64>::new());
+}
