End all members of a gang when one end is reported

Cause: a done end was taken for the one task that it names. The platform says that a gang's tasks end together and that one such end represents all of them. When the other member's end was lost with its worker, that member waited again; a gang starts only as a whole, so neither it nor the steps after it could ever start. Ruled out: the restart of the worker as such. The job waits in the same way if the worker never returns.

Change: a done end of a member ends all members of its occurrence. Those assigned to the same run are released, those of a later run are stopped. A stored gang of which one member is done is read as done, so that jobs which wait already go on.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -691,6 +691,9 @@
                 self.stop_other_run(id, now);
             }
             self.complete_task(id, now);
+            if step.gang {
+                self.complete_gang(id, finished.run, &step, now);
+            }
             return;
         }
         let Some(task) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id)) else { return };
@@ -740,6 +743,18 @@
         self.order_stop(StopOrder { worker, task: id.clone(), run }, now);
     }
 
+    /// Marks all members of a gang as done once the end of one is reported. They end together, and the
+    /// ends of the others may be lost with their workers.
+    fn complete_gang(&mut self, id: &TaskId, run: u32, step: &Step, now: Time) {
+        for index in (0..step.count).filter(|index| *index != id.index) {
+            let member = TaskId { index, ..id.clone() };
+            if self.assignment_mut(&member, run).is_none() {
+                self.stop_other_run(&member, now);
+            }
+            self.complete_task(&member, now);
+        }
+    }
+
     /// Marks a task as done and releases its assignment.
     fn complete_task(&mut self, id: &TaskId, now: Time) {
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
--- a/src/batch/records.rs
+++ b/src/batch/records.rs
@@ -210,15 +210,20 @@
         if steps.len() != occurrence.steps.len() {
             return StepMismatchSnafu { job: id.clone() }.fail();
         }
-        for (tasks, rows) in occurrence.steps.iter_mut().zip(steps) {
+        for ((tasks, rows), step) in occurrence.steps.iter_mut().zip(steps).zip(&job.spec.steps) {
             if tasks.len() != rows.len() {
                 return StepMismatchSnafu { job: id.clone() }.fail();
             }
             if rows.iter().any(|row| row.0 > MAX_RESTORED_RUN) {
                 return RunOutOfRangeSnafu { job: id.clone() }.fail();
             }
+            // Earlier versions recorded the end of a gang for one member only.
+            let is_done = step.gang && rows.iter().any(|TaskRow(.., done)| *done);
             for (task, row) in tasks.iter_mut().zip(rows) {
                 *task = restored_task(row, progress.state, &progress.processes, now);
+                if is_done {
+                    task.phase = Phase::Done;
+                }
             }
         }
         open.push(occurrence);
