Count failures of a gang for the gang

Callers saw a gang that failed maxAttempts times go on being started, since each time another member had failed. The platform shows a job as failed once "a task, or a gang, has failed maxAttempts times".

Change: a failed run counts once for all members, by its run number, which they share.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -700,15 +700,17 @@
         if !finished.checkpoint.is_empty() && finished.run == task.run {
             task.checkpoint = finished.checkpoint.clone();
         }
-        if finished.outcome == RunOutcome::Failed && finished.run > task.last_failed_run {
-            task.last_failed_run = finished.run;
-            task.failed_runs = task.failed_runs.saturating_add(1);
-            task.avoid_worker = Some(worker.clone());
-            self.dirty_jobs.insert(id.job.clone());
+        if finished.outcome == RunOutcome::Failed {
+            if finished.run > task.last_failed_run {
+                task.avoid_worker = Some(worker.clone());
+            }
+            self.count_failure(id, finished.run, &step);
         }
+        let failed_runs =
+            self.jobs.get(&id.job).and_then(|j| j.task(id)).map_or(0, |t| t.failed_runs);
         let attempts_exhausted = finished.outcome == RunOutcome::Failed
             && !step.long_running
-            && task.failed_runs >= max_attempts;
+            && failed_runs >= max_attempts;
         if is_assigned_here {
             self.requeue(id, now);
         }
@@ -717,6 +719,21 @@
         }
     }
 
+    /// Counts a failed run. A gang fails as a whole: its members count each run once, whichever of them
+    /// failed.
+    fn count_failure(&mut self, id: &TaskId, run: u32, step: &Step) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let members = if step.gang { 0..step.count } else { id.index..id.index + 1 };
+        for index in members {
+            let Some(task) = job.task_mut(&TaskId { index, ..id.clone() }) else { continue };
+            if run > task.last_failed_run {
+                task.last_failed_run = run;
+                task.failed_runs = task.failed_runs.saturating_add(1);
+            }
+        }
+        self.dirty_jobs.insert(id.job.clone());
+    }
+
     fn update_worker_health(&mut self, id: &WorkerId, outcome: RunOutcome, now: Time) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         match outcome {
--- a/tests/batch_gangs.rs
+++ b/tests/batch_gangs.rs
@@ -111,3 +111,35 @@
     cluster.settle();
     assert_eq!(cluster.starts.iter().map(|s| s.task.step).collect::<Vec<_>>(), [1]);
 }
+
+/// Two runs of a gang fail, each by another member. Guards against a gang that is started without end, since no
+/// member fails often enough by itself.
+#[test]
+fn apply_report_gang_failures() {
+    let mut cluster = Cluster::new(4);
+    start_gang(&mut cluster);
+    for failed in 0..2 {
+        let runs = cluster.running_tasks();
+        assert_eq!(runs.len(), 2, "{runs:?}");
+        for (worker, task, run) in &runs {
+            let outcome = match task.index == failed {
+                true => RunOutcome::Failed,
+                false => RunOutcome::Broken,
+            };
+            cluster.finish_run(worker, task, *run, outcome);
+        }
+        cluster.settle();
+    }
+    assert_eq!(cluster.owner.jobs[JOB].published_state, JobState::Failed);
+}
+
+/// Both members list the failure of one run. Guards against a gang that is given up after one attempt.
+#[test]
+fn apply_report_gang_failure_both_listed() {
+    let mut cluster = Cluster::new(4);
+    start_gang(&mut cluster);
+    cluster.finish_all(RunOutcome::Failed);
+    cluster.settle();
+    assert_eq!(cluster.owner.jobs[JOB].published_state, JobState::Running);
+    assert_eq!(cluster.running_tasks().len(), 2);
+}
