Resume all members of a gang from one checkpoint

Callers of a gang that checkpoints could see it start again and again without getting to work: its members resumed from different checkpoints. The platform says that the value from any member is valid for the gang, and that all must carry the same value.

Change: a new value of one member is the gang's.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -696,10 +696,8 @@
             }
             return;
         }
+        self.update_checkpoint(id, finished.run, &finished.checkpoint);
         let Some(task) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id)) else { return };
-        if !finished.checkpoint.is_empty() && finished.run == task.run {
-            task.checkpoint = finished.checkpoint.clone();
-        }
         if finished.outcome == RunOutcome::Failed {
             if finished.run > task.last_failed_run {
                 task.avoid_worker = Some(worker.clone());
@@ -921,10 +919,19 @@
     }
 
     fn update_checkpoint(&mut self, id: &TaskId, run: u32, checkpoint: &Arc<str>) {
-        let Some(task) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id)) else { return };
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let Some(task) = job.task_mut(id) else { return };
+        if task.run != run || checkpoint.is_empty() || task.checkpoint == *checkpoint {
+            return;
+        }
         // Stored with the next update of the job. An older checkpoint only loses work.
-        if task.run == run && !checkpoint.is_empty() {
-            task.checkpoint = checkpoint.clone();
+        task.checkpoint = checkpoint.clone();
+        // A gang resumes from one checkpoint, which may come from any member.
+        let gang = job.spec.steps.get(id.step as usize).filter(|s| s.gang).map_or(0, |s| s.count);
+        for index in 0..gang {
+            if let Some(member) = job.task_mut(&TaskId { index, ..id.clone() }) {
+                member.checkpoint = checkpoint.clone();
+            }
         }
     }
 
--- a/tests/batch_gangs.rs
+++ b/tests/batch_gangs.rs
@@ -98,6 +98,23 @@
     assert!(gang.iter().all(|t| t.phase == Phase::Done));
 }
 
+/// The members report different checkpoints before the gang is started again. Guards against members that resume
+/// from different ones, which the platform does not take for one gang.
+#[test]
+fn apply_report_gang_checkpoints() {
+    let mut cluster = Cluster::new(4);
+    let runs = start_gang(&mut cluster);
+    for ((worker, task, run), checkpoint) in runs.iter().zip(["early", "late"]) {
+        cluster.finish_run(worker, task, *run, RunOutcome::Stopped);
+        let ends = &mut cluster.fake_workers[worker].finished;
+        ends.last_mut().expect("the run has just ended").checkpoint = checkpoint.into();
+    }
+    cluster.starts.clear();
+    cluster.settle();
+    let checkpoints: Vec<&str> = cluster.starts.iter().map(|s| &*s.checkpoint).collect();
+    assert_eq!(checkpoints, ["late", "late"]);
+}
+
 /// Guards against a job that waits for good because an earlier version stored the end of its gang for one member.
 #[test]
 fn restore_record_gang_done_for_one_member() {
