Send starts only in a term that was confirmed lately

Cause: an owner may act for 6 s after its last confirmed append, so that leases outlast an outage of the store; others replace it after 1.5 s. In between only the worker's fencing token keeps its orders out, and a restart takes that away. The next owner waits for leases of its predecessor, but nothing held back its starts, neither repeated ones nor the first attempt of one that waits for its turn.

Ruled out: how soon the next owner polls the restarted worker. It would narrow the gap, not close it.

Change: a start needs a term that the store confirmed less than a heartbeat timeout ago, counted from when the append was sent. Others take over only after that much silence, so no other owner can have acted by then. Otherwise the start waits for the next confirmation as long as its run is wanted (StartWaits in the log), and is dropped if the term turns out to be over. Polls, leases and stops go on for 6 s as before, so a healthy owner without a store keeps its running tasks, and no run is given up.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -470,17 +470,25 @@
     /// sent again: the run has been given up or is being stopped, orders in flight have been
     /// invalidated since the run was assigned, or the worker has stopped responding or has shrunk.
     pub fn authorize_start(&mut self, start: &StartOrder, now: Time) -> Option<WorkerTime> {
-        let assignment = self.assignment_mut(&start.task, start.run)?;
-        let is_wanted = assignment.worker == start.worker && !assignment.stop_ordered;
+        if !self.is_start_valid(start) {
+            return None;
+        }
+        self.extend_lease(now, &start.worker)
+    }
+
+    /// Whether a start order may still be sent, as far as the owner's state tells.
+    pub fn is_start_valid(&self, start: &StartOrder) -> bool {
+        let task = self.jobs.get(&start.task.job).and_then(|j| j.task(&start.task));
+        let Some(Phase::Assigned(assignment)) = task.map(|t| &t.phase) else { return false };
+        let is_wanted = task.is_some_and(|t| t.run == start.run)
+            && assignment.worker == start.worker
+            && !assignment.stop_ordered;
         let reservation = self.step_of(&start.task).map(Step::reservation).unwrap_or_default();
         let is_unable = |w: &Worker| {
             w.unanswered_polls > 0 || w.lease_withheld || w.exceeds_capacity(&reservation)
         };
         let is_unable = self.workers.get(&start.worker).is_none_or(is_unable);
-        if !is_wanted || is_unable || self.fence(&start.worker) != start.fence {
-            return None;
-        }
-        self.extend_lease(now, &start.worker)
+        is_wanted && !is_unable && self.fence(&start.worker) == start.fence
     }
 
     /// Processes the worker's clock in the answer to a start order that was sent at `sent_at`. A clock
--- a/src/event.rs
+++ b/src/event.rs
@@ -134,6 +134,7 @@
     RunEnded, 832, Info, "task run worker how", "A worker reported the end of a run.", "None.";
     RunLost, 833, Info, "task run worker reason", "A run counts as over although its end was not reported; the task was queued again.", "None.";
     DrainStopOrdered, 834, Info, "task run worker left_ms has_room", "A run was ordered to stop because its worker leaves, in left_ms at the earliest; has_room is 1 if another worker had room for its task.", "If has_room is 0 often, see docs/operators/leaving-workers.md.";
+    StartWaits, 835, Info, "task run worker", "A start waits until the store confirms the owner's term again.", "If this repeats, look for a slow store or link of the owner.";
     WorkerReborn, 840, Info, "worker earlier_incarnation incarnation source", "A worker restarted; its next report settles the tasks that it had.", "None.";
     WorkerLapsed, 841, Warning, "worker tasks silent_ms lease", "A worker did not respond before its lease expired.", "Check the worker.";
     LookFailed, 842, Info, "worker error", "A worker did not respond to a poll.", "Check the worker if this repeats.";
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -11,7 +11,7 @@
 use crate::event::Event;
 use crate::ids::{JobId, Time};
 use crate::instance::election::{
-    Election, Heartbeats, RecordOutcome, TakeoverReason, first_sequence,
+    Election, HEARTBEAT_TIMEOUT, Heartbeats, RecordOutcome, TakeoverReason, first_sequence,
 };
 use crate::instance::owner_load::{self, OwnerLoad};
 use crate::instance::repeated_append::RepeatedAppend;
@@ -214,6 +214,16 @@
     result
 }
 
+/// Whether a start may be sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartPermission {
+    Granted,
+    /// Not before the store confirms the term again: another instance may have taken over.
+    Unconfirmed,
+    /// Not in this term.
+    Denied,
+}
+
 /// State shared by the tasks of one term.
 pub struct Term {
     pub number: u64,
@@ -224,6 +234,8 @@
     resigning: AtomicBool,
     /// When the latest of the appends that the store confirmed was first sent.
     last_store_at: Mutex<Time>,
+    /// Notified when the store has confirmed an append.
+    stored: Notify,
     pub load: OwnerLoad,
 }
 
@@ -236,6 +248,7 @@
             ended: Notify::new(),
             resigning: AtomicBool::new(false),
             last_store_at: Mutex::new(now),
+            stored: Notify::new(),
             load: OwnerLoad::default(),
         }
     }
@@ -250,6 +263,13 @@
     pub fn record_stored(&self, sent_at: Time) {
         let mut last_store_at = self.last_store_at.lock();
         *last_store_at = last_store_at.max(sent_at);
+        drop(last_store_at);
+        self.stored.notify_waiters();
+    }
+
+    /// Waits until the store confirms an append.
+    pub async fn next_confirmation(&self) {
+        self.stored.notified().await;
     }
 
     /// Stops orders for the rest of the term. From here on its records may say so.
@@ -263,6 +283,18 @@
         !self.resigning.load(Ordering::Relaxed) && self.may_append(now)
     }
 
+    /// Whether a start may be sent. A worker that restarts forgets the fencing token of a later owner, so a
+    /// start, unlike other orders, needs a term that no other instance can have taken over for lack of
+    /// heartbeats.
+    pub fn start_permission(&self, now: Time) -> StartPermission {
+        let is_confirmed = now < *self.last_store_at.lock() + HEARTBEAT_TIMEOUT;
+        match (self.may_send_orders(now), is_confirmed) {
+            (false, _) => StartPermission::Denied,
+            (true, false) => StartPermission::Unconfirmed,
+            (true, true) => StartPermission::Granted,
+        }
+    }
+
     /// Whether records of the term may be appended.
     pub fn may_append(&self, now: Time) -> bool {
         self.end_reason.lock().is_none() && now < *self.last_store_at.lock() + MAX_STORE_OUTAGE
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -6,7 +6,7 @@
 use crate::event::Event;
 use crate::ids::Time;
 use crate::instance::shared::Shared;
-use crate::instance::term::{Term, apply_worker_record};
+use crate::instance::term::{StartPermission, Term, apply_worker_record};
 use crate::instance::topics;
 use crate::platform::store::{self, StoreError};
 use crate::platform::worker_client::{PollError, PollRequest, WorkerTarget};
@@ -34,6 +34,8 @@
 const MAX_CONCURRENT_STARTS: usize = 2;
 /// Maximum number of attempts to send a start that gets no response.
 const MAX_START_ATTEMPTS: u32 = 3;
+/// Longest time between two checks whether a start that waits for the store is still wanted.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Follows the worker registry and runs a poll loop for each worker.
 pub async fn follow_worker_list(
@@ -259,7 +261,7 @@
     let started = Instant::now();
     let mut outcome = StartOutcome::NotSent;
     for _ in 0..MAX_START_ATTEMPTS {
-        let Some((target, lease)) = authorize_start(shared, term, &start) else { break };
+        let Some((target, lease)) = await_authorization(shared, term, &start).await else { break };
         let sent_at = shared.now();
         let (attempt, clock) = shared.worker_client.start(&target, &start, lease).await;
         outcome = outcome.merge_retry(attempt);
@@ -300,14 +302,43 @@
     }
 }
 
-/// Returns where to send a start order, and the lease that it carries, if it may be sent now.
-fn authorize_start(
+/// Returns where to send a start order, and the lease that it carries, once the term is confirmed; `None` if
+/// the order must not be sent any more.
+async fn await_authorization(
     shared: &Shared,
     term: &Term,
     start: &StartOrder,
 ) -> Option<(WorkerTarget, WorkerTime)> {
+    let mut has_waited = false;
+    loop {
+        match term.start_permission(shared.now()) {
+            StartPermission::Granted => return authorize_start(shared, start),
+            StartPermission::Denied => return None,
+            StartPermission::Unconfirmed => {}
+        }
+        if !shared.owner.lock().as_ref().is_some_and(|owner| owner.is_start_valid(start)) {
+            return None;
+        }
+        if !has_waited {
+            log_waiting_start(shared, start);
+            has_waited = true;
+        }
+        // Both lead to a new check.
+        let _ = timeout(START_CHECK_INTERVAL, term.next_confirmation()).await;
+    }
+}
+
+fn log_waiting_start(shared: &Shared, start: &StartOrder) {
+    let task = start.task.to_string();
+    let fields =
+        [("task", (&task).into()), ("run", start.run.into()), ("worker", (&start.worker).into())];
+    shared.log.event(Event::StartWaits, &fields);
+}
+
+/// Returns where to send a start order, and the lease that it carries, if it may be sent now.
+fn authorize_start(shared: &Shared, start: &StartOrder) -> Option<(WorkerTarget, WorkerTime)> {
     let mut lock = shared.owner.lock();
-    let owner = lock.as_mut().filter(|_| term.may_send_orders(shared.now()))?;
+    let owner = lock.as_mut()?;
     let lease = owner.authorize_start(start, shared.now())?;
     let address = owner.workers.get(&start.worker)?.info.address.clone();
     Some((WorkerTarget { address, worker: start.worker.clone(), fence: start.fence }, lease))
--- a/tests/owner_fuzz.rs
+++ b/tests/owner_fuzz.rs
@@ -36,12 +36,12 @@
     )
 }
 
-/// Returns the seeds that `KNOWN-RED.txt` lists, which have tests of their own.
-fn known_red_seeds() -> Vec<u64> {
+/// Returns the seeds that `KNOWN-RED.txt` lists, which have tests of their own, named `prefix` and the seed.
+fn known_red_seeds(prefix: &str) -> Vec<u64> {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/KNOWN-RED.txt");
     let text = std::fs::read_to_string(path).unwrap_or_default();
-    let names = text.lines().filter_map(|line| line.strip_prefix("test: owner_seed_"));
-    names.filter_map(|seed| seed.trim().parse().ok()).collect()
+    let names = text.lines().filter_map(|line| line.strip_prefix("test: "));
+    names.filter_map(|name| name.trim().strip_prefix(prefix)?.parse().ok()).collect()
 }
 
 /// Prints each sequence that fails, without shrinking it.
@@ -54,14 +54,14 @@
 }
 
 /// Runs the sequences that `generate` returns for the seeds and the number of steps of the environment.
-fn run_sequences(generate: fn(u64, usize) -> Sequence) {
+fn run_sequences(prefix: &str, generate: fn(u64, usize) -> Sequence) {
     let (seed, cases) = (env_number("FUZZ_SEED", SEED), env_number("FUZZ_CASES", CASES));
     let steps = env_number("FUZZ_STEPS", STEPS) as usize;
     std::panic::set_hook(Box::new(|_| {}));
     if std::env::var("FUZZ_ALL").is_ok() {
         return print_all(seed..seed + cases, |seed| generate(seed, steps));
     }
-    let known_red = known_red_seeds();
+    let known_red = known_red_seeds(prefix);
     let search_part = |k: u64| {
         let (from, to) = (seed + cases * k / THREADS, seed + cases * (k + 1) / THREADS);
         let known_red = known_red.clone();
@@ -83,13 +83,43 @@
 /// never end, after combinations of faults.
 #[test]
 fn owner_random_sequences() {
-    run_sequences(Sequence::generate);
+    run_sequences("owner_seed_", Sequence::generate);
 }
 
 /// The same with owners that resign. Guards against leases that the owner's last record leaves out.
 #[test]
 fn owner_random_resignations() {
-    run_sequences(|seed, steps| Sequence::generate(seed, steps).with_resignations());
+    run_sequences("owner_resignations_seed_", |seed, steps| {
+        Sequence::generate(seed, steps).with_resignations()
+    });
+}
+
+/// The same with owners that are frozen and replaced while answers to starts are lost and workers restart. Guards
+/// against starts that a replaced owner sends again after it has woken.
+#[test]
+fn owner_random_freezes() {
+    run_sequences("owner_freezes_seed_", Sequence::generate_freezes);
+}
+
+/// Runs one sequence with frozen owners that failed earlier with this seed.
+fn run_freezes_seed(seed: u64) {
+    let generate = |seed| Sequence::generate_freezes(seed, STEPS as usize);
+    if let Some(failure) = search(std::iter::once(seed), generate).1 {
+        panic!("{}", report(&failure));
+    }
+}
+
+/// Guards against an acknowledgement that was meant for the process before a restart: the end that it drops has not
+/// been seen, and its task starts again.
+#[test]
+fn owner_freezes_seed_134() {
+    run_freezes_seed(134);
+}
+
+/// As seed 134 with frozen owners.
+#[test]
+fn owner_freezes_seed_304() {
+    run_freezes_seed(304);
 }
 
 /// Runs one sequence that failed earlier with this seed.
--- a/tests/owner_model/command.rs
+++ b/tests/owner_model/command.rs
@@ -99,6 +99,23 @@
         self
     }
 
+    /// Generates a sequence of short tasks whose answers are lost, owners that are frozen for about as long as
+    /// another one needs to take over, and workers that restart meanwhile.
+    pub fn generate_freezes(seed: u64, steps: usize) -> Sequence {
+        let mut g = Gen::from_size_and_seed(steps, seed);
+        let command = |g: &mut Gen| {
+            let [a, b] = [0; 2].map(|_| u8::arbitrary(g));
+            match u8::arbitrary(g) % 8 {
+                0 | 1 => Cmd::Submit { count: 1 + a % 4, then: 0, tenths: b % 6 },
+                2 => Cmd::Disorder { tenths: a % 20 },
+                3 | 4 => Cmd::Freeze { tenths: 10 + a % 35 },
+                5 | 6 => Cmd::Restart { worker: a, tenths: b % 3 },
+                _ => Cmd::Wait { tenths: a % 20 },
+            }
+        };
+        Sequence { seed, steps: (0..steps).map(|_| command(&mut g)).collect() }
+    }
+
     /// Returns candidates for a smaller sequence in the order in which quickcheck shrinks a vector.
     pub fn shrunk(&self) -> impl Iterator<Item = Sequence> + use<> {
         let seed = self.seed;
--- a/tests/owner_model/messages.rs
+++ b/tests/owner_model/messages.rs
@@ -9,6 +9,7 @@
     RunOutcome, StartOrder, StartOutcome, StopOrder, WorkerReport, WorkerTime,
 };
 use jacinthhook::ids::Time;
+use jacinthhook::instance::term::StartPermission;
 use jacinthhook::platform::worker_client::PollError;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(250);
 const MAX_IDLE_WAIT: Duration = Duration::from_secs(2);
 const MAX_START_ATTEMPTS: u32 = 3;
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// A run that only a stop or a lapse ends.
 const NEVER: Time = Duration::from_secs(1_000_000);
 
@@ -343,9 +345,16 @@
     ) {
         let now = self.now;
         let sender = &mut self.processes[process];
-        let may_send = sender.term.may_send_orders(now);
+        let permission = sender.term.start_permission(now);
         let Some(owner) = sender.owner.as_mut() else { return };
-        let lease = if may_send { owner.authorize_start(&start, now) } else { None };
+        if permission == StartPermission::Unconfirmed && owner.is_start_valid(&start) {
+            let event = Event::SendStart(process, start, attempt, outcome);
+            return self.schedule(now + START_CHECK_INTERVAL, event);
+        }
+        let lease = match permission {
+            StartPermission::Granted => owner.authorize_start(&start, now),
+            StartPermission::Unconfirmed | StartPermission::Denied => None,
+        };
         match lease.filter(|_| owner.workers.contains_key(&start.worker)) {
             Some(lease) => {
                 let worker = start.worker.clone();
--- a/tests/owner_model/world.rs
+++ b/tests/owner_model/world.rs
@@ -61,7 +61,8 @@
     /// The rest happens at a process, and waits while it is frozen.
     Answer(Message, Answer),
     Poll(usize, WorkerId, u64),
-    SendStart(usize, StartOrder),
+    /// With the number of the attempt and the outcome of those before.
+    SendStart(usize, StartOrder, u32, StartOutcome),
     SendStop(usize, StopOrder),
     Commit(usize),
     Stored(usize, Time),
@@ -81,7 +82,7 @@
         match self {
             Event::Answer(message, _) => Some(message.process),
             Event::Poll(process, _, _)
-            | Event::SendStart(process, _)
+            | Event::SendStart(process, ..)
             | Event::SendStop(process, _)
             | Event::Commit(process)
             | Event::Stored(process, _)
@@ -262,8 +263,8 @@
             Event::Apply(term, updates) => self.apply(term, updates),
             Event::Answer(message, answer) => self.receive(message, answer),
             Event::Poll(process, id, generation) => self.poll_step(process, &id, generation),
-            Event::SendStart(process, start) => {
-                self.send_start(process, start, 1, StartOutcome::NotSent);
+            Event::SendStart(process, start, attempt, outcome) => {
+                self.send_start(process, start, attempt, outcome);
             }
             Event::SendStop(process, stop) => self.send_stop(process, stop),
             Event::Commit(process) => self.commit(process),
@@ -635,7 +636,8 @@
                 0 => self.millis(1, 1_500),
                 _ => self.millis(0, 5),
             };
-            self.schedule(now + delay, Event::SendStart(process, start));
+            let event = Event::SendStart(process, start, 1, StartOutcome::NotSent);
+            self.schedule(now + delay, event);
         }
         for stop in batch.orders.stops {
             let delay = self.millis(0, 5);
