Check the permission of a start again when it is written

The check of the commit before comes before the connection: an owner that is frozen while it connects to a worker would write the start right after it wakes, since its timeout and the connection are due at the same moment.

Change: the body of a start asks for the permission when the connection takes it to write it. A request without its body has no effect; the outcome counts as unknown.

--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -8,6 +8,7 @@
 use crate::instance::shared::Shared;
 use crate::instance::term::{StartPermission, Term, apply_worker_record};
 use crate::instance::topics;
+use crate::platform::http::Permit;
 use crate::platform::store::{self, StoreError};
 use crate::platform::worker_client::{PollError, PollRequest, WorkerTarget};
 use futures::stream::{self, StreamExt};
@@ -230,7 +231,8 @@
     for (_, starts) in orders.take_starts() {
         let (shared, term) = (shared.clone(), term.clone());
         tokio::spawn(async move {
-            let send = |start| send_start(&shared, &term, start);
+            let permit = start_permit(&shared, &term);
+            let send = |start| send_start(&shared, &term, start, permit.clone());
             stream::iter(starts).for_each_concurrent(MAX_CONCURRENT_STARTS, send).await;
         });
     }
@@ -257,13 +259,20 @@
     Some(WorkerTarget { address, worker: worker.clone(), fence: owner.fence(worker) })
 }
 
-async fn send_start(shared: &Shared, term: &Term, start: StartOrder) {
+/// Returns a permit that lasts as long as starts may be sent.
+fn start_permit(shared: &Arc<Shared>, term: &Arc<Term>) -> Permit {
+    let (shared, term) = (shared.clone(), term.clone());
+    Arc::new(move || term.start_permission(shared.now()) == StartPermission::Granted)
+}
+
+async fn send_start(shared: &Shared, term: &Term, start: StartOrder, permit: Permit) {
     let started = Instant::now();
     let mut outcome = StartOutcome::NotSent;
     for _ in 0..MAX_START_ATTEMPTS {
         let Some((target, lease)) = await_authorization(shared, term, &start).await else { break };
         let sent_at = shared.now();
-        let (attempt, clock) = shared.worker_client.start(&target, &start, lease).await;
+        let (attempt, clock) =
+            shared.worker_client.start(&target, &start, lease, permit.clone()).await;
         outcome = outcome.merge_retry(attempt);
         if attempt != StartOutcome::OtherWorker
             && let Some(clock) = clock
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -2,8 +2,8 @@
 
 use crate::platform::json;
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Uri};
 use hyper_util::client::legacy::Client;
@@ -11,6 +11,10 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde_json::Value;
 use snafu::Snafu;
+use std::fmt;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -61,10 +65,54 @@
     }
 }
 
+/// Tells whether a request may still be written.
+pub type Permit = Arc<dyn Fn() -> bool + Send + Sync>;
+
+/// The permit of a request ended before the request was written.
+#[derive(Debug, Snafu)]
+#[snafu(display("the request is not permitted any more"))]
+struct PermitEnded;
+
+/// Body of a request. Checks the permit when the connection takes the body to write it: connecting may have taken
+/// any time. Without its body, a request has no effect.
+struct RequestBody {
+    bytes: Option<Bytes>,
+    permit: Option<Permit>,
+}
+
+impl fmt::Debug for RequestBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RequestBody").field("bytes", &self.bytes).finish_non_exhaustive()
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = PermitEnded;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, PermitEnded>>> {
+        if self.permit.as_ref().is_some_and(|may_write| !may_write()) {
+            return Poll::Ready(Some(Err(PermitEnded)));
+        }
+        Poll::Ready(self.bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+    }
+}
+
 /// HTTP client; clones share its connections.
 #[derive(Clone, Debug)]
 pub struct Http {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<HttpConnector, RequestBody>,
 }
 
 /// Parameters of an HTTP call.
@@ -103,9 +151,26 @@
 
     /// Sends a request and reads the whole response.
     pub async fn call(&self, call: Call<'_>) -> Result<HttpResponse, CallFailure> {
+        self.send(call, None).await
+    }
+
+    /// Like `call` for a request with a body, which is written only if `permit` allows it at that moment.
+    pub async fn call_with_permit(
+        &self,
+        call: Call<'_>,
+        permit: Permit,
+    ) -> Result<HttpResponse, CallFailure> {
+        self.send(call, Some(permit)).await
+    }
+
+    async fn send(
+        &self,
+        call: Call<'_>,
+        permit: Option<Permit>,
+    ) -> Result<HttpResponse, CallFailure> {
         let limit = call.timeout;
         // Ids, numbers and addresses of the platform are all valid in a request.
-        let request = build_request(call).ok_or(CallFailure::NotSent)?;
+        let request = build_request(call, permit).ok_or(CallFailure::NotSent)?;
         let response = timeout(limit, self.client.request(request))
             .await
             .map_err(|_| CallFailure::NoResponse)?
@@ -135,7 +200,7 @@
 }
 
 /// Returns `None` if a part is not valid in a request.
-fn build_request(call: Call<'_>) -> Option<Request<Full<Bytes>>> {
+fn build_request(call: Call<'_>, permit: Option<Permit>) -> Option<Request<RequestBody>> {
     let uri = Uri::builder().scheme("http").authority(call.address).path_and_query(call.path);
     let mut headers = HeaderMap::with_capacity(call.headers.len() + 2);
     for (name, value) in call.headers {
@@ -144,7 +209,8 @@
     if !call.body.is_empty() {
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     }
-    let mut request = Request::new(Full::new(call.body));
+    let bytes = Some(call.body).filter(|bytes| !bytes.is_empty());
+    let mut request = Request::new(RequestBody { bytes, permit });
     *request.method_mut() = call.method;
     *request.uri_mut() = uri.build().ok()?;
     *request.headers_mut() = headers;
--- a/src/platform/worker_client.rs
+++ b/src/platform/worker_client.rs
@@ -6,7 +6,7 @@
     WorkerReport, WorkerTime,
 };
 use crate::ids::Time;
-use crate::platform::http::{Call, CallFailure, Http, HttpResponse};
+use crate::platform::http::{Call, CallFailure, Http, HttpResponse, Permit};
 use crate::platform::json;
 use hyper::Method;
 use serde_json::{Value, json};
@@ -68,13 +68,14 @@
         WorkerClient { http }
     }
 
-    /// Sends an order to start a task. Returns its outcome and the worker's clock if it answered with
-    /// one.
+    /// Sends an order to start a task, unless `permit` has ended when a connection is there. Returns its
+    /// outcome and the worker's clock if it answered with one.
     pub async fn start(
         &self,
         target: &WorkerTarget,
         start: &StartOrder,
         lease: WorkerTime,
+        permit: Permit,
     ) -> (StartOutcome, Option<WorkerTime>) {
         let mut body = json!({
             "task": start.task.to_string(),
@@ -87,7 +88,9 @@
         if !start.checkpoint.is_empty() {
             body["checkpoint"] = json!(&*start.checkpoint);
         }
-        match self.send_order(target, "/-/run-start", &body, ORDER_TIMEOUT).await {
+        let headers = order_headers(target);
+        let call = order_call(target, "/-/run-start", &headers, &body, ORDER_TIMEOUT);
+        match self.http.call_with_permit(call, permit).await {
             Ok(response) => {
                 (decode_start_outcome(&response), json::clock(&response.json(), "clockMs"))
             }
@@ -148,14 +151,26 @@
         body: &Value,
         timeout: Duration,
     ) -> Result<HttpResponse, CallFailure> {
-        let headers = [("x-jacinthhook-expected-instance", &*target.worker)];
-        let body = body.to_string().into();
-        let address = &*target.address;
-        let call = Call { method: Method::POST, address, path, headers: &headers, body, timeout };
-        self.http.call(call).await
+        let headers = order_headers(target);
+        self.http.call(order_call(target, path, &headers, body, timeout)).await
     }
 }
 
+fn order_headers(target: &WorkerTarget) -> [(&'static str, &str); 1] {
+    [("x-jacinthhook-expected-instance", &*target.worker)]
+}
+
+fn order_call<'a>(
+    target: &'a WorkerTarget,
+    path: &'a str,
+    headers: &'a [(&'static str, &'a str)],
+    body: &Value,
+    timeout: Duration,
+) -> Call<'a> {
+    let (address, body) = (&*target.address, body.to_string().into());
+    Call { method: Method::POST, address, path, headers, body, timeout }
+}
+
 fn decode_start_outcome(response: &HttpResponse) -> StartOutcome {
     match response.status {
         200 => StartOutcome::Started,
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -5,6 +5,7 @@
 use hyper::Method;
 use jacinthhook::platform::http::{Call, CallFailure, Http, HttpResponse};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -110,3 +111,32 @@
     assert_eq!(post(&http, address).await.err(), Some(CallFailure::NoResponse));
     service.await.expect("the service");
 }
+
+/// Guards against an order that is written after its permit ended while the connection was made.
+#[tokio::test]
+async fn call_with_permit_ended() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("the listener's address").to_string();
+    let http = Http::new();
+    for is_permitted in [true, false] {
+        let call = Call {
+            method: Method::POST,
+            address: &address,
+            path: "/-/run-start",
+            headers: &[],
+            body: Bytes::from_static(b"{}"),
+            timeout: Duration::from_millis(300),
+        };
+        let received = async {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut buf = Vec::new();
+            // Ends with the connection, which the client closes after the timeout.
+            let _ = stream.read_to_end(&mut buf).await;
+            buf
+        };
+        let (result, received) =
+            tokio::join!(http.call_with_permit(call, Arc::new(move || is_permitted)), received);
+        assert_eq!(result.expect_err("there is no response"), CallFailure::NoResponse);
+        assert_eq!(received.ends_with(b"\r\n\r\n{}"), is_permitted, "{received:?}");
+    }
+}
