Assign a gang only once it fits as a whole

Cause: a pass assigned the members of a gang one by one and took that back when the last ones found no room, except for what an assignment changes beside the task. The job stayed marked as started and running; its record was also stored again in each pass, the run numbers rose, and the leases of the chosen workers were extended. Ruled out: the count at the instances, which is the owner's.

Change: start_step chooses the workers of all tasks first and assigns them once it is known that a gang fits. undo_assignments is gone. The team's limit is checked against what the pass has chosen so far, as before.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -1151,21 +1151,6 @@
         self.orders.starts.push(StartOrder { worker, task, run, spec, checkpoint, fence });
     }
 
-    /// Reverts starts chosen in this pass that have not been collected yet.
-    pub(super) fn undo_assignments(&mut self, chosen: &[(TaskId, WorkerId, u32)]) {
-        for (id, _, run) in chosen {
-            self.orders.starts.retain(|s| s.task != *id);
-            self.events.retain(|n| !matches!(n, OwnerEvent::TaskPlaced { task, .. } if task == id));
-            let Some(task) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id)) else {
-                continue;
-            };
-            task.run = run - 1;
-            if let Phase::Assigned(assignment) = std::mem::take(&mut task.phase) {
-                self.release_resources(id, &assignment);
-            }
-        }
-    }
-
     /// Gives up a run that never started, or that has certainly ended without being reported as
     /// finished.
     fn abandon_run(&mut self, id: &TaskId, run: u32, reason: &'static str, now: Time) {
--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -159,17 +159,19 @@
         };
         let (mut tasks_per_worker, mut tasks_per_rack) =
             self.count_assigned(occurrence, ready.step);
+        // Assigned once it is known that a gang fits as a whole.
         let mut chosen: Vec<(TaskId, WorkerId, u32)> = Vec::new();
         let gang_run = occurrence.steps[ready.step].iter().map(|t| t.run).max().unwrap_or(0) + 1;
         let mut failed_placements = 0;
         let mut lacks_isolation = false;
         let reservation = step.reservation();
+        let mut team_usage = ready.team.as_ref().map(|t| self.team_usage(t)).unwrap_or_default();
         let before = step.gang.then(|| candidates.clone());
         let mut previous: Option<Placement> = None;
         for index in &ready.tasks {
             let id = task_id(&ready.job, ready.occurrence, ready.step, *index);
             let Some(task) = self.jobs.get(&ready.job).and_then(|job| job.task(&id)) else { break };
-            if !self.team_limit_allows(ready.team.as_ref(), &step) {
+            if !self.team_limit_allows(ready.team.as_ref(), &team_usage, &step) {
                 break;
             }
             let suspicion = isolation.suspicion(&ready.job, task, &step);
@@ -206,24 +208,26 @@
                 *tasks_per_rack.entry(w.info.rack.clone()).or_insert(0) += 1;
             }
             candidates.reserve(&ready.pool, &placement, &reservation);
+            team_usage = team_usage.plus(&reservation);
             previous = Some(placement);
             if suspicion == Suspicion::Strong {
                 self.release_reserved(isolation, &ready.job);
             }
             isolation.place(&worker, &ready.job, suspicion);
-            self.assign(&id, &worker, run, now);
             chosen.push((id, worker, run));
         }
         if let Some(before) = before
             && chosen.len() < step.count as usize
         {
-            self.undo_assignments(&chosen);
             *candidates = before;
             if !isolation.is_empty() {
                 *isolation = self.isolation(now);
             }
             return false;
         }
+        for (id, worker, run) in &chosen {
+            self.assign(id, worker, *run, now);
+        }
         !chosen.is_empty()
     }
 
@@ -244,12 +248,12 @@
         (tasks_per_worker, tasks_per_rack)
     }
 
-    /// Whether the team's limit allows one more task of the step.
-    fn team_limit_allows(&self, team: Option<&TeamId>, step: &Step) -> bool {
+    /// Whether the limit of a team that uses `used` allows one more task of the step.
+    fn team_limit_allows(&self, team: Option<&TeamId>, used: &Resources, step: &Step) -> bool {
         let Some(id) = team else { return true };
         // A team that is no longer declared keeps its accepted jobs and has no known limit.
         let Some(team) = self.active_config.declarations.teams.get(id) else { return true };
-        within_team_limit(&self.team_usage(id), &step.resources, team)
+        within_team_limit(used, &step.resources, team)
     }
 }
 
--- a/tests/batch_gangs.rs
+++ b/tests/batch_gangs.rs
@@ -160,3 +160,30 @@
     assert_eq!(cluster.owner.jobs[JOB].published_state, JobState::Running);
     assert_eq!(cluster.running_tasks().len(), 2);
 }
+
+/// Gangs that do not fit wait. Guards against a job without a start that no longer counts as pending, and is shown as
+/// running.
+#[test]
+fn schedule_tasks_gang_does_not_fit() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit(JOB, vec![gang_step(3)]);
+    cluster.settle();
+    assert_eq!(cluster.starts, []);
+    assert_eq!(cluster.owner.pending_jobs("queue"), 1);
+    assert_eq!(cluster.owner.jobs[JOB].published_state, JobState::Queued);
+}
+
+/// Guards against decisions about a gang that does not fit which are stored and sent again in each pass.
+#[test]
+fn take_decisions_gang_does_not_fit() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit(JOB, vec![gang_step(3)]);
+    cluster.settle();
+    for _ in 0..3 {
+        cluster.advance(PASS);
+        assert!(cluster.decide().is_empty());
+    }
+    assert!(cluster.owner.workers.values().all(|w| w.assigned.is_empty()));
+    assert_eq!(cluster.owner.team_usage(batch::TEAM).processors, 0);
+    assert_eq!(cluster.owner.jobs[JOB].open_occurrences[0].steps[0][0].run, 0);
+}
