Count a job as started once a worker has begun a task

Callers saw a job as running, and not among pending, although none of its tasks had started: workers had refused the starts, or these had not been sent. The platform counts jobs "for which no task has started".

Deciding on a start counted as the start. Change: a job counts once a worker has confirmed a start, listed a run or reported an end. States that are not final are shown without being stored first; a next owner learns them from the progress of ended runs and from the workers. Only the first start of a long-running task is stored for it, so short jobs cost the store nothing more.

--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -245,13 +245,14 @@
     pub first_seen_at: Time,
     /// Current state; may not be stored yet.
     pub state: JobState,
-    /// State shown to callers; always stored.
+    /// State shown to callers; stored, if it is final.
     pub published_state: JobState,
     /// Occurrences that have begun and are not done.
     pub open_occurrences: Vec<Occurrence>,
     /// Number of occurrences that have begun.
     pub begun_occurrences: u32,
-    /// Whether any task has been ordered to start.
+    /// Whether a worker has begun a task. Stored with the next change; until then, reports of workers tell
+    /// it to the next owner.
     pub any_task_started: bool,
     /// When the job reached its final state.
     pub ended_at: Option<Moment>,
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -103,8 +103,8 @@
     pub updates: Vec<RecordUpdate>,
     pub orders: Orders,
     pub events: Vec<OwnerEvent>,
-    /// Jobs whose state may be shown to callers once this batch is stored.
-    published_states: Vec<(JobId, JobState)>,
+    /// Jobs that have ended, with the state that may be shown to callers once this batch is stored.
+    final_states: Vec<(JobId, JobState)>,
     /// Worker, when the owner learned of its process, and index of that one's last finished run that may
     /// be acknowledged once this batch is stored. An incarnation is not known of each process.
     processed_runs: Vec<(WorkerId, Time, u64)>,
@@ -559,6 +559,9 @@
     /// Records what the outcome of a start order tells about its run, which may have been given up.
     fn record_start_status(&mut self, start: &StartOrder, outcome: StartOutcome) {
         let status = outcome.start_status();
+        if status == Some(StartStatus::Started) {
+            self.record_started(&start.task);
+        }
         match (self.assignment_mut(&start.task, start.run), status) {
             // A list of the worker may have shown the run.
             (Some(assignment), Some(status)) if assignment.start != StartStatus::Started => {
@@ -569,6 +572,20 @@
         }
     }
 
+    /// Records that a worker has begun a task: its job is no longer pending.
+    fn record_started(&mut self, id: &TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        if job.any_task_started || job.state.is_final() {
+            return;
+        }
+        job.any_task_started = true;
+        (job.state, job.published_state) = (JobState::Running, JobState::Running);
+        // Stored with the end of the first run; a long-running task may have none.
+        if job.spec.steps.get(id.step as usize).is_some_and(|s| s.long_running) {
+            self.dirty_jobs.insert(id.job.clone());
+        }
+    }
+
     fn confirm_start(&mut self, start: &StartOrder, now: Time) {
         if let Some(assignment) = self.assignment_mut(&start.task, start.run) {
             assignment.confirmed_at.get_or_insert(now);
@@ -691,6 +708,7 @@
             outcome: finished.outcome,
         };
         self.events.push(event);
+        self.record_started(id);
         self.update_worker_health(worker, finished.outcome, now);
         let is_assigned_here =
             self.assignment_mut(id, finished.run).is_some_and(|h| h.worker == *worker);
@@ -851,6 +869,7 @@
         let incarnation = self.workers.get(id).map_or(0, |w| w.incarnation);
         for running in &report.running {
             let Some(task) = &running.task else { continue };
+            self.record_started(task);
             match self.assignment_mut(task, running.run) {
                 Some(assignment) if assignment.worker == *id => {
                     assignment.start = StartStatus::Started;
@@ -1114,10 +1133,6 @@
         });
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
         let (spec, team, first_seen_at) = (job.spec.clone(), job.team.clone(), job.first_seen_at);
-        job.any_task_started = true;
-        if job.state == JobState::Queued {
-            job.state = JobState::Running;
-        }
         let Some(task) = job.task_mut(id) else { return };
         task.run = run;
         task.phase = Phase::Assigned(Assignment {
@@ -1244,7 +1259,9 @@
                 continue;
             };
             batch.updates.push(records::encode_job(&id, job));
-            batch.published_states.push((id, job.state));
+            if job.state.is_final() {
+                batch.final_states.push((id, job.state));
+            }
         }
         for wave in std::mem::take(&mut self.dirty_waves) {
             if let Some(begun) = self.wave_progress.begun_machines.get(&wave) {
@@ -1267,7 +1284,7 @@
 
     /// Applies the effects of a batch whose `updates` are stored.
     pub fn mark_stored(&mut self, batch: &DecisionBatch) {
-        for (id, state) in &batch.published_states {
+        for (id, state) in &batch.final_states {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.published_state = *state;
             }
