Close a job whose restored gang turns out to be done

Change: finish_restore closes the jobs that reading has completed. finish_restore_gang_done_for_one_member stayed running without it.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -375,6 +375,13 @@
             self.charge_team(team.as_ref(), &reservation);
         }
         self.restore_suspects(now);
+        // Reading the end of a gang for all its members may have completed a job.
+        let unfinished = self.jobs.iter().filter(|(_, j)| !j.state.is_final());
+        let done = unfinished.filter(|(_, j)| j.open_occurrences.iter().any(Occurrence::is_done));
+        let done: Vec<JobId> = done.map(|(id, _)| id.clone()).collect();
+        for id in done {
+            self.close_occurrences(&id, now);
+        }
     }
 
     /// Cancels a job, also one whose submission arrives later. Returns whether the job is known.
--- a/tests/batch_gangs.rs
+++ b/tests/batch_gangs.rs
@@ -161,6 +161,21 @@
     assert_eq!(cluster.running_tasks().len(), 2);
 }
 
+/// The same with nothing after the gang. Guards against a job without open tasks that never ends.
+#[test]
+fn finish_restore_gang_done_for_one_member() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit(JOB, vec![gang_step(2)]);
+    let record = r#"{"state":"Running","begun":1,"started":true,
+        "open":[[0,[[[1,0,0,"","",true],[1,0,0,"","",false]]]]]}"#;
+    let now = cluster.now;
+    cluster.owner.restore_record(JOB, record.as_bytes(), now);
+    cluster.owner.finish_restore(now);
+    cluster.settle();
+    assert_eq!(cluster.starts, []);
+    assert_eq!(cluster.owner.jobs[JOB].published_state, JobState::Complete);
+}
+
 /// Gangs that do not fit wait. Guards against a job without a start that no longer counts as pending, and is shown as
 /// running.
 #[test]
