--- a/src/batch/crashes.rs
+++ b/src/batch/crashes.rs
@@ -6,8 +6,9 @@
 //! that was ordered after the newer process began, does not count.
 //!
 //! Runs that had just started on a crashed worker are blamed, unless it is open whether they had, and their
-//! jobs suspected until their tasks end otherwise. Suspects are placed apart from other work and from each other as far as there is room.
-//! A job that is blamed twice runs alone, on one worker at a time. It fails once the evidence is certain.
+//! jobs suspected until their tasks end otherwise. Suspects are placed apart from other work and from each
+//! other as far as there is room. A job that is blamed twice runs alone, on one worker at a time. It fails
+//! once the evidence is certain.
 
 use crate::batch::job::{
     Job, JobState, Phase, QueueId, StartStatus, Step, Task, TaskCrashes, TaskId, WorkerId,
@@ -129,6 +130,22 @@
     }
 }
 
+impl Loss {
+    /// Takes out the runs of which it is known whether the worker crashed under them. Returns the loss of those
+    /// under which it did.
+    fn take_crashed(&mut self, newer: &NewerProcess) -> Loss {
+        let mut crashed = Loss { runs: Vec::new(), ..self.clone() };
+        for run in std::mem::take(&mut self.runs) {
+            match run.has_crashed(newer) {
+                Some(true) => crashed.runs.push(run),
+                Some(false) => {}
+                None => self.runs.push(run),
+            }
+        }
+        crashed
+    }
+}
+
 /// Process that runs in place of a lost one.
 #[derive(Clone, Copy, Debug)]
 struct NewerProcess {
@@ -159,7 +176,8 @@
         self.losses.retain(|loss| &*loss.worker != worker);
     }
 
-    /// Records what is known about the start of a run, if it is among the losses; `None` if it never started.
+    /// Records what is known about the start of a run, if it is among the losses; `None` if it never
+    /// started.
     pub(super) fn record_start_status(&mut self, start: &StartOrder, status: Option<StartStatus>) {
         for loss in self.losses.iter_mut().filter(|loss| loss.worker == start.worker) {
             let is_run = |r: &RunInLoss| {
@@ -277,15 +295,10 @@
         for mut loss in std::mem::take(&mut self.crashes.losses) {
             let newer = self.newer_process(&loss);
             if let Some(newer) = newer {
-                let runs = std::mem::take(&mut loss.runs);
-                let (unsettled, settled): (Vec<_>, Vec<_>) =
-                    runs.into_iter().partition(|r| r.has_crashed(&newer).is_none());
-                let runs = settled.into_iter().filter(|r| r.has_crashed(&newer) == Some(true));
-                let counted = Loss { runs: runs.collect(), ..loss.clone() };
+                let counted = loss.take_crashed(&newer);
                 if !counted.runs.is_empty() {
                     crashed.push((counted, newer.incarnation));
                 }
-                loss.runs = unsettled;
             }
             let is_open = newer.is_some() || !self.is_alive(&loss);
             if is_open && !loss.runs.is_empty() && now < loss.at + EVIDENCE_WINDOW {
