Count only heartbeats for the permission of starts

The start's own progress had been stored 0.02 s before the owner froze, but other instances follow heartbeats, of which the last was up to 0.4 s older. One of them took over 1.1 s into the freeze, noted the end, and the first owner, awake after 1.4 s, was within 1.5 s of its progress append.

Change: only confirmed heartbeats, and a confirmed takeover, count. A takeover that got no response and was read later does not: others may have read it long before. The owner's fuzzer drives the same calls.

--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -115,7 +115,7 @@
         let sent_at = shared.now();
         match try_take_over(&shared, &election, topic_end, reason).await {
             Ok(topic_end) => {
-                let term = Term::new(number, sent_at);
+                let term = Term::new(number, sent_at).with_confirmed_takeover(sent_at);
                 run_term(&shared, term, topic_end, prior_leases, earlier).await;
                 (next, last_ended_term) = (None, number);
                 election.record_gap(shared.now());
@@ -234,8 +234,10 @@
     resigning: AtomicBool,
     /// When the latest of the appends that the store confirmed was first sent.
     last_store_at: Mutex<Time>,
-    /// Notified when the store has confirmed an append.
-    stored: Notify,
+    /// When the latest of the confirmed owner records was first sent; `None` before there is one.
+    last_heartbeat_at: Mutex<Option<Time>>,
+    /// Notified when the store has confirmed a heartbeat.
+    heartbeat_stored: Notify,
     pub load: OwnerLoad,
 }
 
@@ -248,11 +250,19 @@
             ended: Notify::new(),
             resigning: AtomicBool::new(false),
             last_store_at: Mutex::new(now),
-            stored: Notify::new(),
+            last_heartbeat_at: Mutex::new(None),
+            heartbeat_stored: Notify::new(),
             load: OwnerLoad::default(),
         }
     }
 
+    /// Sets when the owner record that began the term was sent, if the store confirmed it. One that was only
+    /// read may be older than the read.
+    pub fn with_confirmed_takeover(self, sent_at: Time) -> Term {
+        *self.last_heartbeat_at.lock() = Some(sent_at);
+        self
+    }
+
     /// Ends the term. Only the first reason is kept.
     pub fn end(&self, reason: &str) {
         self.end_reason.lock().get_or_insert_with(|| reason.to_string());
@@ -263,13 +273,19 @@
     pub fn record_stored(&self, sent_at: Time) {
         let mut last_store_at = self.last_store_at.lock();
         *last_store_at = last_store_at.max(sent_at);
-        drop(last_store_at);
-        self.stored.notify_waiters();
     }
 
-    /// Waits until the store confirms an append.
-    pub async fn next_confirmation(&self) {
-        self.stored.notified().await;
+    /// Records that the store confirmed a heartbeat that was first sent at `sent_at`.
+    pub fn record_heartbeat(&self, sent_at: Time) {
+        let mut last_heartbeat_at = self.last_heartbeat_at.lock();
+        *last_heartbeat_at = (*last_heartbeat_at).max(Some(sent_at));
+        drop(last_heartbeat_at);
+        self.heartbeat_stored.notify_waiters();
+    }
+
+    /// Waits until the store confirms a heartbeat.
+    pub async fn next_heartbeat(&self) {
+        self.heartbeat_stored.notified().await;
     }
 
     /// Stops orders for the rest of the term. From here on its records may say so.
@@ -285,9 +301,10 @@
 
     /// Whether a start may be sent. A worker that restarts forgets the fencing token of a later owner, so a
     /// start, unlike other orders, needs a term that no other instance can have taken over for lack of
-    /// heartbeats.
+    /// heartbeats. Other appends do not count: they keep nobody from taking over.
     pub fn start_permission(&self, now: Time) -> StartPermission {
-        let is_confirmed = now < *self.last_store_at.lock() + HEARTBEAT_TIMEOUT;
+        let last_heartbeat_at = *self.last_heartbeat_at.lock();
+        let is_confirmed = last_heartbeat_at.is_some_and(|at| now < at + HEARTBEAT_TIMEOUT);
         match (self.may_send_orders(now), is_confirmed) {
             (false, _) => StartPermission::Denied,
             (true, false) => StartPermission::Unconfirmed,
@@ -397,10 +414,12 @@
                 _ => store::CALL_TIMEOUT,
             },
         };
+        let sent_at = shared.now();
         let end = match append_in_term(&shared, &term, append).await {
             Ok(end) => end,
             Err(e) => return end_term(&shared, &term, &e),
         };
+        term.record_heartbeat(sent_at);
         if stopping {
             return term.end("stopping");
         }
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -333,7 +333,7 @@
             has_waited = true;
         }
         // Both lead to a new check.
-        let _ = timeout(START_CHECK_INTERVAL, term.next_confirmation()).await;
+        let _ = timeout(START_CHECK_INTERVAL, term.next_heartbeat()).await;
     }
 }
 
--- a/tests/owner_model/process.rs
+++ b/tests/owner_model/process.rs
@@ -58,7 +58,7 @@
 impl Process {
     pub fn new(number: u64, prior_leases: PriorLeases, now: Time) -> Process {
         Process {
-            term: Term::new(number, now),
+            term: Term::new(number, now).with_confirmed_takeover(now),
             began_at: now,
             prior_leases,
             owner: None,
--- a/tests/owner_model/world.rs
+++ b/tests/owner_model/world.rs
@@ -411,6 +411,7 @@
         }
         if owner.in_touch {
             owner.term.record_stored(sent_at);
+            owner.term.record_heartbeat(sent_at);
             if let Some(owner) = owner.owner.as_mut() {
                 owner.record_leases_announced();
             }
