Count the crash under an unanswered start without waiting

A task whose starts crash the worker at once was then given up after the fifth crash only, and that one was counted 45 ms after the sixth start.

Change: an unanswered run is counted at once, and blamed as before; it is left out only if the newer process is already known to have begun before. The fourth blamed crash gives a job up without confirmed ones.

--- a/src/batch/crashes.rs
+++ b/src/batch/crashes.rs
@@ -5,10 +5,9 @@
 //! drained. A worker that is only silent may be cut off, and proves nothing. A run that never started, or
 //! that was ordered after the newer process began, does not count.
 //!
-//! Runs that had just started on a crashed worker are blamed, unless it is open whether they had, and their
-//! jobs suspected until their tasks end otherwise. Suspects are placed apart from other work and from each
-//! other as far as there is room. A job that is blamed twice runs alone, on one worker at a time. It fails
-//! once the evidence is certain.
+//! Runs that had just started on a crashed worker are blamed, and their jobs suspected until their tasks
+//! end otherwise. Suspects are placed apart from other work and from each other as far as there is room.
+//! A job that is blamed twice runs alone, on one worker at a time. It fails once the evidence is certain.
 
 use crate::batch::job::{
     Job, JobState, Phase, QueueId, StartStatus, Step, Task, TaskCrashes, TaskId, WorkerId,
@@ -29,6 +28,9 @@
 /// Confirmed crashes without which no task counts as the cause: the runs of the others may never have
 /// started.
 const MIN_CONFIRMED_CRASHES: u32 = 2;
+/// Blamed crashes after which a task counts as the cause although too few are confirmed. One less than
+/// `MAX_CRASHES`: the news of a crash may come after the next start.
+const MAX_BLAMED_CRASHES: u32 = 4;
 /// Crashes after which a task is given up without certainty. The platform allows two starts after the
 /// third crash.
 const MAX_CRASHES: u32 = 5;
@@ -124,7 +126,9 @@
     fn has_crashed(&self, newer: &NewerProcess) -> Option<bool> {
         match self.start {
             StartStatus::Started | StartStatus::Inherited => Some(true),
-            StartStatus::Unanswered => newer.began_by.map(|began_by| self.assigned_at <= began_by),
+            StartStatus::Unanswered => {
+                Some(newer.began_by.is_none_or(|began_by| self.assigned_at <= began_by))
+            }
             StartStatus::InFlight => None,
         }
     }
@@ -432,9 +436,7 @@
         let jobs: IndexSet<&JobId> = loss.runs.iter().map(|r| &r.task.job).collect();
         for RunInLoss { task: id, run, start, is_fresh, .. } in &loss.runs {
             let is_confirmed = *start == StartStatus::Started;
-            let is_blamed = *is_fresh
-                && (is_confirmed || *start == StartStatus::Inherited)
-                && !self.is_common_loss(loss, incarnation, id);
+            let is_blamed = *is_fresh && !self.is_common_loss(loss, incarnation, id);
             let Some(job) = self.jobs.get_mut(&id.job).filter(|j| !j.state.is_final()) else {
                 continue;
             };
@@ -471,9 +473,9 @@
         let has_most = by_job.values().filter(|(_, c)| c.blamed == most).count();
         for (job, (task, crashes)) in by_job {
             let is_first = crashes.blamed == most && has_most == 1;
-            let is_certain = is_first
-                && crashes.blamed >= CERTAIN_CRASHES
-                && crashes.confirmed >= MIN_CONFIRMED_CRASHES;
+            let is_proved =
+                crashes.blamed >= CERTAIN_CRASHES && crashes.confirmed >= MIN_CONFIRMED_CRASHES;
+            let is_certain = is_first && (is_proved || crashes.blamed >= MAX_BLAMED_CRASHES);
             if is_certain || crashes.total >= MAX_CRASHES {
                 self.give_up(&job, task, now);
             }
