--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,317 @@
+//! The cases of the review.
+
+use crate::json::{Json, n};
+use crate::record::Record;
+use crate::worker::Kind;
+use crate::world::{Step, World, declare};
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+/// Process ids of the instances, for a case that runs out of time.
+static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+pub fn kill_all() {
+    for pid in CHILDREN.lock().unwrap().iter() {
+        let _ = std::process::Command::new("kill").arg("-9").arg(pid.to_string()).status();
+    }
+}
+
+pub fn run(case: &str, folder: &str, trouble: bool) -> i32 {
+    let record = |lines| Record::new(&format!("{folder}/record.txt"), lines);
+    let verdict = match case {
+        "large-job" => large_job(record(150), trouble),
+        "lasting-job" => lasting_job(record(400), trouble),
+        "lasting-tasks" => lasting_tasks(record(400), trouble),
+        "route" => route(record(400), trouble),
+        "cancel" => cancel(record(400), trouble),
+        "quota" => quota(record(400), trouble),
+        _ => 2,
+    };
+    println!("exit {verdict}");
+    verdict
+}
+
+const NAMES: [&str; 3] = ["frontend-a-1", "frontend-b-1", "frontend-c-1"];
+
+fn kinds(count: usize, per_rack: usize, cpu: u64, mem_mb: u64) -> Vec<Kind> {
+    let kind = |i: usize| Kind {
+        id: format!("i-{:08x}", 0x7f3a_91c2_u32.wrapping_mul(i as u32 + 1)),
+        machine: format!("m-{i}"),
+        rack: format!("r1-{}", i / per_rack),
+        cpu,
+        mem_mb,
+        stop_time: Duration::from_millis(200),
+    };
+    (0..count).map(kind).collect()
+}
+
+fn start_instances(world: &mut World) {
+    for name in NAMES {
+        world.start_instance(name);
+        CHILDREN.lock().unwrap().push(world.last_pid());
+    }
+    world.await_ready();
+}
+
+fn sleep(seconds: f64) {
+    thread::sleep(Duration::from_secs_f64(seconds));
+}
+
+fn verdict(world: &World, is_broken: bool, text: &str) -> i32 {
+    let outcome = if is_broken { "BROKEN" } else { "held" };
+    world.record.say(&format!("{outcome}: {text}"));
+    i32::from(is_broken)
+}
+
+/// One large job, and the crash of one rack of workers.
+fn large_job(record: Record, trouble: bool) -> i32 {
+    const LARGE: &str = "00000000000000a1";
+    const SMALL: &str = "00000000000000b2";
+    let mut world = World::new("large-job", record, kinds(16, 4, 64_000, 131_072));
+    start_instances(&mut world);
+    let tasks = Step::new(5_000, 190, 300, 30_000).with("checkpointing", Json::Bool(true));
+    if !world.submit(0, LARGE, "d0=30000;ck=1", &[tasks]) {
+        return 2;
+    }
+    let running = || world.workers.iter().map(|w| w.running().len()).sum::<usize>();
+    world.await_true("all tasks of the large job run", 40.0, || running() == 5_000);
+    world.record.say("all 5,000 tasks of the large job run");
+    sleep(3.0);
+    if trouble {
+        world.record.say("one rack of four workers crashes; they are back 1 s later");
+        for worker in &world.workers[..4] {
+            worker.crash();
+        }
+        sleep(1.0);
+        for worker in &world.workers[..4] {
+            worker.begin();
+        }
+    }
+    sleep(10.0);
+    let small = Step::new(2, 100, 64, 500);
+    let is_accepted = world.submit(1, SMALL, "d0=500", &[small]);
+    let is_done = |id| world.state(2, id) == (200, "complete".to_string());
+    let small_done = world.wait(14.0, || is_done(SMALL));
+    world.record.say(&format!("the small job is accepted: {is_accepted}, complete after 14 s: {small_done}"));
+    let left = (112.0 - world.record.now()).min(40.0);
+    let large_done = world.wait(left, || is_done(LARGE));
+    for (instance, id) in [(0, LARGE), (1, SMALL)] {
+        world.ask(instance, id);
+    }
+    world.record.say(&format!("{} tasks run; appends with a record of over 262,144 bytes: {:?}", running(), {
+        let sizes = world.store.too_long();
+        (sizes.len(), sizes.iter().max().copied())
+    }));
+    let text = format!("large job complete: {large_done}, small job complete: {small_done}");
+    verdict(&world, !(large_done && small_done), &text)
+}
+
+/// A job that lasts, with a task whose workers crash five times.
+fn lasting_job(record: Record, trouble: bool) -> i32 {
+    const JOB: &str = "00000000000000a1";
+    let mut world = World::new("lasting-job", record, kinds(8, 4, 64_000, 131_072));
+    start_instances(&mut world);
+    let step = Step::new(4, 5_000, 8_000, 900)
+        .with("longRunning", Json::Bool(true))
+        .with("antiAffinity", n(1));
+    if !world.submit(0, JOB, "lasts=0", &[step]) {
+        return 2;
+    }
+    let task = format!("{JOB}.0.0.0");
+    for round in 1..=6 {
+        let is_up = world.wait(12.0, || world.worker_of(&task).is_some());
+        world.record.say(&format!("round {round}: task 0 runs: {is_up}"));
+        sleep(2.0);
+        if !trouble {
+            continue;
+        }
+        let Some(worker) = world.worker_of(&task) else { break };
+        worker.crash();
+        sleep(1.0);
+        worker.begin();
+    }
+    sleep(12.0);
+    let (status, state) = world.ask(1, JOB);
+    let failed = world.record.notes(JOB).iter().filter(|(_, note)| note.what == "failed").count();
+    let text = format!("the job is shown as {status} {state}; {failed} runs ended failed");
+    verdict(&world, state == "failed" && failed == 0 || status == 410, &text)
+}
+
+/// A job that lasts, with several tasks whose workers have crashed three times, and then nothing more.
+fn lasting_tasks(record: Record, trouble: bool) -> i32 {
+    const JOB: &str = "00000000000000a1";
+    let mut world = World::new("lasting-tasks", record, kinds(20, 4, 64_000, 131_072));
+    start_instances(&mut world);
+    let step = Step::new(6, 5_000, 8_000, 900)
+        .with("longRunning", Json::Bool(true))
+        .with("antiAffinity", n(1));
+    if !world.submit(0, JOB, "lasts=0", &[step]) {
+        return 2;
+    }
+    let tasks: Vec<String> = (0..3).map(|i| format!("{JOB}.0.0.{i}")).collect();
+    for round in 1..=3 {
+        let all_up = || tasks.iter().all(|t| world.worker_of(t).is_some());
+        world.await_true("the tasks run", 12.0, all_up);
+        world.record.say(&format!("round {round}: tasks 0 to 2 run"));
+        sleep(2.0);
+        if !trouble {
+            continue;
+        }
+        let hit: Vec<_> = tasks.iter().filter_map(|t| world.worker_of(t)).collect();
+        hit.iter().for_each(|w| w.crash());
+        sleep(1.0);
+        hit.iter().for_each(|w| w.begin());
+    }
+    let calm_from = world.record.now();
+    world.record.say("no disruption from here on");
+    sleep(40.0);
+    let mut longest = (0.0, String::new());
+    for index in 0..6 {
+        let task = format!("{JOB}.0.0.{index}");
+        let mut out_since: Option<f64> = None;
+        for (_, note) in world.record.notes(&task) {
+            match (note.what, out_since) {
+                ("start", Some(since)) => {
+                    let gap = note.at - since;
+                    if gap > longest.0 {
+                        longest = (gap, format!("{task} from {since:.1} s to {:.1} s", note.at));
+                    }
+                    out_since = None;
+                }
+                ("start", None) => {}
+                (_, _) => out_since = Some(note.at),
+            }
+        }
+        if let Some(since) = out_since {
+            let gap = world.record.now() - since;
+            if gap > longest.0 {
+                longest = (gap, format!("{task} from {since:.1} s to the end"));
+            }
+        }
+    }
+    let (gap, which) = longest;
+    world.record.say(&format!("the last disruption ended at {calm_from:.1} s"));
+    // 6 s after its last run begin the 3 s in which it must run.
+    let text = format!("the longest time without a run was {gap:.1} s: {which}");
+    verdict(&world, gap > 9.5, &text)
+}
+
+/// A route is taken away and comes back; meanwhile a task fails once of three times.
+fn route(record: Record, trouble: bool) -> i32 {
+    const JOB: &str = "00000000000000a1";
+    let mut world = World::new("route", record, kinds(4, 4, 16_000, 32_768));
+    start_instances(&mut world);
+    let steps = [Step::new(2, 500, 64, 12_000)];
+    // The first run of task 0 fails after half of its work.
+    if !world.submit(0, JOB, "d0=12000;fail=0.0.1", &steps) {
+        return 2;
+    }
+    let task = format!("{JOB}.0.0.0");
+    world.await_true("the task runs", 10.0, || world.worker_of(&task).is_some());
+    sleep(1.0);
+    if trouble {
+        declare(&world.store, 4, false, 0);
+        world.record.say("config 4 takes the route of the job away");
+    }
+    sleep(8.0);
+    declare(&world.store, 9, true, 0);
+    world.record.say("config 9 has the route");
+    sleep(4.0);
+    world.ask(1, JOB);
+    let is_final = |state: &str| matches!(state, "complete" | "failed" | "cancelled");
+    world.wait(40.0, || is_final(&world.state(1, JOB).1));
+    let (status, state) = world.ask(1, JOB);
+    let failed = world.record.notes(JOB).iter().filter(|(_, note)| note.what == "failed").count();
+    let text = format!("the job is shown as {status} {state}; {failed} of maxAttempts = 3 runs ended failed");
+    verdict(&world, state != "complete", &text)
+}
+
+/// A job is cancelled at another instance while the store turns the owner's machine away.
+fn cancel(record: Record, trouble: bool) -> i32 {
+    const JOB: &str = "00000000000000a1";
+    let mut world = World::new("cancel", record, kinds(4, 4, 16_000, 32_768));
+    start_instances(&mut world);
+    let Some(owner) = world.owner(&NAMES) else { return 2 };
+    let (first, second) = ((owner + 1) % 3, (owner + 2) % 3);
+    world.record.say(&format!("the owner is {}", NAMES[owner]));
+    if trouble {
+        world.store.refuse(owner, true);
+        world.record.say("the store turns the owner's machine away");
+    }
+    sleep(0.2);
+    let steps = [Step::new(1, 500, 64, 5_000), Step::new(1, 500, 64, 5_000).with("after", Json::Arr(vec![n(0)]))];
+    if !world.submit(first, JOB, "d0=5000;d1=5000", &steps) {
+        return 2;
+    }
+    sleep(0.3);
+    let status = world.cancel(second, JOB);
+    let cancelled_at = world.record.now();
+    sleep(4.0);
+    world.store.refuse(owner, false);
+    world.record.say("the store serves all machines");
+    sleep(16.0);
+    world.ask(first, JOB);
+    let late: Vec<String> = world
+        .record
+        .notes(JOB)
+        .iter()
+        .filter(|(_, note)| note.what == "start" && note.at > cancelled_at + 3.0)
+        .map(|(task, note)| format!("{task} run {} at {:.1} s", note.run, note.at))
+        .collect();
+    let text = format!("DELETE was answered {status}; starts over 3 s after that: {late:?}");
+    verdict(&world, matches!(status, 200..=299 | 410) && !late.is_empty(), &text)
+}
+
+/// A worker is cut off while the tasks of a team at its limit run there and end.
+fn quota(record: Record, trouble: bool) -> i32 {
+    const FIRST: &str = "00000000000000a1";
+    const SECOND: &str = "00000000000000b2";
+    const CPU: u64 = 1_000;
+    const LIMIT: u64 = 10 * CPU;
+    let mut kinds = kinds(8, 4, 16_000, 32_768);
+    kinds.iter_mut().for_each(|k| k.stop_time = Duration::from_millis(800));
+    let mut world = World::new("quota", record, kinds);
+    declare(&world.store, 3, true, LIMIT);
+    world.record.say(&format!("config 3: maxCount of the team is {LIMIT} of cpu"));
+    start_instances(&mut world);
+    let step = |count| [Step::new(count, CPU, 64, 4_000)];
+    if !world.submit(0, FIRST, "d0=4000", &step(10)) {
+        return 2;
+    }
+    let running = || world.workers.iter().map(|w| w.running().len()).sum::<usize>();
+    world.await_true("the tasks of the first job run", 5.0, || running() == 10);
+    sleep(0.5);
+    let most = world.workers.iter().max_by_key(|w| w.running().len()).expect("a worker");
+    world.record.say(&format!("{} tasks run on {}", most.running().len(), most.kind.id));
+    if trouble {
+        most.cut(true);
+    }
+    sleep(5.0);
+    if !world.submit(1, SECOND, "d0=4000", &step(30)) {
+        return 2;
+    }
+    sleep(0.5);
+    if trouble {
+        most.cut(false);
+    }
+    let is_done = |id| world.state(2, id) == (200, "complete".to_string());
+    world.wait(60.0, || is_done(FIRST) && is_done(SECOND));
+    world.ask(0, FIRST);
+    world.ask(0, SECOND);
+    let (mut used, mut highest) = (0u64, (0u64, 0.0, String::new()));
+    for (task, note) in world.record.notes("0000") {
+        if note.what != "start" {
+            used -= CPU;
+            continue;
+        }
+        used += CPU;
+        if used > highest.0 {
+            highest = (used, note.at, task);
+        }
+    }
+    let (used, at, task) = highest;
+    let allowed = LIMIT * 11 / 10 + CPU;
+    let text = format!("at most {used} of cpu ran at once, with the start of {task} at {at:.1} s; allowed: {allowed}");
+    verdict(&world, used > allowed, &text)
+}
