--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -242,17 +242,19 @@
         world.record.say("the store turns the owner's machine away");
     }
     sleep(0.2);
-    let steps = [Step::new(1, 500, 64, 5_000), Step::new(1, 500, 64, 5_000).with("after", Json::Arr(vec![n(0)]))];
-    if !world.submit(first, JOB, "d0=5000;d1=5000", &steps) {
+    // The second step begins over `contactMs` after the store serves all machines again.
+    let after = Json::Arr(vec![n(0)]);
+    let steps = [Step::new(1, 500, 64, 8_000), Step::new(1, 500, 64, 3_000).with("after", after)];
+    if !world.submit(first, JOB, "d0=8000;d1=3000", &steps) {
         return 2;
     }
     sleep(0.3);
     let status = world.cancel(second, JOB);
     let cancelled_at = world.record.now();
-    sleep(4.0);
+    sleep(2.5);
     world.store.refuse(owner, false);
     world.record.say("the store serves all machines");
-    sleep(16.0);
+    sleep(14.0);
     world.ask(first, JOB);
     let late: Vec<String> = world
         .record
