--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -21,7 +21,7 @@
     let record = |lines| Record::new(&format!("{folder}/record.txt"), lines);
     let verdict = match case {
         "large-job" => large_job(record(150), trouble),
-        "lasting-tasks" => lasting_tasks(record(400), trouble),
+        "hopeless" => hopeless(record(800), trouble),
         "route" => route(record(400), trouble),
         "owner-gone" => owner_gone(record(400), trouble),
         "owner-kill" => owner_kill(record(400), trouble),
@@ -39,6 +39,8 @@
         id: format!("i-{:08x}", 0x7f3a_91c2_u32.wrapping_mul(i as u32 + 1)),
         machine: format!("m-{i}"),
         rack: format!("r1-{}", i / per_rack),
+        // Each of the three instances has a zone, z0 to z2.
+        zone: format!("z{}", i / per_rack % 3),
         cpu,
         mem_mb,
         stop_time: Duration::from_millis(200),
@@ -56,7 +58,7 @@
 }
 
 fn sleep(seconds: f64) {
-    thread::sleep(Duration::from_secs_f64(seconds));
+    thread::sleep(Duration::from_secs_f64(seconds.max(0.0)));
 }
 
 fn verdict(world: &World, is_broken: bool, text: &str) -> i32 {
@@ -108,36 +110,40 @@
     verdict(&world, !(large_done && small_done), &text)
 }
 
-/// A job that lasts, with several tasks whose workers have crashed three times, and then nothing more.
-fn lasting_tasks(record: Record, trouble: bool) -> i32 {
-    const JOB: &str = "00000000000000a1";
-    let mut world = World::new("lasting-tasks", record, kinds(20, 4, 64_000, 131_072));
+/// A job that can never be done, and a task that lasts and fails by itself 1 s later.
+fn hopeless(record: Record, trouble: bool) -> i32 {
+    const LASTING: &str = "00000000000000a1";
+    const HOPELESS: &str = "00000000000000b2";
+    let mut world = World::new("hopeless", record, kinds(8, 4, 64_000, 131_072));
     start_instances(&mut world);
-    let step = Step::new(6, 5_000, 8_000, 900)
+    let step = Step::new(4, 2_000, 4_000, 900)
         .with("longRunning", Json::Bool(true))
         .with("antiAffinity", n(1));
-    if !world.submit(0, JOB, "lasts=0", &[step]) {
+    if !world.submit(0, LASTING, "lasts=0;lfail=0.5600", &[step]) {
         return 2;
     }
-    let tasks: Vec<String> = (0..3).map(|i| format!("{JOB}.0.0.{i}")).collect();
-    for round in 1..=3 {
-        let all_up = || tasks.iter().all(|t| world.worker_of(t).is_some());
-        world.await_true("the tasks run", 12.0, all_up);
-        world.record.say(&format!("round {round}: tasks 0 to 2 run"));
-        sleep(2.0);
-        if !trouble {
-            continue;
+    let task = format!("{LASTING}.0.0.0");
+    world.await_true("task 0 runs", 8.0, || world.worker_of(&task).is_some());
+    let since = world.record.now();
+    // With these, one job in 21 of the queue is hopeless.
+    for number in 0..20 {
+        let id = format!("{:016x}", 0xc0 + number);
+        if !world.submit(number % 3, &id, "d0=200", &[Step::new(1, 500, 64, 200)]) {
+            return 2;
         }
-        let hit: Vec<_> = tasks.iter().filter_map(|t| world.worker_of(t)).collect();
-        hit.iter().for_each(|w| w.crash());
-        sleep(1.0);
-        hit.iter().for_each(|w| w.begin(Duration::ZERO));
+        sleep(0.1);
+    }
+    sleep(since + 4.5 - world.record.now());
+    // Ten tasks a worker.
+    let steps = [Step::new(80, 6_000, 8_000, 400)];
+    let spec = if trouble { "d0=400;fail=0.*.99" } else { "d0=400" };
+    if !world.submit(1, HOPELESS, spec, &steps) {
+        return 2;
     }
-    let calm_from = world.record.now();
-    world.record.say("no disruption from here on");
-    sleep(40.0);
-    let (gap, which) = longest_gap(&world, JOB, 6);
-    world.record.say(&format!("the last disruption ended at {calm_from:.1} s"));
+    sleep(30.0);
+    world.ask(2, LASTING);
+    world.ask(2, HOPELESS);
+    let (gap, which) = longest_gap(&world, LASTING, 4);
     // 6 s after its last run begin the 3 s in which it must run.
     let text = format!("the longest time without a run was {gap:.1} s: {which}");
     verdict(&world, gap > 9.5, &text)
@@ -255,57 +261,81 @@
     verdict(&world, used > allowed, &text)
 }
 
-/// A worker restarts and starts a task; then the owner is killed, and the worker is cut off.
+/// A worker restarts and starts a task; then its zone is cut off, and the owner, in another zone, is killed.
 fn owner_kill(record: Record, trouble: bool) -> i32 {
-    let jobs: Vec<String> = (1..=8).map(|i| format!("00000000000000a{i}")).collect();
-    let mut kinds = kinds(8, 4, 16_000, 32_768);
+    const WORKERS: usize = 12;
+    let jobs: Vec<String> = (1..=WORKERS).map(|i| format!("{:016x}", 0xa0 + i)).collect();
+    let task = |job: &str| format!("{job}.0.0.0");
+    let mut kinds = kinds(WORKERS, 4, 16_000, 32_768);
     kinds.iter_mut().for_each(|k| k.max_hold_ms = 10_000);
     let mut world = World::new("owner-kill", record, kinds);
     start_instances(&mut world);
-    // One task fills a worker.
+    // One task fills a worker; one worker stays empty.
     let step = || [Step::new(1, 10_000, 4_096, 60_000)];
     let running = || world.workers.iter().map(|w| w.running().len()).sum::<usize>();
-    for job in &jobs[..7] {
+    let (last, first_jobs) = jobs.split_last().expect("the jobs");
+    for job in first_jobs {
         if !world.submit(0, job, "d0=60000", &step()) {
             return 2;
         }
     }
-    world.await_true("seven jobs run", 10.0, || running() == 7);
+    world.await_true("all but one job run", 10.0, || running() == WORKERS - 1);
     // The workers' clocks are beyond `maxHoldMs`.
     sleep(12.0);
-    let first = format!("{}.0.0.0", jobs[0]);
-    let worker = world.worker_of(&first).expect("the worker of the first job").clone();
+    let Some(owner) = world.owner(&NAMES) else { return 2 };
+    let owner_zone = format!("z{owner}");
+    let is_apart = |job: &&String| world.worker_of(&task(job)).is_some_and(|w| w.kind.zone != owner_zone);
+    let Some(lost) = first_jobs.iter().find(is_apart).cloned() else { return 2 };
+    let worker = world.worker_of(&task(&lost)).expect("its worker").clone();
     if trouble {
         worker.crash();
         sleep(0.2);
         worker.begin(Duration::from_millis(300));
-        world.await_true("the first job runs elsewhere", 8.0, || world.worker_of(&first).is_some());
+        let is_back = || world.worker_of(&task(&lost)).is_some();
+        world.await_true("the task that was lost runs elsewhere", 8.0, is_back);
     }
-    if !world.submit(1, &jobs[7], "d0=60000", &step()) {
+    if !world.submit(1, last, "d0=60000", &step()) {
         return 2;
     }
-    let last = format!("{}.0.0.0", jobs[7]);
-    world.await_true("the last job runs", 8.0, || world.worker_of(&last).is_some());
-    let holder = world.worker_of(&last).expect("the worker of the last job").clone();
-    world.record.say(&format!("task {last} runs on {}", holder.kind.id));
-    world.cancel(2, &jobs[1]);
-    sleep(0.4);
+    let tracked = task(last);
+    world.await_true("the last job runs", 8.0, || world.worker_of(&tracked).is_some());
+    let holder = world.worker_of(&tracked).expect("its worker").clone();
+    world.record.say(&format!("task {tracked} runs on {} in {}", holder.kind.id, holder.kind.zone));
+    if trouble && holder.kind.id != worker.kind.id {
+        world.record.say("cannot run: the last job runs on another worker than the restarted one");
+        return 2;
+    }
+    // Room in the other zones for all tasks of the zone that will be cut off.
+    let outside = |job: &&String| {
+        world.worker_of(&task(job)).is_some_and(|w| w.kind.zone != holder.kind.zone)
+    };
+    let freed: Vec<&String> = first_jobs.iter().filter(outside).take(4).collect();
+    for job in freed {
+        world.cancel(2, job);
+    }
+    sleep(0.5);
     if trouble {
-        let Some(owner) = world.owner(&NAMES) else { return 2 };
+        let zone = holder.kind.zone.clone();
+        let cut_off: Vec<_> = world.workers.iter().filter(|w| w.kind.zone == zone).cloned().collect();
+        let instance = (0..NAMES.len()).find(|i| format!("z{i}") == zone).expect("its instance");
+        world.record.say(&format!("zone {zone} is cut off, with instance {}", NAMES[instance]));
+        cut_off.iter().for_each(|w| w.cut(true));
+        world.store.cut(instance, true);
         world.kill(owner);
-        world.record.say(&format!("the owner {} is killed", NAMES[owner]));
-        sleep(0.3);
+        world.record.say(&format!("the process of the owner {} is killed", NAMES[owner]));
+        sleep(0.2);
         world.restart(owner);
-        world.record.say(&format!("the process of {} starts again", NAMES[owner]));
         CHILDREN.lock().unwrap().push(world.pid(owner));
-        sleep(0.1);
-        holder.cut(true);
-        sleep(5.5);
-        holder.cut(false);
+        world.record.say(&format!("the process of {} starts again", NAMES[owner]));
+        sleep(6.1);
+        cut_off.iter().for_each(|w| w.cut(false));
+        world.store.cut(instance, false);
+        world.record.say(&format!("zone {zone} is reachable"));
         sleep(6.0);
     } else {
-        sleep(12.0);
+        sleep(12.3);
     }
+    let last = tracked;
     // Runs of the task by worker, from start to end.
     let mut open: Vec<(u64, f64)> = Vec::new();
     let mut overlap = None;
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -4,7 +4,7 @@
 
 use crate::http::{Handler, Req, Resp, Server};
 use crate::json::{Json, n, obj, s};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -48,6 +48,7 @@
 #[derive(Default)]
 struct State {
     topics: HashMap<String, Topic>,
+    cut: HashSet<usize>,
     /// Appends refused since a record was longer than the store takes, with that length.
     too_long: Vec<usize>,
 }
@@ -63,16 +64,39 @@
 }
 
 impl Store {
-    /// Starts a port.
-    pub fn serve(&self) -> Server {
+    /// Starts the port of machine `number`.
+    pub fn serve(&self, number: usize) -> Server {
         let store = self.clone();
         let handler: Handler = Arc::new(move |req| {
             thread::sleep(ANSWER_TIME);
-            Some(store.answer(&req))
+            if store.wait_for_cut(number) {
+                return None;
+            }
+            let answer = store.answer(&req);
+            if store.wait_for_cut(number) { None } else { Some(answer) }
         });
         Server::start(0, handler).expect("a port for the store")
     }
 
+    /// Cuts a machine off from the store, or ends the cut. What it sends meanwhile is lost.
+    pub fn cut(&self, number: usize, cut: bool) {
+        let mut state = self.state.lock().unwrap();
+        match cut {
+            true => state.cut.insert(number),
+            false => state.cut.remove(&number),
+        };
+    }
+
+    /// Waits while a machine is cut off. Returns whether it was.
+    fn wait_for_cut(&self, number: usize) -> bool {
+        let mut was_cut = false;
+        while self.state.lock().unwrap().cut.contains(&number) {
+            was_cut = true;
+            thread::sleep(Duration::from_millis(5));
+        }
+        was_cut
+    }
+
     /// Lengths of the records that were refused for their length.
     pub fn too_long(&self) -> Vec<usize> {
         self.state.lock().unwrap().too_long.clone()
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -2,7 +2,8 @@
 //!
 //! The `spec` of a job tells how its tasks behave: `dN=MS` is the work of a task of step N, `lasts=N`
 //! names a step whose tasks run until they are stopped, `fail=STEP.INDEX.RUNS` lets the first runs of a task fail
-//! halfway (`*` names all tasks of the step), and `ck=1` makes checkpoints.
+//! halfway (`*` names all tasks of the step), `lfail=INDEX.MS` lets the first run of a task that lasts fail
+//! after that time, and `ck=1` makes checkpoints.
 
 use crate::http::{Handler, Req, Resp, Server};
 use crate::json::{Json, n, obj, s};
@@ -24,6 +25,7 @@
     pub id: String,
     pub machine: String,
     pub rack: String,
+    pub zone: String,
     pub cpu: u64,
     pub mem_mb: u64,
     /// Time that a stop takes; the pages allow `stopMs`, 900 ms.
@@ -247,7 +249,7 @@
         let entry = obj(&[
             ("service", s(&self.pool)),
             ("address", s(&format!("127.0.0.1:{port}"))),
-            ("zone", s("z1")),
+            ("zone", s(&self.kind.zone)),
             ("version", s("v1")),
             ("slots", n(8)),
             ("state", s("ready")),
@@ -347,6 +349,11 @@
                 let checkpoint = body.text("checkpoint");
                 let resumed_ms =
                     checkpoint.get(..8).and_then(|c| u64::from_str_radix(c, 16).ok()).unwrap_or(0);
+                // The first run of a task that lasts may fail by itself.
+                let lapse = setting(&spec, "lfail").and_then(|f| f.split_once('.'));
+                let lapse = lapse.filter(|(i, _)| lasts && run == 1 && *i == index);
+                let fails_after = lapse.and_then(|(_, ms)| ms.parse().ok()).map(Duration::from_millis);
+                let fails = fails || fails_after.is_some();
                 let left = work.saturating_sub(resumed_ms) / if fails { 2 } else { 1 };
                 let now = Instant::now();
                 self.record.line(&format!("start {task} run {run} on {}", self.kind.id));
@@ -359,7 +366,10 @@
                     cpu,
                     mem_mb,
                     resumed_ms,
-                    ends_at: (!lasts).then(|| now + Duration::from_millis(left)),
+                    ends_at: match lasts {
+                        true => fails_after.map(|after| now + after),
+                        false => Some(now + Duration::from_millis(left)),
+                    },
                     fails,
                     stops_at: None,
                 });
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -122,7 +122,8 @@
 
     /// Starts an instance with the command of the deploy file.
     pub fn start_instance(&mut self, name: &str) {
-        let store = self.store.serve();
+        let number = self.instances.len();
+        let store = self.store.serve(number);
         let (callers, readiness, control) = (free_ports(1), free_ports(1), free_ports(1));
         let first = free_ports(2);
         let local = |port: u16| s(&format!("127.0.0.1:{port}"));
@@ -171,7 +172,7 @@
             ("machineClass", s("frontend")),
             ("serves", Json::Arr(vec![s("frontend")])),
             ("ip", s("127.0.0.1")),
-            ("zone", s("z1")),
+            ("zone", s(&format!("z{number}"))),
             ("bindAddrs", addrs),
             ("portRange", Json::Arr(vec![n(first.into()), n(u64::from(first) + 1)])),
             ("bootstrap", Json::Bool(true)),
@@ -374,7 +375,7 @@
             ("machine", s(&w.kind.machine)),
             ("pool", s(POOL)),
             ("state", s("up")),
-            ("zone", s("z1")),
+            ("zone", s(&w.kind.zone)),
             ("labels", Json::Arr(vec![s("a"), s(&w.kind.rack)])),
             ("capacity", capacity),
             ("id", s(&w.kind.id)),
