--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # disruption. Needs the build of deploy/system.toml and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/fleet ] && [ -x target/release/jacinthhook ] || exit 2
-exec target/review-2/fleet lasting-tasks review/9
+exec target/review-2/fleet hopeless review/9
