Store the tasks of large jobs in records of their own

Cause: a job's progress was one record of any size. Its crashes brought it to 268,756 bytes; the store takes 262,144 and refused the append, the owner repeated it until its term ended, and each next owner met the same refusal.

Change: the tasks of a job with more than 128 open ones are stored in parts of 128, written only when they have changed, before the job's record; those that are not needed any more are deleted after it. Checkpoints of more than 512 bytes are not stored. Records of earlier versions are read and split.

Why it works: the size of a record no longer grows with the job: 128 tasks fit with the longest names, checkpoints and crashes. A batch that is stored in part leaves assignments whose orders were not sent, as a lost order does.

--- a/src/batch.rs
+++ b/src/batch.rs
@@ -14,6 +14,7 @@
 pub mod owner;
 pub mod placement;
 pub mod prior_leases;
+pub mod record_parts;
 pub mod records;
 pub mod scheduler;
 pub mod wall_clock;
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -8,8 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Maximum number of tasks per job in open occurrences, unless a single one has more; the progress of
-/// more would not fit into one record.
+/// Maximum number of tasks per job in open occurrences, unless a single one has more.
 pub const MAX_OPEN_TASKS: u64 = 5_000;
 /// Maximum number of open occurrences per job, which bounds those without tasks that begin in one pass.
 const MAX_OPEN_OCCURRENCES: u64 = 1_000;
@@ -256,6 +255,8 @@
     pub any_task_started: bool,
     /// When the job reached its final state.
     pub ended_at: Option<Moment>,
+    /// The record from which the job was restored leaves its tasks to records of their own.
+    pub is_split: bool,
     /// For each step, the sum of the declared run times along the longest chain of dependent steps
     /// that begins with it.
     remaining_path: Vec<Duration>,
@@ -277,6 +278,7 @@
             begun_occurrences: 0,
             any_task_started: false,
             ended_at: None,
+            is_split: false,
         }
     }
 
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -21,11 +21,13 @@
 use crate::batch::prior_leases::{
     LeaseRecord, MAX_NAMED_WORKERS, PriorLeases, WorkerLease, remaining_ms,
 };
+use crate::batch::record_parts::{self, PartKey, StoredParts};
 use crate::batch::records::{self, ProgressError, RecordUpdate};
 use crate::batch::wall_clock::{Moment, WallClock};
 use crate::batch::worker::{LeaseSource, Worker, WorkerInfo};
 use crate::fair::Resources;
 use crate::ids::{JobId, TeamId, Time};
+use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -152,6 +154,9 @@
     /// When moves or maintenance were last planned, by a new list of machines.
     pub(super) machines_listed_at: Option<Time>,
     dirty_jobs: IndexSet<JobId>,
+    stored_parts: StoredParts,
+    /// Parts that were read, until all records are restored. Those of a job may be read before its record.
+    restored_parts: IndexMap<JobId, Vec<(PartKey, Bytes)>>,
     /// Jobs that are dropped and whose submissions may still be stored.
     dropped_jobs: IndexSet<JobId>,
     pub(super) dirty_waves: IndexSet<u64>,
@@ -194,6 +199,8 @@
             maintenance_in_flight: IndexSet::new(),
             machines_listed_at: None,
             dirty_jobs: IndexSet::new(),
+            stored_parts: StoredParts::default(),
+            restored_parts: IndexMap::new(),
             dropped_jobs: IndexSet::new(),
             dirty_waves: IndexSet::new(),
             orders: Orders::default(),
@@ -313,6 +320,9 @@
             }
             return;
         }
+        if let Some(part) = PartKey::parse(key) {
+            return self.restore_part(part, value, now);
+        }
         let id: JobId = key.into();
         if !records::is_job_key(key) {
             return self.emit_bad_record(key, &ProgressError::ForeignKey { key: id });
@@ -331,7 +341,29 @@
             return;
         };
         if let Err(e) = records::decode_job(&id, job, value, now) {
-            self.emit_bad_record(key, &e);
+            return self.emit_bad_record(key, &e);
+        }
+        for (part, value) in self.restored_parts.get(&id).cloned().unwrap_or_default() {
+            self.apply_part(&part, &value, now);
+        }
+    }
+
+    /// Restores a part of a job's tasks.
+    fn restore_part(&mut self, part: PartKey, value: &[u8], now: Time) {
+        self.stored_parts.record(&part);
+        if !self.jobs.contains_key(&part.job) {
+            self.dropped_jobs.insert(part.job);
+            return;
+        }
+        self.apply_part(&part, value, now);
+        let parts = self.restored_parts.entry(part.job.clone()).or_default();
+        parts.push((part, Bytes::copy_from_slice(value)));
+    }
+
+    fn apply_part(&mut self, part: &PartKey, value: &[u8], now: Time) {
+        let Some(job) = self.jobs.get_mut(&part.job).filter(|job| job.is_split) else { return };
+        if let Err(e) = record_parts::decode_part(part, job, value, now) {
+            self.emit_bad_record(&part.name(), &e);
         }
     }
 
@@ -358,6 +390,7 @@
     /// restored and all listed workers are known. A worker that is no longer listed may still be
     /// running its tasks.
     pub fn finish_restore(&mut self, now: Time) {
+        self.restored_parts = IndexMap::new();
         let mut runs = Vec::new();
         for (id, job) in &self.jobs {
             visit_assigned(id, job, |task, run| runs.push((task, job.team.clone(), run.clone())));
@@ -1258,11 +1291,15 @@
             let Some(job) = self.jobs.get(&id) else {
                 batch.updates.push(match self.early_cancellations.get(&id) {
                     Some(at) => records::encode_early_cancellation(&id, at),
-                    None => RecordUpdate { key: id, value: None },
+                    None => RecordUpdate { key: id.clone(), value: None },
                 });
+                batch.updates.extend(self.stored_parts.update(&id, None).deleted);
                 continue;
             };
+            let parts = self.stored_parts.update(&id, Some(job));
+            batch.updates.extend(parts.written);
             batch.updates.push(records::encode_job(&id, job));
+            batch.updates.extend(parts.deleted);
             if job.state.is_final() {
                 batch.final_states.push((id, job.state));
             }
--- a/src/batch/records.rs
+++ b/src/batch/records.rs
@@ -22,6 +22,7 @@
 
 /// A stored record that cannot be used.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
 pub enum ProgressError {
     /// The record is not in the format that this program writes.
     #[snafu(display("progress record of job {job} is malformed: {source}"))]
@@ -43,6 +44,11 @@
 const MAX_JOB_KEY_BYTES: usize = 32;
 /// Highest run number that a record may have. No task starts this often.
 const MAX_RESTORED_RUN: u32 = 1 << 30;
+/// Tasks of one record. The store takes 256 KiB; a task needs some 50 bytes, and at most 1,400 with the
+/// longest names and checkpoint.
+pub const MAX_TASKS_PER_RECORD: usize = 128;
+/// Longest checkpoint that is stored, in bytes. The next owner starts a task without one anew.
+const MAX_CHECKPOINT_BYTES: usize = 512;
 /// Key of the record of machines that receive orders.
 pub const ORDERED_MACHINES_KEY: &str = "machines";
 
@@ -72,9 +78,15 @@
     confirmed_crashes: Vec<ConfirmedRow>,
     /// Process of each worker to which a task is assigned, where it is known.
     #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
-    processes: IndexMap<WorkerId, (u64, Arc<str>)>,
+    processes: Processes,
+    /// The tasks are in records of their own (`record_parts`); `open` has no rows.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    split: bool,
 }
 
+/// Start time and machine of the process of each worker.
+pub(super) type Processes = IndexMap<WorkerId, (u64, Arc<str>)>;
+
 /// Occurrence, step and index of a task, all crashes, those blamed on it, and the latest run counted.
 #[derive(Deserialize, Serialize)]
 struct CrashRow(u32, u32, u32, u32, u32, u32);
@@ -86,23 +98,39 @@
 /// Run number, number of failed runs, latest failed run, checkpoint, assigned worker (empty for
 /// none), and whether the task is done.
 #[derive(Deserialize, Serialize)]
-struct TaskRow(u32, u32, u32, Arc<str>, Arc<str>, bool);
+pub(super) struct TaskRow(u32, u32, u32, Arc<str>, Arc<str>, bool);
+
+/// Returns the occurrences of a job that are stored. The runs of an ended job keep their resources until they
+/// are over.
+pub(super) fn stored_occurrences(job: &Job) -> impl Iterator<Item = &Occurrence> {
+    job.open_occurrences.iter().filter(|o| !job.state.is_final() || o.is_assigned())
+}
 
-/// Encodes the progress of a job.
+/// Whether the tasks of a job are stored in records of their own.
+pub(super) fn is_split(job: &Job) -> bool {
+    let tasks = stored_occurrences(job).flat_map(|o| &o.steps).map(Vec::len).sum::<usize>();
+    tasks > MAX_TASKS_PER_RECORD
+}
+
+/// Encodes the progress of a job, without its tasks if these have records of their own.
 pub fn encode_job(id: &JobId, job: &Job) -> RecordUpdate {
-    let steps = |o: &Occurrence| o.steps.iter().map(|s| s.iter().map(task_row).collect()).collect();
-    // The runs of an ended job keep their resources until they are over.
-    let open = job.open_occurrences.iter().filter(|o| !job.state.is_final() || o.is_assigned());
-    let open = open.map(|o| (o.number, steps(o))).collect();
+    let split = is_split(job);
+    let steps = |o: &Occurrence| match split {
+        true => Vec::new(),
+        false => o.steps.iter().map(|s| s.iter().map(task_row).collect()).collect(),
+    };
+    let open = stored_occurrences(job).map(|o| (o.number, steps(o))).collect();
+    let tasks = if split { Vec::new() } else { unfinished_tasks(job) };
     let progress = JobProgress {
         state: job.state,
         begun: job.begun_occurrences,
         started: job.any_task_started,
         open,
         ended_ms: job.ended_at.as_ref().and_then(unix_millis),
-        crashes: crash_rows(job),
-        confirmed_crashes: confirmed_rows(job),
-        processes: processes(job),
+        crashes: crash_rows(&tasks),
+        confirmed_crashes: confirmed_rows(&tasks),
+        processes: processes(tasks.iter().map(|located| located.task)),
+        split,
     };
     encode_progress(id, &progress)
 }
@@ -124,6 +152,7 @@
         crashes: Vec::new(),
         confirmed_crashes: Vec::new(),
         processes: IndexMap::new(),
+        split: false,
     };
     encode_progress(id, &progress)
 }
@@ -142,61 +171,67 @@
     moment.unix_time.map(millis)
 }
 
-/// Calls `f` with the occurrence, step, index and state of each task of an unfinished job.
-fn visit_tasks<'a>(job: &'a Job, mut f: impl FnMut(u32, u32, u32, &'a Task)) {
-    if job.state.is_final() {
-        return;
-    }
-    for occurrence in &job.open_occurrences {
+/// A task with its occurrence, step and index.
+struct LocatedTask<'a> {
+    at: (u32, u32, u32),
+    task: &'a Task,
+}
+
+/// Returns the tasks of an unfinished job.
+fn unfinished_tasks(job: &Job) -> Vec<LocatedTask<'_>> {
+    let mut located = Vec::new();
+    for occurrence in job.open_occurrences.iter().filter(|_| !job.state.is_final()) {
         for (step, tasks) in occurrence.steps.iter().enumerate() {
-            for (index, task) in tasks.iter().enumerate() {
-                f(occurrence.number, step as u32, index as u32, task);
-            }
+            let at = |index: usize| (occurrence.number, step as u32, index as u32);
+            let tasks = tasks.iter().enumerate();
+            located.extend(tasks.map(|(index, task)| LocatedTask { at: at(index), task }));
         }
     }
+    located
 }
 
-fn crash_rows(job: &Job) -> Vec<CrashRow> {
-    let mut rows = Vec::new();
-    visit_tasks(job, |occurrence, step, index, task| {
-        let TaskCrashes { total, blamed, last_run, .. } = task.crashes;
-        if total > 0 {
-            rows.push(CrashRow(occurrence, step, index, total, blamed, last_run));
-        }
-    });
-    rows
+fn crash_rows(tasks: &[LocatedTask<'_>]) -> Vec<CrashRow> {
+    let row = |located: &LocatedTask<'_>| {
+        let (occurrence, step, index) = located.at;
+        let TaskCrashes { total, blamed, last_run, .. } = located.task.crashes;
+        (total > 0).then_some(CrashRow(occurrence, step, index, total, blamed, last_run))
+    };
+    tasks.iter().filter_map(row).collect()
 }
 
-fn confirmed_rows(job: &Job) -> Vec<ConfirmedRow> {
-    let mut rows = Vec::new();
-    visit_tasks(job, |occurrence, step, index, task| {
-        if task.crashes.confirmed > 0 {
-            rows.push(ConfirmedRow(occurrence, step, index, task.crashes.confirmed));
-        }
-    });
-    rows
+fn confirmed_rows(tasks: &[LocatedTask<'_>]) -> Vec<ConfirmedRow> {
+    let row = |located: &LocatedTask<'_>| {
+        let ((occurrence, step, index), confirmed) = (located.at, located.task.crashes.confirmed);
+        (confirmed > 0).then_some(ConfirmedRow(occurrence, step, index, confirmed))
+    };
+    tasks.iter().filter_map(row).collect()
 }
 
-fn processes(job: &Job) -> IndexMap<WorkerId, (u64, Arc<str>)> {
+/// Returns the processes to which tasks are assigned, where they are known.
+pub(super) fn processes<'a>(tasks: impl Iterator<Item = &'a Task>) -> Processes {
     let mut processes = IndexMap::new();
-    visit_tasks(job, |_, _, _, task| {
+    for task in tasks {
         if let Phase::Assigned(assignment) = &task.phase
             && assignment.process.incarnation > 0
         {
             let WorkerProcess { incarnation, machine } = assignment.process.clone();
             processes.insert(assignment.worker.clone(), (incarnation, machine));
         }
-    });
+    }
     processes
 }
 
-fn task_row(task: &Task) -> TaskRow {
+pub(super) fn task_row(task: &Task) -> TaskRow {
     let worker = match &task.phase {
         Phase::Assigned(assignment) => assignment.worker.clone(),
         Phase::Waiting | Phase::Done => "".into(),
     };
     let done = task.phase == Phase::Done;
-    TaskRow(task.run, task.failed_runs, task.last_failed_run, task.checkpoint.clone(), worker, done)
+    let checkpoint = match task.checkpoint.len() {
+        0..=MAX_CHECKPOINT_BYTES => task.checkpoint.clone(),
+        _ => "".into(),
+    };
+    TaskRow(task.run, task.failed_runs, task.last_failed_run, checkpoint, worker, done)
 }
 
 /// Restores a job from its progress record. Assigned runs count as confirmed; the first poll of
@@ -207,6 +242,10 @@
     let mut open = Vec::new();
     for (number, steps) in progress.open {
         let mut occurrence = Occurrence::new(number, &job.spec);
+        if progress.split {
+            open.push(occurrence);
+            continue;
+        }
         if steps.len() != occurrence.steps.len() {
             return StepMismatchSnafu { job: id.clone() }.fail();
         }
@@ -214,9 +253,7 @@
             if tasks.len() != rows.len() {
                 return StepMismatchSnafu { job: id.clone() }.fail();
             }
-            if rows.iter().any(|row| row.0 > MAX_RESTORED_RUN) {
-                return RunOutOfRangeSnafu { job: id.clone() }.fail();
-            }
+            check_runs(id, &rows)?;
             // Earlier versions recorded the end of a gang for one member only.
             let is_done = step.gang && rows.iter().any(|TaskRow(.., done)| *done);
             for (task, row) in tasks.iter_mut().zip(rows) {
@@ -238,6 +275,7 @@
             task.crashes.confirmed = confirmed;
         }
     }
+    job.is_split = progress.split;
     job.state = progress.state;
     job.published_state = progress.state;
     job.begun_occurrences = progress.begun;
@@ -247,15 +285,23 @@
     Ok(())
 }
 
+/// Fails for a run number out of range.
+pub(super) fn check_runs(id: &JobId, rows: &[TaskRow]) -> Result<(), ProgressError> {
+    match rows.iter().any(|row| row.0 > MAX_RESTORED_RUN) {
+        true => RunOutOfRangeSnafu { job: id.clone() }.fail(),
+        false => Ok(()),
+    }
+}
+
 fn task_at(open: &mut [Occurrence], number: u32, step: u32, index: u32) -> Option<&mut Task> {
     let occurrence = open.iter_mut().find(|o| o.number == number)?;
     occurrence.steps.get_mut(step as usize)?.get_mut(index as usize)
 }
 
-fn restored_task(
+pub(super) fn restored_task(
     row: TaskRow,
     state: JobState,
-    processes: &IndexMap<WorkerId, (u64, Arc<str>)>,
+    processes: &Processes,
     now: Time,
 ) -> Task {
     let TaskRow(run, failed_runs, last_failed_run, checkpoint, worker, done) = row;
