Keep the declaration of a job's queue with the job

A job whose route was taken away for good never ran again.

Cause: the number of attempts, and the pool, came from the newest declarations only; without the queue in them the number was 1, and no task was placed.

Change: the accepting instance stores the declaration of the queue with the job. The number of attempts is that of the acceptance; pool, priority and objective are the newest while the queue is declared, and else those of the acceptance.

Why it works: nothing that a job needs in order to end depends on a version after its acceptance, for the next owner either, which reads it with the submission.

--- a/src/batch/crashes.rs
+++ b/src/batch/crashes.rs
@@ -586,7 +586,7 @@
     pub(super) fn isolated_job_waits(&self, pool: &PoolId) -> bool {
         let declarations = &self.active_config.declarations;
         let in_pool = |job: &JobId| {
-            let queue = self.jobs.get(job).and_then(|j| declarations.queue(&j.queue));
+            let queue = self.jobs.get(job).and_then(|j| j.queue_in(declarations));
             queue.is_some_and(|q| q.pool == *pool)
         };
         self.crashes.reserved.values().any(in_pool)
--- a/src/batch/drains.rs
+++ b/src/batch/drains.rs
@@ -131,7 +131,7 @@
         now: Time,
     ) -> Option<LeavingTask> {
         let job = self.jobs.get(&id.job).filter(|job| !job.state.is_final())?;
-        let queue = self.active_config.declarations.queue(&job.queue)?;
+        let queue = job.queue_in(&self.active_config.declarations)?;
         let step = job.spec.steps.get(id.step as usize).filter(|step| step.long_running)?;
         // The stop of one task of a gang also ends those on workers that do not leave.
         let ends_others = step.gang && step.may_miss.is_some();
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -1,5 +1,6 @@
 //! Jobs, their steps, and the tasks of each step.
 
+use crate::batch::declarations::{Declarations, Queue};
 use crate::batch::wall_clock::Moment;
 use crate::fair::Resources;
 use crate::ids::{JobId, TeamId, Time};
@@ -238,6 +239,8 @@
 pub struct Job {
     pub spec: Arc<JobSpec>,
     pub queue: QueueId,
+    /// The queue as it was declared when the job was accepted; `None` if that is not known.
+    pub accepted_queue: Option<Arc<Queue>>,
     /// `None` if the job came without a key on a public queue.
     pub team: Option<TeamId>,
     /// When this owner first saw the job, by its own clock.
@@ -270,6 +273,7 @@
             remaining_path: remaining_path(&spec.steps),
             spec,
             queue,
+            accepted_queue: None,
             team,
             first_seen_at: now,
             state,
@@ -282,6 +286,19 @@
         }
     }
 
+    /// Returns the queue by which the job is run: as declared now, or as it was when the job was accepted if it
+    /// is no longer declared.
+    pub fn queue_in<'a>(&'a self, declarations: &'a Declarations) -> Option<&'a Queue> {
+        declarations.queue(&self.queue).or(self.accepted_queue.as_deref())
+    }
+
+    /// Returns the number of failed runs of a task after which the job fails: what was declared when the job
+    /// was accepted. `None` if it is not known.
+    pub fn max_attempts(&self, declarations: &Declarations) -> Option<u32> {
+        let queue = self.accepted_queue.as_deref().or_else(|| declarations.queue(&self.queue));
+        queue.map(|queue| queue.max_attempts)
+    }
+
     /// Sum of the declared run times along the longest chain of dependent steps.
     pub fn critical_path(&self) -> Duration {
         self.remaining_path.iter().max().copied().unwrap_or_default()
--- a/src/batch/moves.rs
+++ b/src/batch/moves.rs
@@ -420,7 +420,7 @@
     /// `LONG_RUNNING_WAIT`.
     fn long_running_task_waits(&self, pool: &PoolId, now: Time) -> bool {
         let declarations = &self.active_config.declarations;
-        let in_pool = |j: &&Job| declarations.queue(&j.queue).is_some_and(|q| q.pool == *pool);
+        let in_pool = |j: &&Job| j.queue_in(declarations).is_some_and(|q| q.pool == *pool);
         let mut jobs = self.jobs.values().filter(|j| !j.state.is_final()).filter(in_pool);
         jobs.any(|job| {
             let steps = job.spec.steps.iter().enumerate().filter(|(_, s)| s.long_running);
@@ -448,7 +448,7 @@
     fn waiting_steps(&self, pool: &PoolId, now: Time) -> impl Iterator<Item = (&Step, usize)> {
         let declarations = &self.active_config.declarations;
         let jobs = self.jobs.values().filter(move |job| {
-            let queue = declarations.queue(&job.queue);
+            let queue = job.queue_in(declarations);
             !job.state.is_final() && queue.is_some_and(|q| q.pool == *pool)
         });
         jobs.flat_map(move |job| {
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -287,17 +287,28 @@
             return false;
         }
         self.dropped_jobs.swap_remove(&id);
-        self.jobs.insert(id.clone(), Job::new(spec, queue, team, now));
+        let mut job = Job::new(spec, queue, team, now);
+        // Unless its submission tells.
+        job.accepted_queue =
+            self.active_config.declarations.queue(&job.queue).cloned().map(Arc::new);
+        self.jobs.insert(id.clone(), job);
         if self.early_cancellations.swap_remove(&id).is_some() {
             self.end_job(&id, JobState::Cancelled, now);
         }
         true
     }
 
+    /// Sets how the queue of a job was declared when the job was accepted.
+    pub fn record_accepted_queue(&mut self, id: &str, queue: Queue) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.accepted_queue = Some(Arc::new(queue));
+        }
+    }
+
     /// Counts a newly submitted job toward the expected demand of its pool.
     pub fn record_arrival(&mut self, id: &str, now: Time) {
         let Some(job) = self.jobs.get(id) else { return };
-        if let Some(queue) = self.active_config.declarations.queue(&job.queue) {
+        if let Some(queue) = job.queue_in(&self.active_config.declarations) {
             self.moves.arrivals.record(&queue.pool, &job.spec, now);
         }
     }
@@ -734,8 +745,9 @@
 
     fn process_finished_run(&mut self, worker: &WorkerId, finished: &FinishedRun, now: Time) {
         let Some(id) = &finished.task else { return };
-        let Some((queue, step)) = self.queue_and_step(id) else { return };
-        let max_attempts = queue.map_or(1, |q| q.max_attempts);
+        let Some(step) = self.step_of(id).cloned() else { return };
+        let declarations = &self.active_config.declarations;
+        let max_attempts = self.jobs.get(&id.job).and_then(|job| job.max_attempts(declarations));
         let event = OwnerEvent::RunEnded {
             task: id.clone(),
             run: finished.run,
@@ -769,7 +781,7 @@
             self.jobs.get(&id.job).and_then(|j| j.task(id)).map_or(0, |t| t.failed_runs);
         let attempts_exhausted = finished.outcome == RunOutcome::Failed
             && !step.long_running
-            && failed_runs >= max_attempts;
+            && max_attempts.is_some_and(|max| failed_runs >= max);
         if is_assigned_here {
             self.requeue(id, now);
         }
@@ -1273,12 +1285,6 @@
         self.jobs.get(&id.job)?.spec.steps.get(id.step as usize)
     }
 
-    fn queue_and_step(&self, id: &TaskId) -> Option<(Option<Queue>, Step)> {
-        let job = self.jobs.get(&id.job)?;
-        let step = job.spec.steps.get(id.step as usize)?.clone();
-        Some((self.active_config.declarations.queue(&job.queue).cloned(), step))
-    }
-
     /// Returns the decisions made since the last call. The orders may be sent once the `updates`
     /// are stored.
     pub fn take_decisions(&mut self, now: Time) -> DecisionBatch {
--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -112,7 +112,7 @@
     fn ready_steps(&self, now: Time) -> Vec<ReadyStep> {
         let mut ready_steps = Vec::new();
         for (id, job) in self.jobs.iter().filter(|(_, j)| !j.state.is_final()) {
-            let Some(queue) = self.active_config.declarations.queue(&job.queue) else { continue };
+            let Some(queue) = job.queue_in(&self.active_config.declarations) else { continue };
             if queue.requires_advice {
                 // Workers reject a start without a ticket from the advisory service.
                 continue;
--- a/src/instance/http_api.rs
+++ b/src/instance/http_api.rs
@@ -213,7 +213,7 @@
         if job_format::parse_job(body).is_err() {
             return Err(malformed);
         }
-        let Ok(record) = job_format::encode_stored_job(&queue.id, team.as_ref(), body) else {
+        let Ok(record) = job_format::encode_stored_job(queue, team.as_ref(), body) else {
             return Err(malformed);
         };
         let wait = deadline.unwrap_or(DEFAULT_DEADLINE).mul_f64(STORE_TIME_FRACTION);
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -637,8 +637,13 @@
         false => Err(format!("{key} is no job id")),
     };
     match decoded {
-        Ok((queue, team, spec)) => {
-            owner.add_job(key.into(), Arc::new(spec), queue, team, shared.now())
+        Ok(job) => {
+            let spec = Arc::new(job.spec);
+            let is_new = owner.add_job(key.into(), spec, job.queue, job.team, shared.now());
+            if let Some(queue) = job.accepted_queue.filter(|_| is_new) {
+                owner.record_accepted_queue(key, queue);
+            }
+            is_new
         }
         Err(error) => {
             shared.log_unreadable(store::JOBS_TOPIC, record.offset, key, &error);
--- a/src/platform/job_format.rs
+++ b/src/platform/job_format.rs
@@ -1,5 +1,6 @@
 //! Format of jobs, as submitted by callers and as stored.
 
+use crate::batch::declarations::Queue;
 use crate::batch::job::{JobSpec, JobState, MAX_OPEN_TASKS, QueueId, Step};
 use crate::ids::TeamId;
 use crate::platform::json;
@@ -96,18 +97,61 @@
     })
 }
 
-/// Encodes a submitted job for the store.
-pub fn encode_stored_job(queue: &str, team: Option<&TeamId>, body: &[u8]) -> Result<Bytes, String> {
+/// A stored job.
+pub struct StoredJob {
+    pub queue: QueueId,
+    /// The queue as it was declared when the job was accepted; `None` in records of earlier versions.
+    pub accepted_queue: Option<Queue>,
+    pub team: Option<TeamId>,
+    pub spec: JobSpec,
+}
+
+/// Encodes a submitted job for the store, with the declaration by which it is accepted.
+pub fn encode_stored_job(
+    queue: &Queue,
+    team: Option<&TeamId>,
+    body: &[u8],
+) -> Result<Bytes, String> {
     let job: Value = serde_json::from_slice(body).map_err(|e| format!("invalid JSON: {e}"))?;
-    Ok(json!({ "queue": queue, "team": team.map(|t| &**t), "job": job }).to_string().into())
+    let accepted = json!({
+        "host": &*queue.host,
+        "path_prefix": &*queue.path_prefix,
+        "pool": &*queue.pool,
+        "priority": queue.priority,
+        "max_attempts": queue.max_attempts,
+        "slack_factor": queue.slack_factor,
+        "target_latency_ms": queue.target_latency.as_millis() as u64,
+        "public": queue.public,
+        "requires_advice": queue.requires_advice,
+    });
+    let team = team.map(|t| &**t);
+    let stored = json!({ "queue": &*queue.id, "accepted": accepted, "team": team, "job": job });
+    Ok(stored.to_string().into())
 }
 
 /// Decodes a stored job.
-pub fn decode_stored_job(value: &[u8]) -> Result<(QueueId, Option<TeamId>, JobSpec), String> {
+pub fn decode_stored_job(value: &[u8]) -> Result<StoredJob, String> {
     let stored: Value = serde_json::from_slice(value).map_err(|e| format!("invalid JSON: {e}"))?;
     let queue = json::non_empty_text(&stored, "queue").ok_or("the queue is missing")?;
     let job = stored.get("job").ok_or("the job is missing")?;
-    Ok((queue, json::non_empty_text(&stored, "team"), parse_spec(job)?))
+    let accepted_queue = stored.get("accepted").and_then(|a| decode_accepted_queue(&queue, a));
+    let team = json::non_empty_text(&stored, "team");
+    Ok(StoredJob { queue, accepted_queue, team, spec: parse_spec(job)? })
+}
+
+fn decode_accepted_queue(id: &QueueId, accepted: &Value) -> Option<Queue> {
+    Some(Queue {
+        id: id.clone(),
+        host: json::text(accepted, "host").into(),
+        path_prefix: json::text(accepted, "path_prefix").into(),
+        pool: json::non_empty_text(accepted, "pool")?,
+        priority: json::number_u32(accepted, "priority"),
+        max_attempts: json::number_u32(accepted, "max_attempts").max(1),
+        slack_factor: accepted.get("slack_factor")?.as_f64()?,
+        target_latency: json::millis(accepted, "target_latency_ms"),
+        public: json::flag(accepted, "public"),
+        requires_advice: json::flag(accepted, "requires_advice"),
+    })
 }
 
 /// Encodes the response to a query for a job's state.
