Name a worker in the owner's record after two polls without a response

Cause: the next owner learns from the record of the one before which leases are not extended. Workers were named after 2 s of silence only, so this owner was gone before it told, and the next one waited for 6 s of permission and a lease.

Change: two polls in a row without a response name the worker too, with a record that is sent at once.

Why it works: polls of a process that is gone fail at once and are repeated after 0.25 s; the record is stored before the owner is lost, and the next one counts the lease from the worker's last answer. A reset of connections fails one poll.

--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -17,6 +17,9 @@
 /// Silence of a worker after which its lease is withheld: longer than one poll that is lost, so that a
 /// single one costs no lease while the store is slow.
 const WITHHOLD_AFTER: Duration = Duration::from_secs(2);
+/// Polls in a row without a response after which the lease is withheld earlier. They fail at once at an
+/// address where nothing listens, while connections that are reset fail only once.
+const WITHHOLD_AFTER_POLLS: u32 = 2;
 /// Consecutive failures after which a worker is quarantined.
 pub const FAILURES_BEFORE_QUARANTINE: u32 = 3;
 /// Duration of the first quarantine; doubles with each consecutive one.
@@ -305,12 +308,19 @@
     }
 
     /// Whether an owner record must name the worker as one whose lease is not extended: it has tasks, and
-    /// has not responded for a while, or not to the first polls of this owner.
+    /// has not responded for a while or to several polls, or not to the first ones of this owner.
     fn is_lease_withheld(&self, now: Time) -> bool {
-        let is_silent = self.clock_reading.is_none() || now >= self.last_answer_at + WITHHOLD_AFTER;
+        let is_silent = self.clock_reading.is_none()
+            || self.unanswered_polls >= WITHHOLD_AFTER_POLLS
+            || now >= self.last_answer_at + WITHHOLD_AFTER;
         !self.assigned.is_empty() && self.unanswered_polls > 0 && is_silent
     }
 
+    /// Whether the next owner record is the first to name the worker as one whose lease is not extended.
+    pub fn awaits_announcement(&self, now: Time) -> bool {
+        self.is_lease_withheld(now) && !self.lease_announced
+    }
+
     /// Returns what the owner's next record says about the worker's leases; `None` if it does not name the
     /// worker. `resigning` tells that the owner sends no orders any more.
     pub fn announce_lease(&mut self, resigning: bool, now: Time) -> Option<WorkerLease> {
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -191,7 +191,12 @@
             POLL_INTERVAL
         }
         Err(error) => {
-            record_failed_poll(owner, term, target, error, shared.now());
+            let now = shared.now();
+            record_failed_poll(owner, term, target, error, now);
+            if owner.workers.get(id).is_some_and(|w| w.awaits_announcement(now)) {
+                // If this owner is lost, the next one relies on the record.
+                shared.heartbeat_needed.notify_one();
+            }
             drop(lock);
             let error = format!("{error:?}");
             let fields = [("worker", id.into()), ("error", (&error).into())];
