Hold a job's failed runs against the job, not against all workers that tried it

Cause: each failed run counted against its worker, and each one after the third doubled the quarantine, also of runs that had begun before it. Placement refused quarantined workers to every task.

Change: failures of a task that failed on two workers, and of a step that failed on most workers that ran it and succeeded nowhere, are the job's; those counted before are taken back with their quarantine (batch::run_failures). Runs that began before a quarantine do not prolong it. Long-running tasks may run on quarantined workers if no other has room.

Why it works: a worker is kept out for what others complete or still run, not for what nobody can do; a task without attempts to lose never waits for the end of a quarantine.

--- a/src/batch.rs
+++ b/src/batch.rs
@@ -16,6 +16,7 @@
 pub mod prior_leases;
 pub mod record_parts;
 pub mod records;
+mod run_failures;
 pub mod scheduler;
 pub mod wall_clock;
 pub mod worker;
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -23,6 +23,7 @@
 };
 use crate::batch::record_parts::{self, PartKey, StoredParts};
 use crate::batch::records::{self, ProgressError, RecordUpdate};
+use crate::batch::run_failures::RunFailures;
 use crate::batch::wall_clock::{Moment, WallClock};
 use crate::batch::worker::{LeaseSource, Worker, WorkerInfo};
 use crate::fair::Resources;
@@ -177,6 +178,7 @@
     early_cancellations: IndexMap<JobId, Moment>,
     wall_clock: WallClock,
     pub(super) crashes: CrashState,
+    pub(super) run_failures: RunFailures,
 }
 
 impl Owner {
@@ -213,6 +215,7 @@
             early_cancellations: IndexMap::new(),
             wall_clock: WallClock::default(),
             crashes: CrashState::default(),
+            run_failures: RunFailures::default(),
         }
     }
 
@@ -590,10 +593,7 @@
             }
             StartOutcome::NoTicket => "no_ticket",
             StartOutcome::Busy => {
-                if worker.record_failure(now) {
-                    self.events
-                        .push(OwnerEvent::WorkerQuarantined { worker: start.worker.clone() });
-                }
+                self.record_rejected_start(&start.worker, now);
                 "busy"
             }
             StartOutcome::OtherWorker => "other_worker",
@@ -756,7 +756,11 @@
         };
         self.events.push(event);
         self.record_started(id);
-        self.update_worker_health(worker, finished.outcome, now);
+        match finished.outcome {
+            RunOutcome::Done => self.record_run_success(worker, id),
+            RunOutcome::Failed => self.record_run_failure(worker, id, now),
+            RunOutcome::Stopped | RunOutcome::Lapsed | RunOutcome::Broken | RunOutcome::Alone => {}
+        }
         let is_assigned_here =
             self.assignment_mut(id, finished.run).is_some_and(|h| h.worker == *worker);
         if finished.outcome == RunOutcome::Done && !step.long_running {
@@ -805,19 +809,6 @@
         self.dirty_jobs.insert(id.job.clone());
     }
 
-    fn update_worker_health(&mut self, id: &WorkerId, outcome: RunOutcome, now: Time) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        match outcome {
-            RunOutcome::Done => worker.record_success(),
-            RunOutcome::Failed => {
-                if worker.record_failure(now) {
-                    self.events.push(OwnerEvent::WorkerQuarantined { worker: id.clone() });
-                }
-            }
-            RunOutcome::Stopped | RunOutcome::Lapsed | RunOutcome::Broken | RunOutcome::Alone => {}
-        }
-    }
-
     /// Stops the current run of a task that an earlier run has completed. It counts as running until a
     /// report of its worker shows that it is gone.
     fn stop_other_run(&mut self, id: &TaskId, now: Time) {
@@ -857,6 +848,7 @@
     fn close_occurrences(&mut self, id: &JobId, now: Time) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.open_occurrences.retain(|o| !o.is_done());
+        self.run_failures.keep_open(id, &job.open_occurrences);
         if job.open_occurrences.is_empty()
             && job.begun_occurrences >= job.occurrence_count()
             && !job.state.is_final()
@@ -872,6 +864,7 @@
         }
         job.state = state;
         job.ended_at = Some(Moment::new(now));
+        self.run_failures.drop_job(id);
         let job_age = now.saturating_sub(job.first_seen_at);
         self.events.push(OwnerEvent::JobEnded { job: id.clone(), state, job_age });
         self.dirty_jobs.insert(id.clone());
--- a/src/batch/placement.rs
+++ b/src/batch/placement.rs
@@ -25,13 +25,17 @@
 
 /// Whether a worker can receive any start now.
 pub fn accepts_starts(worker: &Worker, zones_out: &IndexSet<ZoneId>, now: Time) -> bool {
+    now >= worker.quarantined_until && is_available(worker, zones_out, now)
+}
+
+/// Whether a worker can receive starts now, but for a quarantine.
+fn is_available(worker: &Worker, zones_out: &IndexSet<ZoneId>, now: Time) -> bool {
     worker.registered
         && worker.synced
         && !worker.cordoned
         && !worker.info.draining
         && worker.unanswered_polls == 0
         && !worker.lease_withheld
-        && now >= worker.quarantined_until
         && now >= worker.start_backoff_until
         && !zones_out.contains(&worker.info.zone)
 }
@@ -44,6 +48,8 @@
     /// Unreserved resources, with unlimited slots: workers limit processors, memory and accelerators
     /// but not the number of tasks.
     free: Resources,
+    /// Only for long-running tasks that have no room elsewhere: they have no attempts to lose.
+    is_quarantined: bool,
 }
 
 /// Workers that can receive starts in one planning pass. Valid while no worker is added or removed.
@@ -60,6 +66,8 @@
 struct Unplaceable {
     label: Option<Arc<str>>,
     reservation: Resources,
+    /// Quarantined workers were looked at, too.
+    long_running: bool,
 }
 
 impl Candidates {
@@ -71,10 +79,11 @@
     ) -> Candidates {
         let mut candidates = Candidates::default();
         for (index, worker) in workers.values().enumerate() {
-            if accepts_starts(worker, zones_out, now) {
+            if is_available(worker, zones_out, now) {
+                let is_quarantined = now < worker.quarantined_until;
                 let free = Resources { slots: u32::MAX, ..worker.free_resources() };
                 let pool = candidates.by_pool.entry(worker.info.pool.clone()).or_default();
-                pool.push(Candidate { index, free });
+                pool.push(Candidate { index, free, is_quarantined });
             }
         }
         candidates
@@ -88,11 +97,12 @@
         !exhausted.iter().any(|task| {
             (task.label.is_none() || task.label == step.label)
                 && task.reservation.fits(&reservation)
+                && (task.long_running || !step.long_running)
         })
     }
 
     /// Returns the best worker for a task, or `None` if none fits. Prefers, in this order: workers
-    /// apart from suspects, or for these from other work, workers other than the one where the task last failed, the rack that holds the data, workers with few
+    /// that are not in quarantine, workers apart from suspects, or for these from other work, workers other than the one where the task last failed, the rack that holds the data, workers with few
     /// recent failures, workers and racks with few tasks of the same long-running step, and the
     /// least free capacity, so that machines which the pool does not need become idle. `previous` is
     /// the choice for the task before of the same step, if it has been reserved.
@@ -113,10 +123,12 @@
             // It was the best one, and has less free capacity than it had.
             return Some(previous.clone());
         }
-        let mut best: Option<((u8, Rank), usize, &WorkerId)> = None;
+        let mut best: Option<((bool, u8, Rank), usize, &WorkerId)> = None;
         let mut any_room = false;
         for (position, candidate) in candidates.iter().enumerate() {
-            if !reservation.fits(&candidate.free) {
+            if !reservation.fits(&candidate.free)
+                || candidate.is_quarantined && !request.step.long_running
+            {
                 continue;
             }
             let Some((id, worker)) = workers.get_index(candidate.index) else { continue };
@@ -131,14 +143,16 @@
             let Some(exposure) = request.isolation.rank(worker, job, step, suspicion) else {
                 continue;
             };
-            let rank = (exposure, rank(worker, request, &candidate.free.minus(&reservation)));
+            let rank = rank(worker, request, &candidate.free.minus(&reservation));
+            let rank = (candidate.is_quarantined, exposure, rank);
             if best.as_ref().is_none_or(|(lowest, _, _)| rank < *lowest) {
                 best = Some((rank, position, id));
             }
         }
         if !any_room {
             let exhausted = self.exhausted.entry(request.pool.clone()).or_default();
-            exhausted.push(Unplaceable { label: request.step.label.clone(), reservation });
+            let (label, long_running) = (request.step.label.clone(), request.step.long_running);
+            exhausted.push(Unplaceable { label, reservation, long_running });
         }
         let repeatable = is_repeatable(request);
         best.map(|(_, position, id)| Placement { worker: id.clone(), position, repeatable })
@@ -202,7 +216,7 @@
         0
     };
     let free_permille = 1_000u64.saturating_sub(used_permille(worker, free_after));
-    (avoided, off_rack, worker.consecutive_failures, on_worker, rack, free_permille)
+    (avoided, off_rack, worker.consecutive_failures(), on_worker, rack, free_permille)
 }
 
 /// Utilization of a worker that has `free` left, in thousandths of the scarcer of processors and
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -5,7 +5,7 @@
 use crate::batch::prior_leases::{PriorLease, WorkerLease, remaining_ms};
 use crate::fair::Resources;
 use crate::ids::{PoolId, RackId, Time, ZoneId};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -117,8 +117,10 @@
     pub last_answer_at: Time,
     /// Consecutive polls without a response.
     pub unanswered_polls: u32,
-    /// Failures since the last success.
-    pub consecutive_failures: u32,
+    /// Tasks whose failed runs count against the worker, since its last success.
+    failed_tasks: IndexSet<TaskId>,
+    /// Rejected starts since the last success.
+    rejections: u32,
     /// Quarantines since the last success.
     pub consecutive_quarantines: u32,
     pub quarantined_until: Time,
@@ -161,7 +163,8 @@
             last_acknowledged: 0,
             last_answer_at: now,
             unanswered_polls: 0,
-            consecutive_failures: 0,
+            failed_tasks: IndexSet::new(),
+            rejections: 0,
             consecutive_quarantines: 0,
             quarantined_until: Time::ZERO,
             leaves_at: None,
@@ -392,24 +395,52 @@
         if is_pending && self.unanswered_polls == 0 { self.last_stored } else { 0 }
     }
 
-    /// Counts a failed run or a rejected start. Returns whether the worker is quarantined as a
-    /// result.
-    pub fn record_failure(&mut self, now: Time) -> bool {
-        self.consecutive_failures += 1;
-        if self.consecutive_failures < FAILURES_BEFORE_QUARANTINE {
+    /// Failures since the last success that count against the worker.
+    pub fn consecutive_failures(&self) -> u32 {
+        self.rejections.saturating_add(self.failed_tasks.len() as u32)
+    }
+
+    /// Counts a failed run of a task. Returns whether the worker is quarantined as a result.
+    pub fn record_failed_run(&mut self, task: &TaskId, now: Time) -> bool {
+        self.failed_tasks.insert(task.clone());
+        self.begin_quarantine(now)
+    }
+
+    /// Counts a rejected start. Returns whether the worker is quarantined as a result.
+    pub fn record_rejection(&mut self, now: Time) -> bool {
+        self.rejections = self.rejections.saturating_add(1);
+        self.begin_quarantine(now)
+    }
+
+    /// Begins a quarantine after too many failures. Those of runs that began before a quarantine do not
+    /// prolong it; after it, a single failure starts the next one.
+    fn begin_quarantine(&mut self, now: Time) -> bool {
+        if self.consecutive_failures() < FAILURES_BEFORE_QUARANTINE || now < self.quarantined_until
+        {
             return false;
         }
-        let duration = INITIAL_QUARANTINE * 2u32.saturating_pow(self.consecutive_quarantines);
+        let duration =
+            INITIAL_QUARANTINE.saturating_mul(2u32.saturating_pow(self.consecutive_quarantines));
         self.quarantined_until = now + duration.min(MAX_QUARANTINE);
         self.consecutive_quarantines += 1;
-        // After a quarantine, a single failure starts the next one.
-        self.consecutive_failures = FAILURES_BEFORE_QUARANTINE - 1;
         true
     }
 
+    /// Takes back failures that turn out not to be the worker's, and a quarantine without enough others.
+    pub fn exonerate(&mut self, is_exonerated: impl Fn(&TaskId) -> bool) {
+        let before = self.failed_tasks.len();
+        self.failed_tasks.retain(|task| !is_exonerated(task));
+        let is_less = self.failed_tasks.len() < before;
+        if is_less && self.consecutive_failures() < FAILURES_BEFORE_QUARANTINE {
+            self.consecutive_quarantines = 0;
+            self.quarantined_until = Time::ZERO;
+        }
+    }
+
     /// Counts a successful run, which ends any quarantine.
     pub fn record_success(&mut self) {
-        self.consecutive_failures = 0;
+        self.failed_tasks.clear();
+        self.rejections = 0;
         self.consecutive_quarantines = 0;
         self.quarantined_until = Time::ZERO;
     }
