Poll a new connection to a worker on its own, and soon again

Cause: a lost order costs its connection. The next one had to be polled, with a timeout of 0.4 to 0.7 s, and the order itself followed in the same step, so that one lost answer of two failed the whole; a start that may have been carried out was not sent again after that.

Change: a poll on a new connection returns its lists at once, and the lease follows with the next poll; PollAnswer tells what was acknowledged. The first polls time out after 0.15 s. Starts that may have been carried out are sent again also when no connection could be checked.

--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -174,11 +174,11 @@
     let mut lock = shared.owner.lock();
     let Some(owner) = lock.as_mut() else { return POLL_INTERVAL };
     match result {
-        Ok(report) => {
+        Ok(answer) => {
             let now = shared.now();
             let was_synced = owner.workers.get(id).is_some_and(|w| w.synced);
-            let changed = owner.apply_report(id, report, now);
-            owner.record_acknowledged(id, target.fence, request.acknowledged);
+            let changed = owner.apply_report(id, answer.report, now);
+            owner.record_acknowledged(id, target.fence, answer.acknowledged);
             let is_withheld = owner.workers.get(id).is_some_and(|w| w.lease_withheld);
             drop(lock);
             if is_withheld {
@@ -292,7 +292,10 @@
         {
             end_term_if_fenced(term, owner, &target);
         }
-        if attempt != StartOutcome::Unknown {
+        // A start that may have been carried out is sent again, to learn whether it was.
+        let is_open = outcome == StartOutcome::Unknown
+            && matches!(attempt, StartOutcome::Unknown | StartOutcome::NotSent);
+        if !is_open {
             break;
         }
     }
--- a/src/platform/worker_client.rs
+++ b/src/platform/worker_client.rs
@@ -20,10 +20,10 @@
 /// Additional timeout of a poll that waits for the end of a run.
 const POLL_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 
-/// Timeout of a poll that shows which incarnation a new connection ends at.
-const VERIFY_TIMEOUT: Duration = Duration::from_millis(400);
-/// Maximum number of such polls before an order.
-const MAX_VERIFY_ATTEMPTS: u32 = 3;
+/// Timeouts of the polls that show which incarnation a new connection ends at, each on a connection of its
+/// own. Short ones first, since an answer that is lost never comes; in all, the margin of a poll.
+const VERIFY_TIMEOUTS: [Duration; 3] =
+    [Duration::from_millis(150), Duration::from_millis(150), Duration::from_millis(400)];
 
 /// Finished runs that a worker lists at a time. The others follow once these are acknowledged.
 const MAX_FINISHED_ROWS: usize = 500;
@@ -88,21 +88,13 @@
     }
 }
 
-impl From<ListsError> for PollError {
-    fn from(e: ListsError) -> PollError {
-        match e {
-            ListsError::NotSent => PollError::Lost,
-            ListsError::Poll(e) => e,
-        }
-    }
-}
-
-/// How a connection was found for an order.
-enum Verified {
-    /// It ends at the incarnation that the order is meant for.
-    Connection(WorkerConnection),
-    /// Another incarnation has answered, with this report.
-    Restarted(WorkerReport),
+/// Answer to a poll.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PollAnswer {
+    pub report: WorkerReport,
+    /// The part of the request that reached the worker: none on a new connection, which is polled first to
+    /// find out which incarnation answers.
+    pub acknowledged: u64,
 }
 
 /// Client of the workers.
@@ -163,21 +155,19 @@
         &self,
         target: &WorkerTarget,
     ) -> Result<(WorkerConnection, bool), StartOutcome> {
-        let mut attempts = 0;
-        loop {
-            attempts += 1;
-            if let Some(kept) = self.take_verified(target) {
-                return Ok((kept, true));
+        if let Some(kept) = self.take_verified(target) {
+            return Ok((kept, true));
+        }
+        match self.verify_new(target, Time::ZERO).await {
+            Ok((new, _)) if new.ends_at(target.incarnation) => Ok((new, false)),
+            Ok((new, _)) => {
+                self.connections.put(&target.address, new);
+                Err(StartOutcome::Restarted)
             }
-            return match self.verify_new(target, VERIFY_TIMEOUT, Time::ZERO).await {
-                Ok(Verified::Connection(connection)) => Ok((connection, false)),
-                Ok(Verified::Restarted(_)) => Err(StartOutcome::Restarted),
-                Err(PollError::Fenced) => Err(StartOutcome::Fenced),
-                Err(PollError::OtherWorker) => Err(StartOutcome::OtherWorker),
-                Err(PollError::Refused) => Err(StartOutcome::Busy),
-                Err(PollError::Lost) if attempts < MAX_VERIFY_ATTEMPTS => continue,
-                Err(PollError::Lost | PollError::Malformed) => Err(StartOutcome::NotSent),
-            };
+            Err(PollError::Fenced) => Err(StartOutcome::Fenced),
+            Err(PollError::OtherWorker) => Err(StartOutcome::OtherWorker),
+            Err(PollError::Refused) => Err(StartOutcome::Busy),
+            Err(PollError::Lost | PollError::Malformed) => Err(StartOutcome::NotSent),
         }
     }
 
@@ -200,44 +190,33 @@
         response.is_ok_and(|r| r.status == 200)
     }
 
-    /// Requests the lists of running and ended runs. If another incarnation than that of `target` answers, it
-    /// has got neither the lease nor the acknowledgement.
+    /// Requests the lists of running and ended runs. A lease and an acknowledgement reach only the incarnation
+    /// of `target`. Without a connection that ends there, the lists are requested alone; the next poll uses
+    /// the new connection.
     pub async fn poll(
         &self,
         target: &WorkerTarget,
         request: PollRequest,
         requested_at: Time,
-    ) -> Result<WorkerReport, PollError> {
-        let timeout = request.wait + POLL_TIMEOUT_MARGIN;
+    ) -> Result<PollAnswer, PollError> {
         let kept = match request.is_bound() {
             true => self.take_verified(target),
             false => self.connections.take(&target.address, target.incarnation),
         };
         if let Some(mut kept) = kept {
+            let timeout = request.wait + POLL_TIMEOUT_MARGIN;
             match self.request_lists(target, &mut kept, request, timeout, requested_at).await {
                 Err(ListsError::NotSent) => {}
                 Err(ListsError::Poll(e)) => return Err(e),
                 Ok(report) => {
                     self.connections.put(&target.address, kept);
-                    return Ok(report);
+                    return Ok(PollAnswer { report, acknowledged: request.acknowledged });
                 }
             }
         }
-        let mut connection = match request.is_bound() {
-            true => match self.verify_new(target, POLL_TIMEOUT_MARGIN, requested_at).await? {
-                Verified::Connection(connection) => connection,
-                Verified::Restarted(report) => return Ok(report),
-            },
-            false => self.open(target).await?,
-        };
-        let report =
-            self.request_lists(target, &mut connection, request, timeout, requested_at).await?;
-        self.connections.put(&target.address, connection);
-        Ok(report)
-    }
-
-    async fn open(&self, target: &WorkerTarget) -> Result<WorkerConnection, PollError> {
-        self.connections.open(&target.address).await.map_err(|_| PollError::Lost)
+        let (new, report) = self.verify_new(target, requested_at).await?;
+        self.connections.put(&target.address, new);
+        Ok(PollAnswer { report, acknowledged: 0 })
     }
 
     /// Takes an idle connection that ends at the incarnation of `target`.
@@ -250,17 +229,19 @@
     async fn verify_new(
         &self,
         target: &WorkerTarget,
-        timeout: Duration,
         requested_at: Time,
-    ) -> Result<Verified, PollError> {
-        let mut new = self.open(target).await?;
+    ) -> Result<(WorkerConnection, WorkerReport), PollError> {
         let plain = PollRequest::PLAIN;
-        let report = self.request_lists(target, &mut new, plain, timeout, requested_at).await?;
-        if new.ends_at(target.incarnation) {
-            return Ok(Verified::Connection(new));
+        for timeout in VERIFY_TIMEOUTS {
+            let opened = self.connections.open(&target.address).await;
+            let mut new = opened.map_err(|_| PollError::Lost)?;
+            match self.request_lists(target, &mut new, plain, timeout, requested_at).await {
+                Ok(report) => return Ok((new, report)),
+                Err(ListsError::NotSent | ListsError::Poll(PollError::Lost)) => {}
+                Err(ListsError::Poll(e)) => return Err(e),
+            }
         }
-        self.connections.put(&target.address, new);
-        Ok(Verified::Restarted(report))
+        Err(PollError::Lost)
     }
 
     async fn request_lists(
--- a/tests/worker_connections.rs
+++ b/tests/worker_connections.rs
@@ -125,8 +125,9 @@
     let client = WorkerClient::new(Http::new());
     let address = earlier.address;
     assert_eq!(start(&client, address, EARLIER).await, StartOutcome::Started);
-    let report = client.poll(&target(address, EARLIER), lease_request(3), Duration::ZERO).await;
-    assert_eq!(report.expect("a report").incarnation, EARLIER);
+    let answer = client.poll(&target(address, EARLIER), lease_request(3), Duration::ZERO).await;
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.report.incarnation, answer.acknowledged), (EARLIER, 3));
     assert_eq!(earlier.received("/-/run-start").len(), 1);
     earlier.crash().await;
     (client, Process::start(address.port(), LATER).await)
@@ -151,12 +152,13 @@
 async fn poll_restarted_worker() {
     let (client, later) = restarted_worker().await;
     let target = target(later.address, EARLIER);
-    let mut report = client.poll(&target, lease_request(5), Duration::ZERO).await;
-    if report.is_err() {
+    let mut answer = client.poll(&target, lease_request(5), Duration::ZERO).await;
+    if answer.is_err() {
         // The kept connection ended under the request.
-        report = client.poll(&target, lease_request(5), Duration::ZERO).await;
+        answer = client.poll(&target, lease_request(5), Duration::ZERO).await;
     }
-    assert_eq!(report.expect("a report").incarnation, LATER);
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.report.incarnation, answer.acknowledged), (LATER, 0));
     for body in later.received("/-/hold") {
         assert_eq!(body.get("deadlineMs"), None, "{body}");
         assert_eq!(body["ackIndex"], 0, "{body}");
@@ -175,6 +177,22 @@
     assert_eq!(process.received("/-/run-start").len(), 5);
 }
 
+/// Guards against an acknowledgement that counts as sent although the poll had to find out first who answers.
+#[tokio::test]
+async fn poll_new_connection() {
+    let process = Process::start(0, EARLIER).await;
+    let client = WorkerClient::new(Http::new());
+    let target = target(process.address, EARLIER);
+    for acknowledged in [0, 4] {
+        let answer = client.poll(&target, lease_request(4), Duration::ZERO).await;
+        assert_eq!(answer.expect("an answer").acknowledged, acknowledged);
+    }
+    let holds = process.received("/-/hold");
+    let acknowledged: Vec<u64> =
+        holds.iter().filter_map(|body| body["ackIndex"].as_u64()).collect();
+    assert_eq!(acknowledged, [0, 4]);
+}
+
 /// Guards against refusing orders for good to a worker whose lists do not name its incarnation.
 #[tokio::test]
 async fn start_unnamed_incarnation() {
@@ -182,7 +200,10 @@
     let client = WorkerClient::new(Http::new());
     assert_eq!(start(&client, process.address, EARLIER).await, StartOutcome::Started);
     let target = target(process.address, EARLIER);
-    assert!(client.poll(&target, lease_request(1), Duration::ZERO).await.is_ok());
+    for acknowledged in [1, 1] {
+        let answer = client.poll(&target, lease_request(acknowledged), Duration::ZERO).await;
+        assert_eq!(answer.expect("an answer").acknowledged, acknowledged);
+    }
     let leases: IndexMap<String, usize> = process
         .received("/-/hold")
         .iter()
