Refuse a job that the store would not take

What callers saw: a job whose body nearly fills the 256 KiB that are read was answered 503 each time, and so were jobs that other callers handed in at the same instance and moment.

Cause: the stored form adds the queue and the team to the body and is longer than a record may be.

Change: such a job is refused at once with 400, like one that cannot be read; nothing of it is stored.

Evidence: encode_stored_job_too_long failed before, with no check at all: a body of 262,144 bytes was encoded.

--- a/src/platform/job_format.rs
+++ b/src/platform/job_format.rs
@@ -4,6 +4,7 @@
 use crate::batch::job::{JobSpec, JobState, MAX_OPEN_TASKS, QueueId, Step};
 use crate::ids::TeamId;
 use crate::platform::json;
+use crate::platform::store::MAX_RECORD_BYTES;
 use bytes::Bytes;
 use serde_json::{Value, json};
 use std::time::Duration;
@@ -17,6 +18,8 @@
 /// Length of a job id in hexadecimal digits.
 const JOB_ID_LEN: usize = 16;
 const MAX_STEPS_PER_JOB: usize = 1_000;
+/// Bytes of a record beside its value: the key and its length.
+const RECORD_OVERHEAD_BYTES: usize = JOB_ID_LEN + 1;
 
 /// Whether `id` has the format of a job id.
 pub fn is_job_id(id: &str) -> bool {
@@ -106,7 +109,8 @@
     pub spec: JobSpec,
 }
 
-/// Encodes a submitted job for the store, with the declaration by which it is accepted.
+/// Encodes a submitted job for the store, with the declaration by which it is accepted. Fails if the store would
+/// not take it.
 pub fn encode_stored_job(
     queue: &Queue,
     team: Option<&TeamId>,
@@ -126,7 +130,11 @@
     });
     let team = team.map(|t| &**t);
     let stored = json!({ "queue": &*queue.id, "accepted": accepted, "team": team, "job": job });
-    Ok(stored.to_string().into())
+    let stored = stored.to_string();
+    if stored.len() + RECORD_OVERHEAD_BYTES > MAX_RECORD_BYTES {
+        return Err(format!("{} bytes are too many for a record", stored.len()));
+    }
+    Ok(stored.into())
 }
 
 /// Decodes a stored job.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -34,6 +34,9 @@
 /// Maximum size of the records of one append, unless a single one is larger. A link of 2 Mbit/s
 /// carries it in about half of `CALL_TIMEOUT`; the platform's own limit is 2 MB.
 pub const MAX_APPEND_BYTES: usize = 128 * 1_024;
+/// Maximum size of a record with its key, in bytes: the platform's `recordBytes`. The store refuses longer ones
+/// for good.
+pub const MAX_RECORD_BYTES: usize = 256 * 1_024;
 /// Maximum size of one read in KB; the platform's default.
 const READ_KB: u32 = 1_024;
 
--- a/tests/batch_large_jobs.rs
+++ b/tests/batch_large_jobs.rs
@@ -11,6 +11,7 @@
 use jacinthhook::batch::records;
 use jacinthhook::batch::worker::WorkerInfo;
 use jacinthhook::fair::Resources;
+use jacinthhook::platform::job_format;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -264,3 +265,20 @@
     let update = records::encode_job(&JOB.into(), &next.owner.jobs[JOB]);
     assert!(update.value.is_some_and(|value| value.len() < 1_000));
 }
+
+/// A submission of the longest body that is read grows when it is stored. Guards against accepting it into a
+/// batch that the store refuses: the caller, and those of other jobs beside it, were told to come back.
+#[test]
+fn encode_stored_job_too_long() {
+    let queue = active_config().declarations.queues[0].clone();
+    let body = |len: usize| {
+        let empty = r#"{"spec":"","steps":[]}"#;
+        format!(r#"{{"spec":"{}","steps":[]}}"#, "x".repeat(len - empty.len()))
+    };
+    let stored = |len| job_format::encode_stored_job(&queue, None, body(len).as_bytes());
+    assert!(stored(MAX_RECORD_BYTES).is_err());
+    assert!(stored(4_000).is_ok_and(|record| record.len() < MAX_RECORD_BYTES));
+    let longest = (1..=MAX_RECORD_BYTES).rev().step_by(16).find_map(|len| stored(len).ok());
+    let longest = longest.expect("a job that is stored").len() + JOB.len() + 1;
+    assert!((MAX_RECORD_BYTES - 16..=MAX_RECORD_BYTES).contains(&longest), "{longest}");
+}
