Limit the bytes of an owner record that names workers

With many workers of long ids an owner that resigns, or whose workers fall silent together, could write no record that the store takes, and lost its term.

Cause: the record named up to 4,000 workers whatever the length of their ids: 576,031 bytes for 2,000 ids of 250 bytes.

Change: a record names as many as fit into 240 KiB. The others count as unnamed, with the longest lease among them.

Evidence: announce_leases_long_ids failed before (576,031 bytes).

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -19,7 +19,7 @@
     WorkerTime,
 };
 use crate::batch::prior_leases::{
-    LeaseRecord, MAX_NAMED_WORKERS, PriorLeases, WorkerLease, remaining_ms,
+    LeaseRecord, PriorLeases, WorkerLease, leases_per_record, remaining_ms,
 };
 use crate::batch::record_parts::{self, PartKey, StoredParts};
 use crate::batch::records::{self, ProgressError, RecordUpdate};
@@ -235,7 +235,7 @@
         let mut workers: Vec<WorkerLease> = workers.collect();
         // Those that respond count as others if there are too many, then those that do not.
         workers.sort_by_key(|lease| !lease.withheld);
-        let unnamed = workers.split_off(workers.len().min(MAX_NAMED_WORKERS));
+        let unnamed = workers.split_off(leases_per_record(&workers));
         let others_until = self.prior_leases_until.max(self.forgotten_leases_until);
         let mut others_ms = remaining_ms(others_until, now);
         for lease in unnamed {
--- a/src/batch/prior_leases.rs
+++ b/src/batch/prior_leases.rs
@@ -15,8 +15,12 @@
 /// Longest lease that a record can name, far beyond those of workers.
 const MAX_NAMED_LEASE: Duration = Duration::from_secs(600);
 
-/// Most workers that a record names. The platform takes records of 256 KiB; a worker needs some 50 bytes.
+/// Most workers that a record names.
 pub const MAX_NAMED_WORKERS: usize = 4_000;
+/// Most bytes of the rows of a record. The platform takes records of 256 KiB.
+const MAX_NAMED_BYTES: usize = 240 * 1_024;
+/// Bytes of a row beside the worker's id: two numbers, a flag and punctuation.
+const ROW_BYTES: usize = 41;
 
 /// What a record of an owner says about leases.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -45,6 +49,16 @@
 #[derive(Deserialize, Serialize)]
 struct LeaseRow(WorkerId, u64, u64, u64, bool);
 
+/// Returns how many of the first leases a record can name.
+pub fn leases_per_record(leases: &[WorkerLease]) -> usize {
+    let mut total = 0;
+    let fits = |lease: &&WorkerLease| {
+        total += lease.worker.len() + ROW_BYTES;
+        total <= MAX_NAMED_BYTES
+    };
+    leases.iter().take(MAX_NAMED_WORKERS).take_while(fits).count()
+}
+
 impl From<LeaseRow> for WorkerLease {
     fn from(row: LeaseRow) -> WorkerLease {
         let LeaseRow(worker, incarnation, lease_ms, restart_lease_ms, withheld) = row;
--- a/tests/batch_prior_leases.rs
+++ b/tests/batch_prior_leases.rs
@@ -84,6 +84,27 @@
     assert!(size < 250 * 1_024, "{size}");
 }
 
+/// Guards against an owner record that the store refuses for good because workers have long ids: no owner could
+/// keep its term.
+#[test]
+fn announce_leases_long_ids() {
+    let mut cluster = Cluster::new(0);
+    let ids: Vec<String> = (0..2_000).map(|i| format!("{i:0250}")).collect();
+    let entry = |(i, id): (usize, &String)| (id.as_str().into(), worker_info(id, i));
+    cluster.owner.update_workers(&ids.iter().enumerate().map(entry).collect(), cluster.now);
+    for id in &ids {
+        let fake = FakeWorker { incarnation: u64::MAX / 2, ..FakeWorker::default() };
+        cluster.fake_workers.insert(id.as_str().into(), fake);
+    }
+    cluster.poll_all();
+    cluster.poll_all();
+    let record = cluster.owner.announce_leases(true, cluster.now);
+    let size = serde_json::to_vec(&record).expect("a record").len();
+    assert!(size < 250 * 1_024, "{size}");
+    assert!(record.workers.len() > 500);
+    assert!(Duration::from_millis(record.others_ms.expect("no orders")) >= LEASE_DURATION - PASS);
+}
+
 /// A worker restarts while no owner looks. Guards against a wait for the longest lease, which no order for
 /// the incarnation before can have brought, and against taking the registry's word that that one is gone.
 #[test]
