--- a/src/platform/worker_client.rs
+++ b/src/platform/worker_client.rs
@@ -92,8 +92,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct PollAnswer {
     pub report: WorkerReport,
-    /// The part of the request that reached the worker: none on a new connection, which is polled first to
-    /// find out which incarnation answers.
+    /// Index up to which the worker dropped ended runs. 0 on a new connection: it is first polled alone, to find
+    /// out which incarnation answers.
     pub acknowledged: u64,
 }
 
