--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -90,6 +90,15 @@
     WorkerDraining { worker: WorkerId, tasks: u64, time_left: Duration },
     WorkerRestarted { worker: WorkerId, earlier: u64, incarnation: u64, source: RestartSource },
     WorkerLeaseExpired { worker: WorkerId, tasks: u64, silent_for: Duration, lease: LeaseSource },
+    // With the longest time until the leases of the worker are over.
+    WorkerSilent {
+        worker: WorkerId,
+        incarnation: u64,
+        tasks: u64,
+        silent_for: Duration,
+        lease: LeaseSource,
+        lease_left: Duration,
+    },
     // The registry lists a worker that this owner did not know.
     WorkerListed { worker: WorkerId, machine: Arc<str>, incarnation: u64 },
     // Runs were lost with the process `earlier` of a worker; `incarnation` runs in its place.
@@ -231,6 +240,8 @@
     /// Returns what the owner's next record says about leases. Workers that it names as silent get no lease
     /// from now on. `resigning` tells that the owner sends no orders any more.
     pub fn announce_leases(&mut self, resigning: bool, now: Time) -> LeaseRecord {
+        let silent = self.workers.values().filter(|w| w.awaits_announcement(now));
+        self.events.extend(silent.map(|w| worker_silent_event(w, now)));
         let workers = self.workers.values_mut().filter_map(|w| w.announce_lease(resigning, now));
         let mut workers: Vec<WorkerLease> = workers.collect();
         // Those that respond count as others if there are too many, then those that do not.
@@ -1363,6 +1374,18 @@
     }
 }
 
+fn worker_silent_event(worker: &Worker, now: Time) -> OwnerEvent {
+    let (until, lease) = worker.longest_lease();
+    OwnerEvent::WorkerSilent {
+        worker: worker.info.id.clone(),
+        incarnation: worker.incarnation,
+        tasks: worker.assigned.len() as u64,
+        silent_for: now.saturating_sub(worker.last_answer_at),
+        lease,
+        lease_left: until.saturating_sub(now),
+    }
+}
+
 /// Returns a placeholder entry for a worker that is no longer listed.
 fn unlisted_worker(id: &WorkerId) -> WorkerInfo {
     WorkerInfo {
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -297,6 +297,24 @@
                 ];
                 self.log.event(Event::WorkerLapsed, &fields);
             }
+            OwnerEvent::WorkerSilent {
+                worker,
+                incarnation,
+                tasks,
+                silent_for,
+                lease,
+                lease_left,
+            } => {
+                let fields = [
+                    ("worker", worker.into()),
+                    ("incarnation", (*incarnation).into()),
+                    ("tasks", (*tasks).into()),
+                    ("silent_ms", ms(silent_for).into()),
+                    ("lease", lease.as_str().into()),
+                    ("lease_ms", ms(lease_left).into()),
+                ];
+                self.log.event(Event::WorkerSilent, &fields);
+            }
             OwnerEvent::WorkerListed { worker, machine, incarnation } => {
                 let fields = [
                     ("worker", worker.into()),
