--- /dev/null
+++ b/tests/restart_world/mod.rs
@@ -0,0 +1,386 @@
+//! Instances as real processes against a stand-in of the users' platform with workers that restart.
+
+#[path = "../users_platform/mod.rs"]
+mod users_platform;
+
+mod http;
+pub mod trace;
+pub mod worker;
+
+use parking_lot::Mutex;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use std::fs::{self, File};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+use trace::Trace;
+use users_platform::Platform;
+use worker::{Front, HEARTBEAT, MAX_LEASE, STOP_DURATION, TASK_SIZE, Worker};
+
+pub const WORKER_COUNT: usize = 12;
+const INSTANCE_COUNT: usize = 3;
+/// Timeout of conditions that usually hold within a few seconds.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
+/// How long a client waits for a response.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest age that the clock of a worker's first process shows.
+const MAX_CLOCK: Duration = Duration::from_secs(300);
+const HOST: &str = "host.example";
+const KEY: &str = "k1";
+
+/// Programs that the instances of a world run.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// Program of each instance, by its number modulo their count.
+    pub paths: Vec<PathBuf>,
+}
+
+impl Programs {
+    /// `JACINTHHOOK_BIN` or else the program of this build.
+    pub fn main() -> PathBuf {
+        let chosen = std::env::var_os("JACINTHHOOK_BIN").map(PathBuf::from);
+        chosen.unwrap_or_else(|| env!("CARGO_BIN_EXE_jacinthhook").into())
+    }
+
+    pub fn same() -> Programs {
+        Programs { paths: vec![Programs::main()] }
+    }
+
+    /// `JACINTHHOOK_OTHER_BIN` for the first instance, and the usual program for the others.
+    pub fn mixed() -> Option<Programs> {
+        let other = std::env::var_os("JACINTHHOOK_OTHER_BIN")?;
+        Some(Programs { paths: vec![other.into(), Programs::main(), Programs::main()] })
+    }
+}
+
+struct Instance {
+    name: String,
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+    callers: SocketAddr,
+    readiness: SocketAddr,
+}
+
+impl Instance {
+    fn spawn(&mut self) {
+        let log = File::options().create(true).append(true).open(&self.log).expect("open the log");
+        let child = Command::new(&self.program)
+            .arg("run")
+            .env("JACINTHHOOK_BOOT", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("share the log"))
+            .stderr(log)
+            .spawn();
+        self.child = Some(child.expect("start the program"));
+    }
+
+    fn signal(&self, signal: rustix::process::Signal) {
+        let Some(child) = &self.child else { return };
+        let pid = rustix::process::Pid::from_child(child);
+        let _ = rustix::process::kill_process(pid, signal);
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Job that was accepted.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub id: String,
+    pub task_count: u64,
+}
+
+pub struct World {
+    pub trace: Arc<Trace>,
+    pub workers: Vec<Arc<Worker>>,
+    platform: Arc<Platform>,
+    instances: Mutex<Vec<Instance>>,
+    client: reqwest::Client,
+    dir: PathBuf,
+    jobs: Mutex<Vec<Job>>,
+    job_count: AtomicUsize,
+    seed: u64,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.instances.lock().iter_mut().for_each(Instance::kill);
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+/// Loopback address of a world. Its ports are its own, so that nothing else takes that of a worker that
+/// is down.
+fn next_address() -> IpAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let pid = std::process::id();
+    let (second, third) = (10 + pid % 200, pid / 200 % 250);
+    Ipv4Addr::new(127, second as u8, third as u8, NEXT.fetch_add(1, Ordering::Relaxed)).into()
+}
+
+impl World {
+    /// Starts the platform, the workers behind `front`, and the instances.
+    pub async fn start(name: &str, seed: u64, front: Front, programs: &Programs) -> Arc<World> {
+        let platform = Platform::new();
+        let store = platform.serve().await;
+        declare(&platform);
+        let ip = next_address();
+        let trace = Arc::new(Trace::new());
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut workers = Vec::new();
+        for number in 0..WORKER_COUNT {
+            let address = SocketAddr::new(ip, 8_100 + number as u16);
+            let front = (address, front, seed);
+            let worker = Worker::new(number, front, platform.clone(), trace.clone());
+            worker.start(rng.random_range(MAX_CLOCK / 5..MAX_CLOCK)).await;
+            workers.push(worker);
+        }
+        let dir = std::env::temp_dir().join(format!("restart-{}-{name}-{seed}", std::process::id()));
+        fs::create_dir_all(&dir).expect("create the folder");
+        let mut instances = Vec::new();
+        for number in 0..INSTANCE_COUNT {
+            let program = &programs.paths[number % programs.paths.len()];
+            let mut instance = configure(number, program, &dir, ip, store);
+            instance.spawn();
+            instances.push(instance);
+        }
+        let client = reqwest::Client::builder().timeout(CALL_TIMEOUT).build().expect("a client");
+        let world = Arc::new(World {
+            trace,
+            workers,
+            platform,
+            instances: Mutex::new(instances),
+            client,
+            dir,
+            jobs: Mutex::default(),
+            job_count: AtomicUsize::new(0),
+            seed,
+        });
+        for number in 0..INSTANCE_COUNT {
+            world.wait_until("an instance is ready", || world.is_ready(number)).await;
+        }
+        world
+    }
+
+    async fn wait_until<F: Future<Output = bool>>(&self, what: &str, mut check: impl FnMut() -> F) {
+        let started = Instant::now();
+        while !check().await {
+            let is_late = started.elapsed() >= WAIT_LIMIT;
+            assert!(!is_late, "timed out after {WAIT_LIMIT:?}: {what}, logs in {}", self.dir.display());
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    async fn is_ready(&self, number: usize) -> bool {
+        let readiness = self.instances.lock()[number].readiness;
+        let url = format!("http://{readiness}/-/readyz");
+        self.client.get(url).send().await.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    async fn call(&self, number: usize, method: reqwest::Method, id: &str, body: String) -> (u16, Value) {
+        let callers = self.instances.lock()[number].callers;
+        let request = self.client.request(method, format!("http://{callers}/q/{id}"));
+        let request = request.header("host", HOST).header("x-jacinthhook-credential", KEY);
+        match request.header("x-jacinthhook-deadline-ms", "3000").body(body).send().await {
+            Ok(answer) => (answer.status().as_u16(), answer.json().await.unwrap_or_default()),
+            Err(_) => (0, Value::Null),
+        }
+    }
+
+    /// Submits a job of one step, at one instance after the other until one accepts it. Returns whether
+    /// one did.
+    pub async fn submit(&self, task_count: u64, task_ms: u64) -> bool {
+        let number = self.job_count.fetch_add(1, Ordering::Relaxed);
+        let id = format!("{:016x}", (self.seed << 20) + number as u64);
+        let (cpu, mem) = TASK_SIZE;
+        let step = json!({ "count": task_count, "cpu": cpu, "memMb": mem, "estimateMs": task_ms });
+        let body = json!({ "spec": task_ms.to_string(), "steps": [step] }).to_string();
+        for attempt in 0..INSTANCE_COUNT * 3 {
+            let instance = (number + attempt) % INSTANCE_COUNT;
+            let (status, _) = self.call(instance, reqwest::Method::POST, &id, body.clone()).await;
+            if status == 200 {
+                self.jobs.lock().push(Job { id, task_count });
+                return true;
+            }
+            sleep(Duration::from_millis(200)).await;
+        }
+        false
+    }
+
+    /// Submits jobs until the world ends, `pause` apart.
+    pub fn submit_jobs(self: &Arc<World>, task_count: u64, task_ms: u64, pause: Duration) -> JobSource {
+        let world = self.clone();
+        JobSource(tokio::spawn(async move {
+            loop {
+                world.submit(task_count, task_ms).await;
+                sleep(pause).await;
+            }
+        }))
+    }
+
+    /// Returns the number of the instance that is the owner by its last record.
+    pub fn owner(&self) -> Option<usize> {
+        let record = self.platform.newest_record("keyed.owner", "owner")?;
+        let name = record["name"].as_str()?.to_string();
+        self.instances.lock().iter().position(|instance| instance.name == name)
+    }
+
+    /// Kills the process of the owner. Returns the owner's number.
+    pub fn kill_owner(&self) -> usize {
+        let owner = self.owner().expect("an owner");
+        self.kill(owner);
+        owner
+    }
+
+    pub fn kill(&self, number: usize) {
+        self.trace.line("", format!("instance {number} is killed"));
+        self.instances.lock()[number].kill();
+    }
+
+    /// Starts the process of an instance again.
+    pub fn restart(&self, number: usize) {
+        self.trace.line("", format!("instance {number} starts again"));
+        let instance = &mut self.instances.lock()[number];
+        instance.kill();
+        instance.spawn();
+    }
+
+    pub fn signal(&self, number: usize, signal: rustix::process::Signal) {
+        self.trace.line("", format!("instance {number} gets {signal:?}"));
+        self.instances.lock()[number].signal(signal);
+    }
+
+    pub fn in_zone(&self, zone: &str) -> Vec<Arc<Worker>> {
+        self.workers.iter().filter(|worker| worker.zone == zone).cloned().collect()
+    }
+
+    pub async fn await_runs(&self, least: usize) {
+        let count = || self.workers.iter().map(|worker| worker.running_count()).sum::<usize>();
+        self.wait_until("tasks run", || async { count() >= least }).await;
+    }
+
+    /// Waits until all accepted jobs are shown as complete, and returns what was wrong.
+    pub async fn finish(&self, limit: Duration) -> Outcome {
+        let mut open = self.jobs.lock().clone();
+        let (job_count, until) = (open.len(), Instant::now() + limit);
+        let mut wrong = Vec::new();
+        while !open.is_empty() && Instant::now() < until {
+            let mut left = Vec::new();
+            for (position, job) in open.into_iter().enumerate() {
+                let instance = position % INSTANCE_COUNT;
+                let answer = self.call(instance, reqwest::Method::GET, &job.id, String::new()).await;
+                match (answer.0, answer.1["state"].as_str().unwrap_or("")) {
+                    (200, "complete") if self.trace.is_done(&job.id, job.task_count) => {}
+                    (200, "complete") => wrong.push(format!("{} is complete with tasks open", job.id)),
+                    (200, "failed") => wrong.push(format!("{} is shown as failed", job.id)),
+                    (410, _) => wrong.push(format!("{} is not known", job.id)),
+                    _ => left.push(job),
+                }
+            }
+            open = left;
+            sleep(Duration::from_millis(300)).await;
+        }
+        wrong.extend(open.iter().map(|job| format!("{} is not complete after {limit:?}", job.id)));
+        let breaches = self.trace.breaches();
+        let excerpt = self.trace.excerpt(&breaches);
+        let twice = breaches.iter().map(ToString::to_string).collect();
+        let outcome = Outcome { twice, wrong, excerpt };
+        println!(
+            "seed {}: {job_count} jobs, {} runs, {} strays, {} TWICE, {} others",
+            self.seed,
+            self.trace.run_count(),
+            self.trace.stray_count(),
+            outcome.twice.len(),
+            outcome.wrong.len()
+        );
+        outcome
+    }
+}
+
+/// Submits jobs until it is dropped.
+pub struct JobSource(tokio::task::JoinHandle<()>);
+
+impl Drop for JobSource {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// What a world showed.
+pub struct Outcome {
+    /// Breaches of the rule TWICE.
+    pub twice: Vec<String>,
+    /// Jobs that were lost, failed, or shown as complete too early.
+    pub wrong: Vec<String>,
+    pub excerpt: String,
+}
+
+impl Outcome {
+    pub fn is_sound(&self) -> bool {
+        self.twice.is_empty() && self.wrong.is_empty()
+    }
+
+    /// Panics with the trace unless nothing was wrong.
+    pub fn check(&self) {
+        let text = format!("{}\n{}\n{}", self.twice.join("\n"), self.wrong.join("\n"), self.excerpt);
+        assert!(self.is_sound(), "{text}");
+    }
+}
+
+fn declare(platform: &Platform) {
+    let route = json!({
+        "name": "q", "host": HOST, "pathPrefix": "/q/", "service": "pool",
+        "maxAttempts": 3, "slackFactor": 1.6, "targetLatencyMs": 600, "priority": 0,
+    });
+    let config = json!({
+        "version": 1, "routes": [route],
+        "services": [{ "name": "pool", "enforcesCapacity": true }],
+        "tenants": [{ "name": "team", "apiKeys": [KEY], "weight": 1 }],
+    });
+    platform.put_record("keyed.op", "config", &config);
+}
+
+fn configure(number: usize, program: &Path, dir: &Path, ip: IpAddr, store: SocketAddr) -> Instance {
+    let name = format!("frontend-{number}");
+    let at = |port: usize| SocketAddr::new(ip, (8_300 + number * 10 + port) as u16);
+    let (callers, readiness, peers) = (at(0), at(1), at(2));
+    let settings = json!({
+        "nodeName": name, "role": "entry", "machineClass": "frontend", "serves": ["frontend"],
+        "zone": format!("z{}", number + 1), "ip": ip.to_string(),
+        "bindAddrs": { "frontend": callers.to_string(), "readiness": readiness.to_string() },
+        "portRange": [peers.port(), peers.port() + 1], "bootstrap": true,
+        "limits": { "cpuShare": 0.25, "cores": 1, "memoryMb": 260, "maxFds": 4100, "linkMbps": 1000 },
+        "discovery": "platform", "heartbeatMs": HEARTBEAT.as_millis() as u64, "orders": "request",
+        "bounds": {
+            "maxHoldMs": MAX_LEASE.as_millis() as u64, "stopMs": STOP_DURATION.as_millis() as u64,
+            "revokeMs": 5000, "status_s": 120, "graceS": 6, "leaseMs": 3000, "drainMs": 2000,
+        },
+        "platform": { "address": store.to_string(), "form": "log", "writesPerS": 600, "readsPerS": 2000 },
+    });
+    let file = dir.join(format!("{name}.json"));
+    fs::write(&file, settings.to_string()).expect("write the settings");
+    Instance {
+        log: dir.join(format!("{name}.log")),
+        name,
+        program: program.into(),
+        settings: file,
+        child: None,
+        callers,
+        readiness,
+    }
+}
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -1,5 +1,6 @@
 //! A small stand-in of the users' platform on real sockets: the store with keyed topics,
 //! conditional and fenced appends, and one worker whose tasks run for a fixed time.
+#![allow(dead_code)] // Each test program uses only some of the helpers.
 
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
@@ -88,6 +89,14 @@
         records.len() as u64 - 1
     }
 
+    /// Returns the newest record of a key, if it is JSON.
+    pub fn newest_record(&self, topic: &str, key: &str) -> Option<Value> {
+        let topics = self.topics.lock();
+        let mut records = topics.get(topic)?.records.iter().rev();
+        let record = records.find(|r| r.get(1..=r[0] as usize) == Some(key.as_bytes()))?;
+        serde_json::from_slice(&record[1 + key.len()..]).ok()
+    }
+
     /// Lets the worker have accepted an order with a fencing token.
     pub fn set_worker_fence(&self, fence: u64) {
         self.worker.lock().fence = fence;
