--- a/tests/restart_world/mod.rs
+++ b/tests/restart_world/mod.rs
@@ -16,7 +16,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 use trace::Trace;
@@ -113,12 +113,13 @@
     jobs: Mutex<Vec<Job>>,
     job_count: AtomicUsize,
     seed: u64,
+    keeps_logs: AtomicBool,
 }
 
 impl Drop for World {
     fn drop(&mut self) {
         self.instances.lock().iter_mut().for_each(Instance::kill);
-        if !std::thread::panicking() {
+        if !self.keeps_logs.load(Ordering::Relaxed) {
             let _ = fs::remove_dir_all(&self.dir);
         }
     }
@@ -171,6 +172,7 @@
             jobs: Mutex::default(),
             job_count: AtomicUsize::new(0),
             seed,
+            keeps_logs: AtomicBool::new(true),
         });
         for number in 0..INSTANCE_COUNT {
             world.wait_until("an instance is ready", || world.is_ready(number)).await;
@@ -343,15 +345,19 @@
             open = left;
             sleep(Duration::from_millis(300)).await;
         }
-        wrong.extend(open.iter().map(|job| format!("{} is not complete after {limit:?}", job.id)));
+        wrong.extend(open.iter().map(|Job { id, .. }| {
+            format!("{id} is not complete after {limit:?}{}", self.trace.open_tasks(id))
+        }));
         wrong.extend(self.trace.stray_stops_and_reused_runs());
         let breaches = self.trace.breaches();
         let excerpt = self.trace.excerpt(&breaches);
         let twice = breaches.iter().map(ToString::to_string).collect();
         let stray_count = self.trace.stray_count();
         let outcome = Outcome { twice, wrong, excerpt, stray_count };
+        self.keeps_logs.store(!outcome.is_sound(), Ordering::Relaxed);
         println!(
-            "seed {}: {job_count} jobs, {} runs, {} strays, {} TWICE, {} others",
+            "{} seed {}: {job_count} jobs, {} runs, {} strays, {} TWICE, {} others",
+            self.dir.display(),
             self.seed,
             self.trace.run_count(),
             outcome.stray_count,
--- a/tests/restart_world/trace.rs
+++ b/tests/restart_world/trace.rs
@@ -53,6 +53,7 @@
             None => "running".into(),
         };
         let late = if self.is_late { ", carried out late" } else { "" };
+        let end = end + if self.is_end_acknowledged { ", acknowledged" } else { "" };
         format!(
             "{} run {} on {} (born {}) fence {}, began {:.3}, {end}{late}",
             self.task, self.run, self.worker, self.born, self.fence, self.began
@@ -177,6 +178,27 @@
         (0..count).all(|index| is_done(&format!("{job}.0.0.{index}")))
     }
 
+    /// Returns the last run of each task of a job that has none that ended as done.
+    pub fn open_tasks(&self, job: &str) -> String {
+        let entries = self.entries.lock();
+        let mut last: IndexMap<&str, &Run> = IndexMap::new();
+        let is_of_job = |run: &&Run| run.task.split('.').next() == Some(job);
+        for run in entries.runs.iter().filter(is_of_job) {
+            let is_done = |run: &&mut &Run| matches!(run.end, Some((_, RunEnd::Done)));
+            if last.get_mut(run.task.as_str()).filter(is_done).is_none() {
+                last.insert(&run.task, run);
+            }
+        }
+        let mut text = String::new();
+        for run in last.values().filter(|run| {
+            let is_done = matches!(run.end, Some((_, RunEnd::Done)));
+            !is_done || !run.is_end_acknowledged
+        }) {
+            text.push_str(&format!("\n  {}", run.describe()));
+        }
+        text
+    }
+
     /// Returns what broke the rule TWICE: two runs of a task at once, or a start after an acknowledged end
     /// as done.
     pub fn breaches(&self) -> Vec<Breach> {
