--- a/tests/restart_processes.rs
+++ b/tests/restart_processes.rs
@@ -8,14 +8,15 @@
 
 use rand::RngExt;
 use restart_world::worker::{Front, Losses};
-use restart_world::{Outcome, Programs, World};
+use restart_world::{Outcome, Programs, TASK_MS, World, soak};
 use std::time::Duration;
 use tokio::time::sleep;
 
 const CUT_DURATION: Duration = Duration::from_secs(9);
 /// Time within which all jobs are complete after the last fault.
 const FINISH_LIMIT: Duration = Duration::from_secs(45);
-const TASK_MS: u64 = 9_000;
+/// Duration of the faults of a soak.
+const SOAK_DURATION: Duration = Duration::from_secs(40);
 /// Longer than the wait of a poll, so that each worker gets one.
 const LOSS_DURATION: Duration = Duration::from_millis(1_100);
 /// Shortest and longest time from a call without a response to the moment at which it is carried out.
@@ -33,6 +34,8 @@
     Late(&'static str),
     /// The first owner runs another version.
     Mixed,
+    /// Faults that overlap.
+    Soak,
 }
 
 impl Mode {
@@ -46,6 +49,7 @@
             "late-starts" => Mode::Late("/-/run-start"),
             "late-stops" => Mode::Late("/-/run-stop"),
             "mixed" => Mode::Mixed,
+            "soak" => Mode::Soak,
             _ => panic!("no such mode: {name}"),
         }
     }
@@ -64,8 +68,15 @@
         }
     }
 
-    /// Restarts a third of the workers, kills the owner, and cuts these workers off.
     async fn run(self, seed: u64, programs: &Programs) -> Outcome {
+        match self {
+            Mode::Soak => soak::run(seed, SOAK_DURATION, programs).await,
+            _ => self.run_case(seed, programs).await,
+        }
+    }
+
+    /// Restarts a third of the workers, kills the owner, and cuts these workers off.
+    async fn run_case(self, seed: u64, programs: &Programs) -> Outcome {
         let world = World::start("case", seed, self.front(), programs).await;
         let mut rng = world.rng();
         if self == Mode::Mixed {
@@ -164,6 +175,12 @@
     }
 }
 
+// Restarts, cuts, kills, freezes and stops that overlap made a task run twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restart_soak() {
+    Mode::Soak.run(0, &Programs::same()).await.check();
+}
+
 fn env_number(name: &str, default: u64) -> u64 {
     std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
--- a/tests/restart_world/mod.rs
+++ b/tests/restart_world/mod.rs
@@ -4,10 +4,12 @@
 mod users_platform;
 
 mod http;
+pub mod soak;
 pub mod trace;
 pub mod worker;
 
 use parking_lot::Mutex;
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -31,6 +33,10 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest age that the clock of a worker's first process shows.
 const MAX_CLOCK: Duration = Duration::from_secs(300);
+/// Duration of the longest tasks.
+pub const TASK_MS: u64 = 9_000;
+/// Breaches and lines of the trace that a report shows.
+const SHOWN_BREACHES: usize = 4;
 const HOST: &str = "host.example";
 const KEY: &str = "k1";
 
@@ -125,6 +131,11 @@
     }
 }
 
+/// Returns a generator of its own for a part of a seeded series.
+fn fork(rng: &mut ChaCha8Rng) -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(rng.random())
+}
+
 /// Loopback address of a world. Its ports are its own, so that nothing else takes that of a worker that
 /// is down.
 fn next_address() -> IpAddr {
@@ -263,6 +274,23 @@
         }))
     }
 
+    /// Submits jobs of seeded sizes until the world ends, and asks each instance for the state of others on
+    /// connections that stay open.
+    pub fn submit_mixed_jobs(self: &Arc<World>) -> JobSource {
+        let (world, mut rng) = (self.clone(), fork(&mut self.rng()));
+        JobSource(tokio::spawn(async move {
+            loop {
+                world.submit(rng.random_range(1..=10), rng.random_range(500..=TASK_MS)).await;
+                let job = world.jobs.lock().choose(&mut rng).cloned();
+                for instance in (0..INSTANCE_COUNT).filter(|_| job.is_some()) {
+                    let id = job.as_ref().map_or("", |job| &job.id);
+                    world.call(instance, reqwest::Method::GET, id, String::new()).await;
+                }
+                sleep(Duration::from_millis(400)).await;
+            }
+        }))
+    }
+
     /// Returns the number of the instance that is the owner by its last record.
     pub fn owner(&self) -> Option<usize> {
         let record = self.platform.newest_record("keyed.owner", "owner")?;
@@ -312,6 +340,19 @@
         ChaCha8Rng::seed_from_u64(!self.seed)
     }
 
+    /// Waits, for at most `limit`, until the process of an instance has ended.
+    pub async fn await_exit(&self, number: usize, limit: Duration) {
+        let until = Instant::now() + limit;
+        let is_running = || {
+            let mut instances = self.instances.lock();
+            let child = instances[number].child.as_mut();
+            child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+        };
+        while is_running() && Instant::now() < until {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     pub fn in_zone(&self, zone: &str) -> Vec<Arc<Worker>> {
         self.workers.iter().filter(|worker| worker.zone == zone).cloned().collect()
     }
@@ -350,13 +391,15 @@
         }));
         wrong.extend(self.trace.stray_stops_and_reused_runs());
         let breaches = self.trace.breaches();
-        let excerpt = self.trace.excerpt(&breaches);
-        let twice = breaches.iter().map(ToString::to_string).collect();
+        let shown = &breaches[..breaches.len().min(SHOWN_BREACHES)];
+        let excerpt = self.trace.excerpt(shown);
+        let late_count = breaches.iter().filter(|b| b.first.is_late || b.second.is_late).count();
+        let twice: Vec<String> = breaches.iter().map(ToString::to_string).collect();
         let stray_count = self.trace.stray_count();
         let outcome = Outcome { twice, wrong, excerpt, stray_count };
         self.keeps_logs.store(!outcome.is_sound(), Ordering::Relaxed);
         println!(
-            "{} seed {}: {job_count} jobs, {} runs, {} strays, {} TWICE, {} others",
+            "{} seed {}: {job_count} jobs, {} runs, {} strays, {} TWICE ({late_count} by late starts), {} others",
             self.dir.display(),
             self.seed,
             self.trace.run_count(),
@@ -401,7 +444,15 @@
 
 impl std::fmt::Display for Outcome {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{}\n{}\n{}", self.twice.join("\n"), self.wrong.join("\n"), self.excerpt)
+        let twice = &self.twice[..self.twice.len().min(SHOWN_BREACHES)];
+        write!(
+            f,
+            "{} TWICE\n{}\n{}\n{}",
+            self.twice.len(),
+            twice.join("\n"),
+            self.wrong.join("\n"),
+            self.excerpt
+        )
     }
 }
 
