--- a/tests/restart_world/worker.rs
+++ b/tests/restart_world/worker.rs
@@ -24,6 +24,8 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// Silence after which the platform removes a worker's entry.
 const ENTRY_EXPIRY: Duration = Duration::from_millis(4_500);
+/// Time within which a process registers itself that follows another one.
+const MAX_REGISTRATION_MS: u64 = 600;
 const MAX_WAIT: Duration = Duration::from_secs(2);
 /// Runs listed at a time.
 const MAX_FINISHED_ROWS: usize = 500;
@@ -117,6 +119,7 @@
     process: Option<Process>,
     process_count: u64,
     heard_at: Instant,
+    next_heartbeat: Instant,
     is_listed: bool,
     losses: Losses,
     calls_in_progress: u32,
@@ -160,6 +163,7 @@
                 process: None,
                 process_count: 0,
                 heard_at: Instant::now(),
+                next_heartbeat: Instant::now(),
                 is_listed: false,
                 losses: Losses::NONE,
                 calls_in_progress: 0,
@@ -196,9 +200,9 @@
                 over: HashMap::new(),
                 sequence: 0,
             });
-            if !self.condition.borrow().is_cut {
-                self.register(&mut state);
-            }
+            // A process may answer before it has registered itself.
+            let delay = if is_first { 0 } else { state.rng.random_range(0..MAX_REGISTRATION_MS) };
+            state.next_heartbeat = Instant::now() + Duration::from_millis(delay);
             number
         };
         self.condition.send_modify(|c| c.process = number);
@@ -566,7 +570,7 @@
                     break;
                 }
                 let is_cut = self.condition.borrow().is_cut;
-                if !is_cut && state.heard_at.elapsed() >= HEARTBEAT {
+                if !is_cut && Instant::now() >= state.next_heartbeat {
                     self.register(&mut state);
                 }
                 let expires_at = state.heard_at + ENTRY_EXPIRY;
@@ -574,10 +578,14 @@
                     self.unregister(&mut state);
                 }
                 let mut next = Instant::now() + HEARTBEAT / 3;
+                if !is_cut {
+                    next = next.min(state.next_heartbeat);
+                }
                 let process = state.process.as_ref().expect("the process is there");
                 let live = process.running.values();
                 let ends = live.flat_map(|r| [Some(r.ends_at), r.stops_at]).flatten();
-                next = ends.chain([expires_at]).fold(next, Instant::min);
+                let expiry = state.is_listed.then_some(expires_at);
+                next = ends.chain(expiry).fold(next, Instant::min);
                 let lapses_at = self.time_of(process, process.lease_ms);
                 if lapses_at > Instant::now() { next.min(lapses_at) } else { next }
             };
@@ -609,6 +617,7 @@
         });
         self.platform.put_record("keyed.servers", &self.id, &entry);
         (state.heard_at, state.is_listed) = (Instant::now(), true);
+        state.next_heartbeat = state.heard_at + HEARTBEAT;
     }
 
     fn unregister(&self, state: &mut State) {
