--- a/tests/restart_processes.rs
+++ b/tests/restart_processes.rs
@@ -8,7 +8,7 @@
 
 use rand::RngExt;
 use restart_world::worker::{Front, Losses};
-use restart_world::{Outcome, Programs, TASK_MS, World, soak};
+use restart_world::{Outcome, TASK_MS, World, other_program, soak};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -68,21 +68,22 @@
         }
     }
 
-    async fn run(self, seed: u64, programs: &Programs) -> Outcome {
+    async fn run(self, seed: u64) -> Outcome {
         match self {
-            Mode::Soak => soak::run(seed, SOAK_DURATION, programs).await,
-            _ => self.run_case(seed, programs).await,
+            Mode::Soak => soak::run(seed, SOAK_DURATION, other_program()).await,
+            _ => self.run_case(seed).await,
         }
     }
 
     /// Restarts a third of the workers, kills the owner, and cuts these workers off.
-    async fn run_case(self, seed: u64, programs: &Programs) -> Outcome {
-        let world = World::start("case", seed, self.front(), programs).await;
+    async fn run_case(self, seed: u64) -> Outcome {
+        let other = other_program().filter(|_| self == Mode::Mixed);
+        let world = World::start("case", seed, self.front(), other).await;
         let mut rng = world.rng();
         if self == Mode::Mixed {
             world.make_owner(0).await;
         }
-        let jobs = world.submit_jobs(10, TASK_MS, Duration::from_millis(800));
+        let jobs = world.submit_jobs(10..=10, TASK_MS..=TASK_MS, Duration::from_millis(800));
         world.await_runs(60).await;
         let group = world.in_zone("z1");
         let losses = self.losses();
@@ -133,44 +134,44 @@
 // An order for a worker's earlier process gave the next one a lease longer than the next owner waits.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn restart_connections_end_with_process() {
-    Mode::Direct.run(1, &Programs::same()).await.check();
+    Mode::Direct.run(1).await.check();
 }
 
 // An order on a connection that outlives the worker's process gave the next process a long lease.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn restart_proxy_repeats_calls() {
-    Mode::Proxy(Front::ProxyRepeats).run(1, &Programs::same()).await.check();
+    Mode::Proxy(Front::ProxyRepeats).run(1).await.check();
 }
 
 // The same, without a call in progress at the restart.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn restart_proxy_keeps_idle_connections() {
-    Mode::Proxy(Front::ProxyRefuses).run(1, &Programs::same()).await.check();
+    Mode::Proxy(Front::ProxyRefuses).run(1).await.check();
 }
 
 // A poll without a response, carried out seconds later by the next process, gave that process a long lease.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn restart_polls_carried_out_late() {
-    Mode::Late("/-/hold").run(1, &Programs::same()).await.check();
+    Mode::Late("/-/hold").run(1).await.check();
 }
 
 // A start without a response was carried out by the next process while the task ran elsewhere.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn restart_starts_carried_out_late() {
-    Mode::Late("/-/run-start").run(1, &Programs::same()).await.check();
+    Mode::Late("/-/run-start").run(1).await.check();
 }
 
 // A stop that the next process carries out must not stop a run that should go on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn restart_stops_carried_out_late() {
-    Mode::Late("/-/run-stop").run(1, &Programs::same()).await.check();
+    Mode::Late("/-/run-stop").run(1).await.check();
 }
 
 // An owner of an earlier version gave restarted workers a long lease that the next owner did not know of.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn restart_owner_of_other_version() {
-    match Programs::mixed() {
-        Some(programs) => Mode::Mixed.run(1, &programs).await.check(),
+    match other_program() {
+        Some(_) => Mode::Mixed.run(1).await.check(),
         None => println!("SKIPPED, not tried: JACINTHHOOK_OTHER_BIN names no other version"),
     }
 }
@@ -178,7 +179,7 @@
 // Restarts, cuts, kills, freezes and stops that overlap made a task run twice.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn restart_soak() {
-    Mode::Soak.run(0, &Programs::same()).await.check();
+    Mode::Soak.run(0).await.check();
 }
 
 fn env_number(name: &str, default: u64) -> u64 {
@@ -195,28 +196,17 @@
     let mode = Mode::parse(&name);
     let first = env_number("RESTART_SEED", 1);
     let seeds: Vec<u64> = (first..first + env_number("RESTART_CASES", 1)).collect();
-    let programs = match mode {
-        Mode::Mixed => Programs::mixed().expect("JACINTHHOOK_OTHER_BIN"),
-        _ => Programs::same(),
-    };
     let mut broken = Vec::new();
     for batch in seeds.chunks(env_number("RESTART_PARALLEL", 1).max(1) as usize) {
-        let runs = batch.iter().map(|&seed| {
-            let programs = programs.clone();
-            (seed, tokio::spawn(async move { mode.run(seed, &programs).await }))
-        });
-        for (seed, run) in runs.collect::<Vec<_>>() {
-            match run.await {
-                Ok(outcome) if outcome.is_sound() => {}
-                Ok(outcome) => {
-                    println!("{name} seed {seed}:\n{outcome}");
-                    broken.push(seed);
-                }
-                Err(e) => {
-                    println!("{name} seed {seed}: {e}");
-                    broken.push(seed);
-                }
-            }
+        let runs: Vec<_> = batch.iter().map(|&seed| tokio::spawn(mode.run(seed))).collect();
+        for (seed, run) in batch.iter().zip(runs) {
+            let report = match run.await {
+                Ok(outcome) if outcome.is_sound() => continue,
+                Ok(outcome) => outcome.report(),
+                Err(e) => e.to_string(),
+            };
+            println!("{name} seed {seed}:\n{report}");
+            broken.push(*seed);
         }
     }
     println!("{name}: {} of {} broken: {broken:?}", broken.len(), seeds.len());
--- a/tests/restart_world/mod.rs
+++ b/tests/restart_world/mod.rs
@@ -12,14 +12,18 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use reqwest::Method;
+use rustix::process::Signal;
 use serde_json::{Value, json};
 use std::fs::{self, File};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 use trace::Trace;
 use users_platform::Platform;
@@ -40,29 +44,15 @@
 const HOST: &str = "host.example";
 const KEY: &str = "k1";
 
-/// Programs that the instances of a world run.
-#[derive(Clone, Debug)]
-pub struct Programs {
-    /// Program of each instance, by its number modulo their count.
-    pub paths: Vec<PathBuf>,
+/// Program of the instances: `JACINTHHOOK_BIN`, or else that of this build.
+fn main_program() -> PathBuf {
+    let chosen = std::env::var_os("JACINTHHOOK_BIN").map(PathBuf::from);
+    chosen.unwrap_or_else(|| env!("CARGO_BIN_EXE_jacinthhook").into())
 }
 
-impl Programs {
-    /// `JACINTHHOOK_BIN` or else the program of this build.
-    pub fn main() -> PathBuf {
-        let chosen = std::env::var_os("JACINTHHOOK_BIN").map(PathBuf::from);
-        chosen.unwrap_or_else(|| env!("CARGO_BIN_EXE_jacinthhook").into())
-    }
-
-    pub fn same() -> Programs {
-        Programs { paths: vec![Programs::main()] }
-    }
-
-    /// `JACINTHHOOK_OTHER_BIN` for the first instance, and the usual program for the others.
-    pub fn mixed() -> Option<Programs> {
-        let other = std::env::var_os("JACINTHHOOK_OTHER_BIN")?;
-        Some(Programs { paths: vec![other.into(), Programs::main(), Programs::main()] })
-    }
+/// Program of another version for the first instance: `JACINTHHOOK_OTHER_BIN`.
+pub fn other_program() -> Option<PathBuf> {
+    std::env::var_os("JACINTHHOOK_OTHER_BIN").map(PathBuf::from)
 }
 
 struct Instance {
@@ -88,7 +78,7 @@
         self.child = Some(child.expect("start the program"));
     }
 
-    fn signal(&self, signal: rustix::process::Signal) {
+    fn signal(&self, signal: Signal) {
         let Some(child) = &self.child else { return };
         let pid = rustix::process::Pid::from_child(child);
         let _ = rustix::process::kill_process(pid, signal);
@@ -125,6 +115,7 @@
 impl Drop for World {
     fn drop(&mut self) {
         self.instances.lock().iter_mut().for_each(Instance::kill);
+        self.workers.iter().for_each(|worker| worker.crash());
         if !self.keeps_logs.load(Ordering::Relaxed) {
             let _ = fs::remove_dir_all(&self.dir);
         }
@@ -146,8 +137,9 @@
 }
 
 impl World {
-    /// Starts the platform, the workers behind `front`, and the instances.
-    pub async fn start(name: &str, seed: u64, front: Front, programs: &Programs) -> Arc<World> {
+    /// Starts the platform, the workers behind `front`, and the instances, the first one with the program
+    /// `other`.
+    pub async fn start(name: &str, seed: u64, front: Front, other: Option<PathBuf>) -> Arc<World> {
         let platform = Platform::new();
         let store = platform.serve().await;
         declare(&platform);
@@ -167,7 +159,7 @@
         fs::create_dir_all(&dir).expect("create the folder");
         let mut instances = Vec::new();
         for number in 0..INSTANCE_COUNT {
-            let program = &programs.paths[number % programs.paths.len()];
+            let program = other.clone().filter(|_| number == 0).unwrap_or_else(main_program);
             let mut instance = configure(number, program, &dir, ip, store);
             instance.spawn();
             instances.push(instance);
@@ -194,12 +186,7 @@
     async fn wait_until<F: Future<Output = bool>>(&self, what: &str, mut check: impl FnMut() -> F) {
         let started = Instant::now();
         while !check().await {
-            let is_late = started.elapsed() >= WAIT_LIMIT;
-            assert!(
-                !is_late,
-                "timed out after {WAIT_LIMIT:?}: {what}, logs in {}",
-                self.dir.display()
-            );
+            assert!(started.elapsed() < WAIT_LIMIT, "{what}: not in time, {}", self.dir.display());
             sleep(Duration::from_millis(50)).await;
         }
     }
@@ -210,13 +197,7 @@
         self.client.get(url).send().await.is_ok_and(|answer| answer.status() == 200)
     }
 
-    async fn call(
-        &self,
-        number: usize,
-        method: reqwest::Method,
-        id: &str,
-        body: String,
-    ) -> (u16, Value) {
+    async fn call(&self, number: usize, method: Method, id: &str, body: String) -> (u16, Value) {
         let callers = self.instances.lock()[number].callers;
         let request = self.client.request(method, format!("http://{callers}/q/{id}"));
         let request = request.header("host", HOST).header("x-jacinthhook-credential", KEY);
@@ -236,7 +217,7 @@
         let body = json!({ "spec": task_ms.to_string(), "steps": [step] }).to_string();
         for attempt in 0..INSTANCE_COUNT * 3 {
             let instance = (number + attempt) % INSTANCE_COUNT;
-            let (status, _) = self.call(instance, reqwest::Method::POST, &id, body.clone()).await;
+            let (status, _) = self.call(instance, Method::POST, &id, body.clone()).await;
             if status == 200 {
                 self.jobs.lock().push(Job { id, task_count });
                 return true;
@@ -254,41 +235,33 @@
             jobs.split_off(kept)
         };
         for job in cancelled {
-            self.call(0, reqwest::Method::DELETE, &job.id, String::new()).await;
+            self.call(0, Method::DELETE, &job.id, String::new()).await;
         }
     }
 
-    /// Submits jobs until the world ends, `pause` apart.
+    /// Submits jobs of seeded sizes `pause` apart, and asks each instance for the state of one on connections
+    /// that stay open, until the set is dropped.
     pub fn submit_jobs(
         self: &Arc<World>,
-        task_count: u64,
-        task_ms: u64,
+        task_counts: RangeInclusive<u64>,
+        task_ms: RangeInclusive<u64>,
         pause: Duration,
-    ) -> JobSource {
-        let world = self.clone();
-        JobSource(tokio::spawn(async move {
-            loop {
-                world.submit(task_count, task_ms).await;
-                sleep(pause).await;
-            }
-        }))
-    }
-
-    /// Submits jobs of seeded sizes until the world ends, and asks each instance for the state of others on
-    /// connections that stay open.
-    pub fn submit_mixed_jobs(self: &Arc<World>) -> JobSource {
-        let (world, mut rng) = (self.clone(), fork(&mut self.rng()));
-        JobSource(tokio::spawn(async move {
+    ) -> JoinSet<()> {
+        let (world, mut rng) = (self.clone(), self.rng());
+        let mut jobs = JoinSet::new();
+        jobs.spawn(async move {
             loop {
-                world.submit(rng.random_range(1..=10), rng.random_range(500..=TASK_MS)).await;
-                let job = world.jobs.lock().choose(&mut rng).cloned();
-                for instance in (0..INSTANCE_COUNT).filter(|_| job.is_some()) {
-                    let id = job.as_ref().map_or("", |job| &job.id);
-                    world.call(instance, reqwest::Method::GET, id, String::new()).await;
+                let count = rng.random_range(task_counts.clone());
+                world.submit(count, rng.random_range(task_ms.clone())).await;
+                let asked = world.jobs.lock().choose(&mut rng).cloned();
+                for instance in 0..asked.as_ref().map_or(0, |_| INSTANCE_COUNT) {
+                    let id = asked.as_ref().map_or("", |job| &job.id);
+                    world.call(instance, Method::GET, id, String::new()).await;
                 }
-                sleep(Duration::from_millis(400)).await;
+                sleep(pause).await;
             }
-        }))
+        });
+        jobs
     }
 
     /// Returns the number of the instance that is the owner by its last record.
@@ -330,7 +303,7 @@
         instance.spawn();
     }
 
-    pub fn signal(&self, number: usize, signal: rustix::process::Signal) {
+    pub fn signal(&self, number: usize, signal: Signal) {
         self.trace.line("", format!("instance {number} gets {signal:?}"));
         self.instances.lock()[number].signal(signal);
     }
@@ -371,8 +344,7 @@
             let mut left = Vec::new();
             for (position, job) in open.into_iter().enumerate() {
                 let instance = position % INSTANCE_COUNT;
-                let answer =
-                    self.call(instance, reqwest::Method::GET, &job.id, String::new()).await;
+                let answer = self.call(instance, Method::GET, &job.id, String::new()).await;
                 match (answer.0, answer.1["state"].as_str().unwrap_or("")) {
                     (200, "complete") if self.trace.is_done(&job.id, job.task_count) => {}
                     (200, "complete") => {
@@ -387,7 +359,7 @@
             sleep(Duration::from_millis(300)).await;
         }
         wrong.extend(open.iter().map(|Job { id, .. }| {
-            format!("{id} is not complete after {limit:?}{}", self.trace.open_tasks(id))
+            format!("{id} is not complete after {limit:?}{}", self.trace.runs(id))
         }));
         wrong.extend(self.trace.stray_stops_and_reused_runs());
         let breaches = self.trace.breaches();
@@ -411,15 +383,6 @@
     }
 }
 
-/// Submits jobs until it is dropped.
-pub struct JobSource(tokio::task::JoinHandle<()>);
-
-impl Drop for JobSource {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// What a world showed.
 pub struct Outcome {
     /// Breaches of the rule TWICE.
@@ -438,21 +401,12 @@
 
     /// Panics with the trace unless nothing was wrong.
     pub fn check(&self) {
-        assert!(self.is_sound(), "{self}");
+        assert!(self.is_sound(), "{}", self.report());
     }
-}
 
-impl std::fmt::Display for Outcome {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let twice = &self.twice[..self.twice.len().min(SHOWN_BREACHES)];
-        write!(
-            f,
-            "{} TWICE\n{}\n{}\n{}",
-            self.twice.len(),
-            twice.join("\n"),
-            self.wrong.join("\n"),
-            self.excerpt
-        )
+    pub fn report(&self) -> String {
+        let twice = self.twice.iter().take(SHOWN_BREACHES).chain(&self.wrong);
+        twice.chain([&self.excerpt]).map(|text| format!("{text}\n")).collect()
     }
 }
 
@@ -469,7 +423,13 @@
     platform.put_record("keyed.op", "config", &config);
 }
 
-fn configure(number: usize, program: &Path, dir: &Path, ip: IpAddr, store: SocketAddr) -> Instance {
+fn configure(
+    number: usize,
+    program: PathBuf,
+    dir: &Path,
+    ip: IpAddr,
+    store: SocketAddr,
+) -> Instance {
     let name = format!("frontend-{number}");
     let at = |port: usize| SocketAddr::new(ip, (8_300 + number * 10 + port) as u16);
     let (callers, readiness, peers) = (at(0), at(1), at(2));
@@ -491,7 +451,7 @@
     Instance {
         log: dir.join(format!("{name}.log")),
         name,
-        program: program.into(),
+        program,
         settings: file,
         child: None,
         callers,
--- a/tests/restart_world/soak.rs
+++ b/tests/restart_world/soak.rs
@@ -1,13 +1,14 @@
 //! Seeded series of faults that overlap.
 
 use super::worker::{Front, Losses, Worker};
-use super::{INSTANCE_COUNT, Outcome, Programs, World};
+use super::{INSTANCE_COUNT, Outcome, TASK_MS, World};
 use parking_lot::Mutex;
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 use std::collections::HashSet;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -64,15 +65,15 @@
 
 /// Plays the series of a seed. Every second seed has calls that are carried out late, and each pair has another
 /// front.
-pub async fn run(seed: u64, duration: Duration, programs: &Programs) -> Outcome {
+pub async fn run(seed: u64, duration: Duration, other: Option<PathBuf>) -> Outcome {
     let front = FRONTS[(seed / 2) as usize % FRONTS.len()];
-    let world = World::start("soak", seed, front, programs).await;
+    let world = World::start("soak", seed, front, other).await;
     let soak = Arc::new(Soak {
         world: world.clone(),
         busy: Mutex::default(),
         has_late_calls: seed % 2 == 1,
     });
-    let jobs = world.submit_mixed_jobs();
+    let jobs = world.submit_jobs(1..=10, 500..=TASK_MS, Duration::from_millis(400));
     world.await_runs(10).await;
     let mut rng = world.rng();
     let (until, mut events) = (Instant::now() + duration, Vec::new());
--- a/tests/restart_world/trace.rs
+++ b/tests/restart_world/trace.rs
@@ -109,16 +109,12 @@
 
     /// Adds a line on a worker; an empty name stands for the world.
     pub fn line(&self, worker: &str, text: String) {
-        self.push_line(worker, text, false);
+        self.order_line(worker, text, false);
     }
 
-    /// Adds a line on an order that gave a worker a lease that its own clock did not give, or that met
-    /// another process than the one it was sent to.
-    pub fn stray_line(&self, worker: &str, text: String) {
-        self.push_line(worker, text, true);
-    }
-
-    fn push_line(&self, worker: &str, text: String, is_stray: bool) {
+    /// Adds a line on an order. A stray met another process than the one it was sent to, or gave a lease that
+    /// the worker's own clock did not give.
+    pub fn order_line(&self, worker: &str, text: String, is_stray: bool) {
         let at = self.seconds(Instant::now());
         self.entries.lock().lines.push(Line { at, worker: worker.into(), text, is_stray });
     }
@@ -178,25 +174,11 @@
         (0..count).all(|index| is_done(&format!("{job}.0.0.{index}")))
     }
 
-    /// Returns the last run of each task of a job that has none that ended as done.
-    pub fn open_tasks(&self, job: &str) -> String {
+    /// Returns the runs of a job.
+    pub fn runs(&self, job: &str) -> String {
         let entries = self.entries.lock();
-        let mut last: IndexMap<&str, &Run> = IndexMap::new();
-        let is_of_job = |run: &&Run| run.task.split('.').next() == Some(job);
-        for run in entries.runs.iter().filter(is_of_job) {
-            let is_done = |run: &&mut &Run| matches!(run.end, Some((_, RunEnd::Done)));
-            if last.get_mut(run.task.as_str()).filter(is_done).is_none() {
-                last.insert(&run.task, run);
-            }
-        }
-        let mut text = String::new();
-        for run in last.values().filter(|run| {
-            let is_done = matches!(run.end, Some((_, RunEnd::Done)));
-            !is_done || !run.is_end_acknowledged
-        }) {
-            text.push_str(&format!("\n  {}", run.describe()));
-        }
-        text
+        let runs = entries.runs.iter().filter(|run| run.task.starts_with(job));
+        runs.map(|run| format!("\n  {}", run.describe())).collect()
     }
 
     /// Returns what broke the rule TWICE: two runs of a task at once, or a start after an acknowledged end
--- a/tests/restart_world/worker.rs
+++ b/tests/restart_world/worker.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{sleep, timeout};
 
 /// `maxHoldMs`.
 pub const MAX_LEASE: Duration = Duration::from_secs(10);
@@ -26,6 +26,8 @@
 const ENTRY_EXPIRY: Duration = Duration::from_millis(4_500);
 /// Time within which a process registers itself that follows another one.
 const MAX_REGISTRATION_MS: u64 = 600;
+/// How often due ends and heartbeats are looked for.
+const TICK: Duration = Duration::from_millis(5);
 const MAX_WAIT: Duration = Duration::from_secs(2);
 /// Runs listed at a time.
 const MAX_FINISHED_ROWS: usize = 500;
@@ -136,11 +138,16 @@
     clock_speed: f64,
     state: Mutex<State>,
     condition: watch::Sender<Condition>,
-    wake: tokio::sync::Notify,
     platform: Arc<Platform>,
     trace: Arc<Trace>,
 }
 
+/// Waits for a process as a proxy does. Returns its number; 0 if there is none in time.
+async fn await_process(condition: &mut watch::Receiver<Condition>) -> u64 {
+    let up = condition.wait_for(|c| c.process != 0);
+    timeout(PROXY_WAIT, up).await.map_or(0, |c| c.map_or(0, |c| c.process))
+}
+
 impl Worker {
     /// Creates a worker without a process.
     pub fn new(
@@ -170,7 +177,6 @@
                 rng,
             }),
             condition: watch::Sender::new(Condition::default()),
-            wake: tokio::sync::Notify::new(),
             platform,
             trace,
         })
@@ -223,18 +229,16 @@
             self.trace.end_run(run.index, now, RunEnd::Crashed);
         }
         drop(state);
-        let text =
-            format!("process {} crashes with {} runs", process.number, process.running.len());
-        self.trace.line(&self.id, text);
+        let count = process.running.len();
+        self.trace.line(&self.id, format!("process {} crashes with {count} runs", process.number));
         self.condition.send_modify(|c| c.process = 0);
     }
 
     /// Cuts the worker off, or ends the cut. Nothing passes either way meanwhile.
     pub fn set_cut(&self, is_cut: bool) {
-        self.trace
-            .line(&self.id, format!("{}", if is_cut { "is cut off" } else { "is reachable" }));
+        let text = if is_cut { "is cut off" } else { "is reachable" };
+        self.trace.line(&self.id, text.into());
         self.condition.send_modify(|c| c.is_cut = is_cut);
-        self.wake.notify_one();
     }
 
     pub fn set_losses(&self, losses: Losses) {
@@ -289,14 +293,10 @@
                 // It would not have been opened.
                 return;
             }
-            if !is_direct {
-                let up = condition.wait_for(|c| c.process != 0);
-                let _ = timeout(PROXY_WAIT, up).await;
-            }
-            let number = condition.borrow().process;
-            if is_direct && number != accepted_by {
-                return;
-            }
+            let number = match is_direct {
+                true => accepted_by,
+                false => await_process(&mut condition).await,
+            };
             if let Fate::Lost(late) = self.fate(&request) {
                 if let Some(delay) = late {
                     tokio::spawn(self.clone().carry_out_late(request, delay, number));
@@ -320,12 +320,7 @@
                 (None, Front::ProxyRefuses) => Response { status: 502, body: json!({}) },
                 (None, Front::ProxyLoses) => return http::read_to_end(&mut stream).await,
                 (None, Front::ProxyRepeats) => {
-                    let up = condition.wait_for(|c| c.process != 0);
-                    let Ok(Ok(next)) = timeout(PROXY_WAIT, up).await.map(|c| c.map(|c| c.process))
-                    else {
-                        return;
-                    };
-                    self.trace.line(&self.id, format!("{} is sent again", request.path));
+                    let next = await_process(&mut condition).await;
                     match self.answer(&request, next, &mut condition).await {
                         Some(response) => response,
                         None => return,
@@ -365,8 +360,6 @@
         if let Some(process) = state.process.as_mut() {
             self.carry_out(process, &request, is_late, sent_to);
         }
-        drop(state);
-        self.wake.notify_one();
     }
 
     /// Carries out a call and returns the response, after the wait of a poll. `None` if the process ended.
@@ -384,12 +377,11 @@
             let refusal = self.carry_out(process, request, false, number);
             (refusal, !process.finished.is_empty(), self.condition.borrow().ends)
         };
-        self.wake.notify_one();
         if refusal.is_some() {
             return refusal;
         }
-        let wait =
-            Duration::from_millis(request.body["waitMs"].as_u64().unwrap_or(0)).min(MAX_WAIT);
+        let wait = Duration::from_millis(request.body["waitMs"].as_u64().unwrap_or(0));
+        let wait = wait.min(MAX_WAIT);
         if !wait.is_zero() && !has_finished {
             let ended = condition.wait_for(|c| c.process != number || c.ends != ends);
             let _ = timeout(wait, ended).await;
@@ -447,10 +439,7 @@
             process.lease_ms,
             if is_late { " late" } else { "" },
         );
-        match is_stray {
-            true => self.trace.stray_line(&self.id, text),
-            false => self.trace.line(&self.id, text),
-        }
+        self.trace.order_line(&self.id, text, is_stray);
         if is_fenced {
             return refuse("fence");
         }
@@ -484,12 +473,9 @@
                 let ends_at = now + Duration::from_millis(work);
                 let live = LiveRun { run, ends_at, stops_at: None, index };
                 if let Some(other) = process.running.insert(task, live) {
-                    // A second run of a task on one worker: both are in the trace.
-                    self.trace.end_run(
-                        other.index,
-                        now + Duration::from_millis(1),
-                        RunEnd::Stopped,
-                    );
+                    // Both were there.
+                    let at = now + Duration::from_millis(1);
+                    self.trace.end_run(other.index, at, RunEnd::Stopped);
                 }
             }
             "/-/run-stop" => {
@@ -560,47 +546,25 @@
         }
     }
 
-    /// Ends runs and writes the registry entry in time, as long as the process is there.
+    /// Ends runs and keeps the registry entry, until another process follows or the entry of the last one
+    /// has expired.
     async fn run_process(self: Arc<Worker>, number: u64) {
         loop {
-            let next = {
-                let mut state = self.state.lock();
-                self.advance(&mut state);
-                if state.process.as_ref().is_none_or(|p| p.number != number) {
-                    break;
-                }
-                let is_cut = self.condition.borrow().is_cut;
-                if !is_cut && Instant::now() >= state.next_heartbeat {
-                    self.register(&mut state);
-                }
-                let expires_at = state.heard_at + ENTRY_EXPIRY;
-                if state.is_listed && Instant::now() >= expires_at {
-                    self.unregister(&mut state);
-                }
-                let mut next = Instant::now() + HEARTBEAT / 3;
-                if !is_cut {
-                    next = next.min(state.next_heartbeat);
-                }
-                let process = state.process.as_ref().expect("the process is there");
-                let live = process.running.values();
-                let ends = live.flat_map(|r| [Some(r.ends_at), r.stops_at]).flatten();
-                let expiry = state.is_listed.then_some(expires_at);
-                next = ends.chain(expiry).fold(next, Instant::min);
-                let lapses_at = self.time_of(process, process.lease_ms);
-                if lapses_at > Instant::now() { next.min(lapses_at) } else { next }
-            };
-            // A little later, so that what is due is.
-            let next = next.max(Instant::now()) + Duration::from_millis(1);
-            tokio::select! {
-                _ = sleep_until(next.into()) => {}
-                _ = self.wake.notified() => {}
+            sleep(TICK).await;
+            let mut state = self.state.lock();
+            self.advance(&mut state);
+            let has_ended = state.process.is_none();
+            let is_heard = !has_ended && !self.condition.borrow().is_cut;
+            if is_heard && Instant::now() >= state.next_heartbeat {
+                self.register(&mut state);
+            } else if state.is_listed && state.heard_at.elapsed() >= ENTRY_EXPIRY {
+                self.platform.put_bytes("keyed.servers", self.id.as_bytes(), &[]);
+                state.is_listed = false;
+                self.trace.line(&self.id, "is no longer listed".into());
+            }
+            if state.process_count != number || (has_ended && !state.is_listed) {
+                return;
             }
-        }
-        let expires_at = self.state.lock().heard_at + ENTRY_EXPIRY;
-        sleep_until(expires_at.into()).await;
-        let mut state = self.state.lock();
-        if state.process.is_none() && state.is_listed && state.heard_at.elapsed() >= ENTRY_EXPIRY {
-            self.unregister(&mut state);
         }
     }
 
@@ -619,10 +583,4 @@
         (state.heard_at, state.is_listed) = (Instant::now(), true);
         state.next_heartbeat = state.heard_at + HEARTBEAT;
     }
-
-    fn unregister(&self, state: &mut State) {
-        self.platform.put_bytes("keyed.servers", self.id.as_bytes(), &[]);
-        state.is_listed = false;
-        self.trace.line(&self.id, "is no longer listed".into());
-    }
 }
