--- a/tests/restart_world/mod.rs
+++ b/tests/restart_world/mod.rs
@@ -39,7 +39,7 @@
 const MAX_CLOCK: Duration = Duration::from_secs(300);
 /// Duration of the longest tasks.
 pub const TASK_MS: u64 = 9_000;
-/// Breaches and lines of the trace that a report shows.
+/// Breaches of the rule TWICE that a report shows.
 const SHOWN_BREACHES: usize = 4;
 const HOST: &str = "host.example";
 const KEY: &str = "k1";
@@ -78,12 +78,6 @@
         self.child = Some(child.expect("start the program"));
     }
 
-    fn signal(&self, signal: Signal) {
-        let Some(child) = &self.child else { return };
-        let pid = rustix::process::Pid::from_child(child);
-        let _ = rustix::process::kill_process(pid, signal);
-    }
-
     fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -149,8 +143,8 @@
         let mut workers = Vec::new();
         for number in 0..WORKER_COUNT {
             let address = SocketAddr::new(ip, 8_100 + number as u16);
-            let front = (address, front, seed);
-            let worker = Worker::new(number, front, platform.clone(), trace.clone());
+            let (platform, trace) = (platform.clone(), trace.clone());
+            let worker = Worker::new(number, address, front, seed, platform, trace);
             worker.start(rng.random_range(MAX_CLOCK / 5..MAX_CLOCK)).await;
             workers.push(worker);
         }
@@ -306,7 +300,9 @@
 
     pub fn signal(&self, number: usize, signal: Signal) {
         self.trace.line("", format!("instance {number} gets {signal:?}"));
-        self.instances.lock()[number].signal(signal);
+        if let Some(child) = &self.instances.lock()[number].child {
+            let _ = rustix::process::kill_process(rustix::process::Pid::from_child(child), signal);
+        }
     }
 
     /// Takes a seeded generator for the events of a case.
@@ -362,13 +358,9 @@
         }
         wrong.extend(open.iter().map(|job| format!("not complete in time: {}", runs(job))));
         wrong.extend(self.trace.stray_stops_and_reused_runs());
-        let breaches = self.trace.breaches();
-        let shown = &breaches[..breaches.len().min(SHOWN_BREACHES)];
-        let excerpt = self.trace.excerpt(shown);
-        let late_count = breaches.iter().filter(|b| b.first.is_late || b.second.is_late).count();
-        let twice: Vec<String> = breaches.iter().map(ToString::to_string).collect();
-        let stray_count = self.trace.stray_count();
-        let outcome = Outcome { twice, wrong, failed, excerpt, stray_count };
+        let (twice, stray_count) = (self.trace.twice(), self.trace.stray_count());
+        let late_count = twice.iter().filter(|text| text.contains("carried out late")).count();
+        let outcome = Outcome { twice, wrong, failed, stray_count };
         self.keeps_logs.store(!outcome.is_sound(), Ordering::Relaxed);
         println!(
             "{} seed {}: {job_count} jobs, {} runs, {} strays, {} TWICE ({late_count} by late starts), {} others, {} failed",
@@ -392,7 +384,6 @@
     pub wrong: Vec<String>,
     /// Jobs that were shown as failed. None of their runs ended so.
     pub failed: Vec<String>,
-    pub excerpt: String,
     /// Number of orders that met another process than the one they were meant for.
     pub stray_count: usize,
 }
@@ -408,8 +399,8 @@
     }
 
     pub fn report(&self) -> String {
-        let twice = self.twice.iter().take(SHOWN_BREACHES).chain(&self.wrong).chain(&self.failed);
-        twice.chain([&self.excerpt]).map(|text| format!("{text}\n")).collect()
+        let twice = self.twice.iter().take(SHOWN_BREACHES);
+        twice.chain(&self.wrong).chain(&self.failed).map(|text| format!("{text}\n")).collect()
     }
 }
 
--- a/tests/restart_world/soak.rs
+++ b/tests/restart_world/soak.rs
@@ -17,23 +17,15 @@
 const FINISH_LIMIT: Duration = Duration::from_secs(60);
 /// `graceS`.
 const STOP_TIMEOUT: Duration = Duration::from_secs(6);
-/// Instances that are away at the same time, at most.
-const MAX_AWAY: usize = 2;
 /// Workers that an event hits, at most.
 const MAX_WORKERS: usize = 4;
 const FRONTS: [Front; 4] =
     [Front::Direct, Front::ProxyRefuses, Front::ProxyLoses, Front::ProxyRepeats];
 
-/// What events have taken. An event leaves alone what another one still uses.
-#[derive(Default)]
-struct Busy {
-    instances: HashSet<usize>,
-    workers: HashSet<String>,
-}
-
 struct Soak {
     world: Arc<World>,
-    busy: Mutex<Busy>,
+    /// Workers and instances that an event uses. Others leave them alone.
+    busy: Mutex<HashSet<String>>,
     /// Whether calls are carried out late.
     has_late_calls: bool,
 }
@@ -184,27 +176,26 @@
     /// Takes workers that no other event uses; possibly none.
     fn take_workers(&self, rng: &mut ChaCha8Rng) -> Vec<Arc<Worker>> {
         let mut busy = self.busy.lock();
-        let free = self.world.workers.iter().filter(|w| !busy.workers.contains(&w.id));
+        let free = self.world.workers.iter().filter(|w| !busy.contains(&w.id));
         let free: Vec<_> = free.cloned().collect();
         let count = rng.random_range(1..=MAX_WORKERS);
         let taken: Vec<_> = free.sample(rng, count).cloned().collect();
-        busy.workers.extend(taken.iter().map(|worker| worker.id.clone()));
+        busy.extend(taken.iter().map(|worker| worker.id.clone()));
         taken
     }
 
     fn release_workers(&self, workers: &[Arc<Worker>]) {
         let mut busy = self.busy.lock();
         for worker in workers {
-            busy.workers.remove(&worker.id);
+            busy.remove(&worker.id);
         }
     }
 
     fn take_instance(&self, instance: usize) -> bool {
-        let mut busy = self.busy.lock();
-        busy.instances.len() < MAX_AWAY && busy.instances.insert(instance)
+        self.busy.lock().insert(instance.to_string())
     }
 
     fn release_instance(&self, instance: usize) {
-        self.busy.lock().instances.remove(&instance);
+        self.busy.lock().remove(&instance.to_string());
     }
 }
--- a/tests/restart_world/trace.rs
+++ b/tests/restart_world/trace.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 use parking_lot::Mutex;
+use std::collections::HashSet;
 use std::time::Instant;
 
 /// How a run ended.
@@ -43,8 +44,8 @@
 }
 
 impl Run {
-    fn ended_at(&self) -> f64 {
-        self.end.map_or(f64::INFINITY, |(at, _)| at)
+    fn is_done(&self) -> bool {
+        self.end.is_some_and(|(_, how)| how == RunEnd::Done)
     }
 
     fn describe(&self) -> String {
@@ -61,26 +62,20 @@
     }
 }
 
-/// A rule that was broken.
-#[derive(Clone, Debug)]
-pub struct Breach {
-    pub what: &'static str,
-    pub first: Run,
-    pub second: Run,
-}
-
-impl std::fmt::Display for Breach {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let (first, second) = (self.first.describe(), self.second.describe());
-        write!(f, "{}: {first} / {second}", self.what)
-    }
-}
-
 struct Line {
     at: f64,
     worker: String,
     text: String,
     is_stray: bool,
+    /// Whether it tells of an order that met the process it was meant for.
+    is_usual: bool,
+}
+
+impl Line {
+    fn describe(&self) -> String {
+        let stray = if self.is_stray { "STRAY " } else { "" };
+        format!("\n  {:8.3} {} {stray}{}", self.at, self.worker, self.text)
+    }
 }
 
 #[derive(Default)]
@@ -107,16 +102,20 @@
         at.saturating_duration_since(self.started).as_secs_f64()
     }
 
-    /// Adds a line on a worker; an empty name stands for the world.
+    /// Adds a line on an event at a worker; an empty name stands for an instance.
     pub fn line(&self, worker: &str, text: String) {
-        self.order_line(worker, text, false);
+        self.push_line(worker, text, false, false);
     }
 
     /// Adds a line on an order. A stray met another process than the one it was sent to, or gave a lease that
     /// the worker's own clock did not give.
     pub fn order_line(&self, worker: &str, text: String, is_stray: bool) {
-        let at = self.seconds(Instant::now());
-        self.entries.lock().lines.push(Line { at, worker: worker.into(), text, is_stray });
+        self.push_line(worker, text, is_stray, !is_stray);
+    }
+
+    fn push_line(&self, worker: &str, text: String, is_stray: bool, is_usual: bool) {
+        let (at, worker) = (self.seconds(Instant::now()), worker.to_string());
+        self.entries.lock().lines.push(Line { at, worker, text, is_stray, is_usual });
     }
 
     /// Adds a run. Returns its index.
@@ -167,11 +166,9 @@
     /// Whether each of the `count` tasks of a job's only step has a run that ended as done.
     pub fn is_done(&self, job: &str, count: u64) -> bool {
         let entries = self.entries.lock();
-        let is_done = |task: &str| {
-            let mut runs = entries.runs.iter().filter(|run| run.task == task);
-            runs.any(|run| run.end.is_some_and(|(_, how)| how == RunEnd::Done))
-        };
-        (0..count).all(|index| is_done(&format!("{job}.0.0.{index}")))
+        let done = entries.runs.iter().filter(|run| run.is_done() && run.task.starts_with(job));
+        let tasks: HashSet<&str> = done.map(|run| run.task.as_str()).collect();
+        tasks.len() as u64 == count
     }
 
     /// Returns the runs of a job.
@@ -181,52 +178,36 @@
         runs.map(|run| format!("\n  {}", run.describe())).collect()
     }
 
-    /// Returns what broke the rule TWICE: two runs of a task at once, or a start after an acknowledged end
-    /// as done.
-    pub fn breaches(&self) -> Vec<Breach> {
+    /// Returns what broke the rule TWICE, with the strays of the worker: two runs of a task at once, or a start
+    /// after an acknowledged end as done.
+    pub fn twice(&self) -> Vec<String> {
         let entries = self.entries.lock();
         let mut by_task: IndexMap<&str, Vec<&Run>> = IndexMap::new();
         for run in &entries.runs {
             by_task.entry(&run.task).or_default().push(run);
         }
-        let mut breaches = Vec::new();
+        let mut found = Vec::new();
         for runs in by_task.values() {
             for (position, first) in runs.iter().enumerate() {
-                let is_over = first.is_end_acknowledged
-                    && first.end.is_some_and(|(_, how)| how == RunEnd::Done);
+                let ended_at = first.end.map_or(f64::INFINITY, |(at, _)| at);
+                let is_over = first.is_end_acknowledged && first.is_done();
                 for second in &runs[position + 1..] {
-                    let what = if second.began < first.ended_at() {
-                        "two runs at once"
-                    } else if is_over {
-                        "a start after an acknowledged end"
-                    } else {
-                        continue;
+                    let what = match second.began < ended_at {
+                        true => "two runs at once",
+                        false if is_over => "a start after an acknowledged end",
+                        false => continue,
                     };
-                    let (first, second) = ((*first).clone(), (*second).clone());
-                    breaches.push(Breach { what, first, second });
+                    let lines = entries.lines.iter().filter(|line| {
+                        let is_before = line.at < second.began && line.at > first.began - 10.0;
+                        let is_of_worker = line.worker.is_empty() || line.worker == first.worker;
+                        is_before && is_of_worker && !line.is_usual
+                    });
+                    let lines: String = lines.map(Line::describe).collect();
+                    let (first, second) = (first.describe(), second.describe());
+                    found.push(format!("{what}: {first} / {second}{lines}"));
                 }
             }
         }
-        breaches
-    }
-
-    /// Returns the lines of the world, and those of workers that are strays or lie around a breach.
-    pub fn excerpt(&self, breaches: &[Breach]) -> String {
-        let entries = self.entries.lock();
-        let is_near = |line: &Line| {
-            breaches.iter().any(|breach| {
-                let began = [breach.first.began, breach.second.began];
-                breach.first.worker == line.worker
-                    && began.iter().any(|b| (b - line.at).abs() < 0.7)
-            })
-        };
-        let lines =
-            entries.lines.iter().filter(|l| l.worker.is_empty() || l.is_stray || is_near(l));
-        let mut text = String::new();
-        for line in lines {
-            let stray = if line.is_stray { " STRAY" } else { "" };
-            text.push_str(&format!("{:8.3} {}{stray} {}\n", line.at, line.worker, line.text));
-        }
-        text
+        found
     }
 }
--- a/tests/restart_world/worker.rs
+++ b/tests/restart_world/worker.rs
@@ -152,7 +152,9 @@
     /// Creates a worker without a process.
     pub fn new(
         number: usize,
-        (address, front, seed): (SocketAddr, Front, u64),
+        address: SocketAddr,
+        front: Front,
+        seed: u64,
         platform: Arc<Platform>,
         trace: Arc<Trace>,
     ) -> Arc<Worker> {
