--- a/tests/restart_world/worker.rs
+++ b/tests/restart_world/worker.rs
@@ -124,6 +124,7 @@
     next_heartbeat: Instant,
     is_listed: bool,
     losses: Losses,
+    lost_count: u64,
     calls_in_progress: u32,
     rng: ChaCha8Rng,
 }
@@ -175,6 +176,7 @@
                 next_heartbeat: Instant::now(),
                 is_listed: false,
                 losses: Losses::NONE,
+                lost_count: 0,
                 calls_in_progress: 0,
                 rng,
             }),
@@ -255,6 +257,11 @@
         }
     }
 
+    /// Number of calls that got no response.
+    pub fn lost_count(&self) -> u64 {
+        self.state.lock().lost_count
+    }
+
     pub fn running_count(&self) -> usize {
         self.state.lock().process.as_ref().map_or(0, |p| p.running.len())
     }
@@ -342,6 +349,7 @@
         if !is_meant || !state.rng.random_bool(losses.share) {
             return Fate::Answered;
         }
+        state.lost_count += 1;
         if state.rng.random_bool(losses.late_share) {
             let (least, most) = losses.delay_ms;
             return Fate::Lost(Some(Duration::from_millis(state.rng.random_range(least..=most))));
