--- a/src/batch.rs
+++ b/src/batch.rs
@@ -18,5 +18,6 @@
 pub mod records;
 mod run_failures;
 pub mod scheduler;
+pub mod stray_lease;
 pub mod wall_clock;
 pub mod worker;
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -176,3 +176,8 @@
     /// Fencing token that the poll carried.
     pub fence: u64,
 }
+
+/// Whether two incarnations of a worker are the same, as far as they are known: 0 stands for one that is not.
+pub fn is_same(a: u64, b: u64) -> bool {
+    a == b || a == 0 || b == 0
+}
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -19,13 +19,16 @@
     WorkerTime,
 };
 use crate::batch::prior_leases::{
-    LeaseRecord, PriorLeases, WorkerLease, leases_per_record, remaining_ms,
+    LeaseRecord, PriorLeases, WorkerLease, fits_open_orders, leases_per_record, remaining_ms,
 };
 use crate::batch::record_parts::{self, PartKey, StoredParts};
 use crate::batch::records::{self, ProgressError, RecordUpdate};
 use crate::batch::run_failures::RunFailures;
+use crate::batch::stray_lease::{
+    LeaseOrderEnd, LeaseOrderId, LeaseOrders, StrayLease, StraySource, order_horizon,
+};
 use crate::batch::wall_clock::{Moment, WallClock};
-use crate::batch::worker::{LeaseSource, Worker, WorkerInfo};
+use crate::batch::worker::{LeaseSource, Worker, WorkerInfo, lease_end};
 use crate::fair::Resources;
 use crate::ids::{JobId, TeamId, Time};
 use bytes::Bytes;
@@ -81,15 +84,56 @@
 /// An outcome of a decision, for the event log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OwnerEvent {
-    TaskPlaced { task: TaskId, run: u32, worker: WorkerId, job_age: Duration },
-    RunEnded { task: TaskId, run: u32, worker: WorkerId, outcome: RunOutcome },
-    RunLost { task: TaskId, run: u32, worker: WorkerId, reason: &'static str },
-    DrainStop { task: TaskId, run: u32, worker: WorkerId, time_left: Duration, has_room: bool },
-    JobEnded { job: JobId, state: JobState, job_age: Duration },
-    WorkerQuarantined { worker: WorkerId },
-    WorkerDraining { worker: WorkerId, tasks: u64, time_left: Duration },
-    WorkerRestarted { worker: WorkerId, earlier: u64, incarnation: u64, source: RestartSource },
-    WorkerLeaseExpired { worker: WorkerId, tasks: u64, silent_for: Duration, lease: LeaseSource },
+    TaskPlaced {
+        task: TaskId,
+        run: u32,
+        worker: WorkerId,
+        job_age: Duration,
+    },
+    RunEnded {
+        task: TaskId,
+        run: u32,
+        worker: WorkerId,
+        outcome: RunOutcome,
+    },
+    RunLost {
+        task: TaskId,
+        run: u32,
+        worker: WorkerId,
+        reason: &'static str,
+    },
+    DrainStop {
+        task: TaskId,
+        run: u32,
+        worker: WorkerId,
+        time_left: Duration,
+        has_room: bool,
+    },
+    JobEnded {
+        job: JobId,
+        state: JobState,
+        job_age: Duration,
+    },
+    WorkerQuarantined {
+        worker: WorkerId,
+    },
+    WorkerDraining {
+        worker: WorkerId,
+        tasks: u64,
+        time_left: Duration,
+    },
+    WorkerRestarted {
+        worker: WorkerId,
+        earlier: u64,
+        incarnation: u64,
+        source: RestartSource,
+    },
+    WorkerLeaseExpired {
+        worker: WorkerId,
+        tasks: u64,
+        silent_for: Duration,
+        lease: LeaseSource,
+    },
     // With the longest time until the leases of the worker are over.
     WorkerSilent {
         worker: WorkerId,
@@ -99,14 +143,39 @@
         lease: LeaseSource,
         lease_left: Duration,
     },
+    // The worker may hold a lease by an order that was meant for its earlier process.
+    WorkerStrayLease {
+        worker: WorkerId,
+        incarnation: u64,
+        source: StraySource,
+        lease_left: Duration,
+    },
     // The registry lists a worker that this owner did not know.
-    WorkerListed { worker: WorkerId, machine: Arc<str>, incarnation: u64 },
+    WorkerListed {
+        worker: WorkerId,
+        machine: Arc<str>,
+        incarnation: u64,
+    },
     // Runs were lost with the process `earlier` of a worker; `incarnation` runs in its place.
-    WorkerCrashed { worker: WorkerId, earlier: u64, incarnation: u64, counts: LossCounts },
+    WorkerCrashed {
+        worker: WorkerId,
+        earlier: u64,
+        incarnation: u64,
+        counts: LossCounts,
+    },
     // With the runs of the task, and their workers, that this owner counted.
-    JobGivenUp { task: TaskId, crashes: Vec<(u32, WorkerId)> },
-    MaintenanceBlocked { machine: Arc<str>, blocker: Blocker },
-    BadRecord { key: Arc<str>, error: String },
+    JobGivenUp {
+        task: TaskId,
+        crashes: Vec<(u32, WorkerId)>,
+    },
+    MaintenanceBlocked {
+        machine: Arc<str>,
+        blocker: Blocker,
+    },
+    BadRecord {
+        key: Arc<str>,
+        error: String,
+    },
 }
 
 /// Decisions that have been made but not stored.
@@ -144,6 +213,9 @@
     pub(super) bounds: Bounds,
     /// Increases with each owner.
     term: u64,
+    began_at: Time,
+    /// When the leases of orders of earlier owners have expired, however late these are carried out.
+    earlier_orders_until: Time,
     pub jobs: IndexMap<JobId, Job>,
     pub workers: IndexMap<WorkerId, Worker>,
     /// Number of resyncs of all workers in this term. A worker that is forgotten and listed again
@@ -195,6 +267,10 @@
     pub fn new(term: u64, bounds: Bounds, active_config: Arc<ActiveConfig>, now: Time) -> Owner {
         Owner {
             term,
+            began_at: now,
+            earlier_orders_until: now
+                + MAX_STORE_OUTAGE
+                + order_horizon(lease_end(Time::ZERO, bounds.max_lease)),
             active_config,
             bounds,
             jobs: IndexMap::new(),
@@ -232,6 +308,7 @@
     pub fn with_prior_leases(mut self, prior_leases: PriorLeases) -> Owner {
         if let Some(until) = prior_leases.others_until() {
             self.prior_leases_until = until;
+            self.earlier_orders_until = self.began_at + self.order_horizon();
         }
         self.prior_leases = prior_leases;
         self
@@ -246,7 +323,15 @@
         let mut workers: Vec<WorkerLease> = workers.collect();
         // Those that respond count as others if there are too many, then those that do not.
         workers.sort_by_key(|lease| !lease.withheld);
-        let unnamed = workers.split_off(leases_per_record(&workers));
+        let mut open_orders: Vec<WorkerId> = match resigning {
+            true => self.workers_with_open_orders(now),
+            false => Vec::new(),
+        };
+        let names_stray_leases = fits_open_orders(&open_orders);
+        if !names_stray_leases {
+            open_orders.clear();
+        }
+        let unnamed = workers.split_off(leases_per_record(&workers, &open_orders));
         let others_until = self.prior_leases_until.max(self.forgotten_leases_until);
         let mut others_ms = remaining_ms(others_until, now);
         for lease in unnamed {
@@ -255,7 +340,22 @@
                 worker.leave_unannounced();
             }
         }
-        LeaseRecord { workers, others_ms: resigning.then_some(others_ms) }
+        LeaseRecord {
+            names_stray_leases,
+            open_orders,
+            workers,
+            others_ms: resigning.then_some(others_ms),
+        }
+    }
+
+    /// Time from sending an order to the end of the lease that it brings, however late it is carried out.
+    fn order_horizon(&self) -> Duration {
+        order_horizon(lease_end(Time::ZERO, self.bounds.max_lease))
+    }
+
+    fn workers_with_open_orders(&self, now: Time) -> Vec<WorkerId> {
+        let is_open = |w: &&Worker| w.lease_orders.stray_source(now).is_some();
+        self.workers.values().filter(is_open).map(|w| w.info.id.clone()).collect()
     }
 
     /// Records that the owner record with the latest announcement is stored: workers that it does not name
@@ -401,8 +501,11 @@
     pub fn record_previous_owners_stopped(&mut self, stopped_at: Time) {
         let until = stopped_at + LEASE_DURATION.mul_f64(1.05);
         self.prior_leases_until = self.prior_leases_until.min(until);
+        let orders_until = stopped_at + self.order_horizon();
+        self.earlier_orders_until = self.earlier_orders_until.min(orders_until);
         for worker in self.workers.values_mut() {
             worker.prior_leases_until = worker.prior_leases_until.min(self.prior_leases_until);
+            worker.lease_orders.limit_earlier_owners(self.earlier_orders_until);
         }
     }
 
@@ -511,6 +614,8 @@
             let is_kept = w.registered
                 || !w.assigned.is_empty()
                 || w.lease_withheld
+                || w.stray_lease.left(now).is_some()
+                || w.lease_orders.stray_source(now).is_some()
                 || registry.contains_key(id);
             if !is_kept && w.ended_incarnation.is_none() {
                 let until = self.forgotten_leases_until.max(w.leases_expire_at());
@@ -524,7 +629,10 @@
     /// Returns a worker that the owner learns of, with the leases of previous owners.
     fn new_worker(&self, info: WorkerInfo, now: Time) -> Worker {
         let prior_lease = self.prior_leases.get(&info.id);
-        let worker = Worker::new(info, self.fence_counter, self.prior_leases_until, now);
+        let mut worker = Worker::new(info, self.fence_counter, self.prior_leases_until, now);
+        if self.prior_leases.may_have_open_orders(&worker.info.id) {
+            worker.lease_orders = LeaseOrders::new(self.earlier_orders_until);
+        }
         match prior_lease {
             Some(lease) => worker.with_prior_lease(lease),
             None => worker,
@@ -535,14 +643,14 @@
     /// sent again: the run has been given up or is being stopped, orders in flight have been
     /// invalidated since the run was assigned, or the worker has stopped responding or has shrunk.
     pub fn authorize_start(&mut self, start: &StartOrder, now: Time) -> Option<WorkerTime> {
-        if !self.is_start_valid(start) {
+        if !self.is_start_valid(start, now) {
             return None;
         }
         self.extend_lease(now, &start.worker)
     }
 
     /// Whether a start order may still be sent, as far as the owner's state tells.
-    pub fn is_start_valid(&self, start: &StartOrder) -> bool {
+    pub fn is_start_valid(&self, start: &StartOrder, now: Time) -> bool {
         let task = self.jobs.get(&start.task.job).and_then(|j| j.task(&start.task));
         let Some(Phase::Assigned(assignment)) = task.map(|t| &t.phase) else { return false };
         let is_wanted = task.is_some_and(|t| t.run == start.run)
@@ -550,7 +658,10 @@
             && !assignment.stop_ordered;
         let reservation = self.step_of(&start.task).map(Step::reservation).unwrap_or_default();
         let is_unable = |w: &Worker| {
-            w.unanswered_polls > 0 || w.lease_withheld || w.exceeds_capacity(&reservation)
+            w.unanswered_polls > 0
+                || w.lease_withheld
+                || w.stray_lease.is_unannounced(now)
+                || w.exceeds_capacity(&reservation)
         };
         let is_unable = self.workers.get(&start.worker).is_none_or(is_unable);
         is_wanted && !is_unable && self.fence(&start.worker) == start.fence
@@ -670,6 +781,8 @@
     /// Processes a worker's report. Returns whether it contained new finished runs.
     pub fn apply_report(&mut self, id: &WorkerId, report: WorkerReport, now: Time) -> bool {
         let fence = self.fence(id);
+        let hides_restart =
+            self.workers.get(id).is_some_and(|w| self.may_hide_restart(w, &report, now));
         let Some(worker) = self.workers.get_mut(id) else { return false };
         worker.last_answer_at = now;
         worker.unanswered_polls = 0;
@@ -701,7 +814,19 @@
             // sent is at most one full lease.
             let max_lease = self.bounds.max_lease;
             let prior_lease = report.clock + LEASE_DURATION.min(max_lease);
-            worker.settle_leases(prior_lease, report.incarnation != 0, max_lease, now);
+            if hides_restart {
+                worker.stray_lease = StrayLease::Open(StraySource::EarlierOwner);
+            }
+            let before = worker.stray_lease;
+            worker.settle_leases(prior_lease, report.incarnation, max_lease, now);
+            if let (StrayLease::Open(source), Some(lease_left)) =
+                (before, worker.stray_lease.left(now))
+            {
+                let worker = id.clone();
+                let event =
+                    OwnerEvent::WorkerStrayLease { worker, incarnation, source, lease_left };
+                self.events.push(event);
+            }
         }
         worker.incarnation = incarnation;
         worker.clock_reading = Some((report.clock, now));
@@ -712,6 +837,77 @@
         new
     }
 
+    /// Whether a worker's first report to this owner may come from a process that holds a lease by an order of
+    /// earlier owners for its earlier process.
+    fn may_hide_restart(&self, worker: &Worker, report: &WorkerReport, now: Time) -> bool {
+        let is_first = !worker.prior_leases_until.is_zero() && worker.clock_reading.is_none();
+        if !is_first || !worker.lease_orders.may_be_earlier_owners(now) {
+            return false;
+        }
+        let (reported, incarnation) =
+            (self.prior_leases.reported_incarnation(&worker.info.id), report.incarnation);
+        let is_known = incarnation != 0
+            && self.prior_leases.names_stray_leases()
+            && (reported == Some(incarnation) || self.inherits_run_of(worker, incarnation));
+        if is_known {
+            return false;
+        }
+        // An order cannot bring a lease that lasts until a process has this age.
+        let age = report.clock.saturating_sub(now.saturating_sub(self.began_at));
+        reported.is_some_and(|reported| reported != incarnation) || age < self.order_horizon()
+    }
+
+    /// Whether an earlier owner assigned a task to this incarnation of a worker.
+    fn inherits_run_of(&self, worker: &Worker, incarnation: u64) -> bool {
+        worker.assigned.keys().any(|id| {
+            let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
+            let Some(Phase::Assigned(assignment)) = task.map(|t| &t.phase) else { return false };
+            assignment.start == StartStatus::Inherited
+                && assignment.process.incarnation == incarnation
+        })
+    }
+
+    /// Adds an order with a lease that is about to be sent to a worker.
+    pub fn begin_lease_order(&mut self, id: &str, now: Time) -> Option<LeaseOrderId> {
+        let horizon = self.order_horizon();
+        Some(self.workers.get_mut(id)?.lease_orders.begin(now, horizon))
+    }
+
+    /// Records how an order with a lease ended.
+    pub fn end_lease_order(&mut self, id: &str, order: LeaseOrderId, end: LeaseOrderEnd) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.lease_orders.end(order, end);
+        }
+    }
+
+    /// Records how an attempt to send a start order ended, by the worker's clock in the answer if there was one. A clock
+    /// that went back, or a restart that is known by now, shows that another process may have answered.
+    pub fn end_start_attempt(
+        &mut self,
+        start: &StartOrder,
+        order: LeaseOrderId,
+        outcome: StartOutcome,
+        clock: Option<WorkerTime>,
+        sent_at: Time,
+    ) {
+        let Some(worker) = self.workers.get_mut(&start.worker) else { return };
+        let is_misdirected = worker.incarnation != start.incarnation
+            || clock.is_some_and(|clock| worker.clock_went_back(clock, sent_at));
+        let end = match outcome {
+            StartOutcome::Unknown => LeaseOrderEnd::Unanswered,
+            StartOutcome::Started | StartOutcome::Over | StartOutcome::NoRoom if is_misdirected => {
+                LeaseOrderEnd::Misdirected
+            }
+            _ => LeaseOrderEnd::Settled,
+        };
+        worker.lease_orders.end(order, end);
+    }
+
+    /// Whether a worker gets no starts until an owner record names the lease that it may hold.
+    pub fn awaits_stray_announcement(&self, id: &str, now: Time) -> bool {
+        self.workers.get(id).is_some_and(|w| w.synced && w.stray_lease.is_unannounced(now))
+    }
+
     /// Records a poll without a response.
     pub fn record_unanswered_poll(&mut self, id: &WorkerId) {
         if let Some(worker) = self.workers.get_mut(id) {
--- a/src/batch/placement.rs
+++ b/src/batch/placement.rs
@@ -7,6 +7,11 @@
 use crate::ids::{JobId, PoolId, RackId, Time, ZoneId};
 use indexmap::{IndexMap, IndexSet};
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest time for which a long-running task may wait for the lease of a worker that has fallen silent. The
+/// platform asks for such a task to run again within 9 s.
+const MAX_LONG_RUNNING_WAIT: Duration = Duration::from_secs(8);
 
 /// A task to be placed, with the current distribution of its step.
 pub struct PlacementRequest<'a> {
@@ -36,6 +41,7 @@
         && !worker.info.draining
         && worker.unanswered_polls == 0
         && !worker.lease_withheld
+        && !worker.stray_lease.is_unannounced(now)
         && now >= worker.start_backoff_until
         && !zones_out.contains(&worker.info.zone)
 }
@@ -50,6 +56,8 @@
     free: Resources,
     /// Only for long-running tasks that have no room elsewhere: they have no attempts to lose.
     is_quarantined: bool,
+    /// Time that is left of a stray lease; zero if there is none. If the worker falls silent, its tasks wait for it.
+    stray_left: Duration,
 }
 
 /// Workers that can receive starts in one planning pass. Valid while no worker is added or removed.
@@ -81,9 +89,10 @@
         for (index, worker) in workers.values().enumerate() {
             if is_available(worker, zones_out, now) {
                 let is_quarantined = now < worker.quarantined_until;
+                let stray_left = worker.stray_lease.left(now).unwrap_or_default();
                 let free = Resources { slots: u32::MAX, ..worker.free_resources() };
                 let pool = candidates.by_pool.entry(worker.info.pool.clone()).or_default();
-                pool.push(Candidate { index, free, is_quarantined });
+                pool.push(Candidate { index, free, is_quarantined, stray_left });
             }
         }
         candidates
@@ -102,7 +111,7 @@
     }
 
     /// Returns the best worker for a task, or `None` if none fits. Prefers, in this order: workers
-    /// that are not in quarantine, workers apart from suspects, or for these from other work, workers other than the one where the task last failed, the rack that holds the data, workers with few
+    /// that are not in quarantine, workers apart from suspects, or for these from other work, workers other than the one where the task last failed, the rack that holds the data, workers without a stray lease, workers with few
     /// recent failures, workers and racks with few tasks of the same long-running step, and the
     /// least free capacity, so that machines which the pool does not need become idle. `previous` is
     /// the choice for the task before of the same step, if it has been reserved.
@@ -136,14 +145,16 @@
                 continue;
             }
             any_room = true;
-            if !within_worker_limit(worker, request) {
+            if candidate.stray_left > MAX_LONG_RUNNING_WAIT && request.step.long_running
+                || !within_worker_limit(worker, request)
+            {
                 continue;
             }
             let (job, step, suspicion) = (request.job, request.step, request.suspicion);
             let Some(exposure) = request.isolation.rank(worker, job, step, suspicion) else {
                 continue;
             };
-            let rank = rank(worker, request, &candidate.free.minus(&reservation));
+            let rank = rank(worker, request, candidate, &candidate.free.minus(&reservation));
             let rank = (candidate.is_quarantined, exposure, rank);
             if best.as_ref().is_none_or(|(lowest, _, _)| rank < *lowest) {
                 best = Some((rank, position, id));
@@ -195,10 +206,15 @@
 }
 
 /// Sort key of a worker for a task; the smallest value is best.
-type Rank = (bool, bool, u32, u32, u32, u64);
+type Rank = (bool, bool, bool, u32, u32, u32, u64);
 
 /// Returns the sort key of a worker. `free_after` is what remains free with the task placed on it.
-fn rank(worker: &Worker, request: &PlacementRequest<'_>, free_after: &Resources) -> Rank {
+fn rank(
+    worker: &Worker,
+    request: &PlacementRequest<'_>,
+    candidate: &Candidate,
+    free_after: &Resources,
+) -> Rank {
     let info = &worker.info;
     let off_rack = request.step.data_rack.as_ref().is_some_and(|r| *r != info.rack);
     let avoided = request.task.avoid_worker.as_ref() == Some(&info.id);
@@ -216,7 +232,8 @@
         0
     };
     let free_permille = 1_000u64.saturating_sub(used_permille(worker, free_after));
-    (avoided, off_rack, worker.consecutive_failures(), on_worker, rack, free_permille)
+    let holds_stray = !candidate.stray_left.is_zero();
+    (avoided, off_rack, holds_stray, worker.consecutive_failures(), on_worker, rack, free_permille)
 }
 
 /// Utilization of a worker that has `free` left, in thousandths of the scarcer of processors and
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -2,7 +2,8 @@
 
 use crate::batch::job::{TaskId, WorkerId};
 use crate::batch::orders::WorkerTime;
-use crate::batch::prior_leases::{PriorLease, WorkerLease, remaining_ms};
+use crate::batch::prior_leases::{EXTENDABLE_LEASE_MS, PriorLease, WorkerLease, remaining_ms};
+use crate::batch::stray_lease::{Announcement, LeaseOrders, StrayLease, StraySource};
 use crate::fair::Resources;
 use crate::ids::{PoolId, RackId, Time, ZoneId};
 use indexmap::{IndexMap, IndexSet};
@@ -54,6 +55,8 @@
     EarlierOwner,
     /// Sent to an earlier incarnation.
     EarlierIncarnation,
+    /// May have been taken by this incarnation although it was meant for an earlier one.
+    Stray,
 }
 
 impl LeaseSource {
@@ -63,6 +66,7 @@
             LeaseSource::ThisOwner => "this_owner",
             LeaseSource::EarlierOwner => "earlier_owner",
             LeaseSource::EarlierIncarnation => "earlier_incarnation",
+            LeaseSource::Stray => "stray",
         }
     }
 }
@@ -94,10 +98,17 @@
     /// By the owner's clock, when all leases given by previous owners have expired. Zero once the
     /// worker has been synced.
     pub prior_leases_until: Time,
-    /// By the owner's clock, when all leases of earlier incarnations have expired, and those that this one
-    /// may have got by orders meant for them. Zero once an incarnation that names itself has reported: it
-    /// gets no such orders, and the earlier ones are gone.
+    /// By the owner's clock, when all leases of earlier incarnations have expired, and, at a worker that does
+    /// not name its incarnation, those that this one may have got by orders meant for them. Zero once an
+    /// incarnation that names itself has reported: the earlier ones are gone.
     restart_leases_until: Time,
+    /// Incarnation that has reported to this owner, or that the latest record of an earlier one names; 0 if there is
+    /// none.
+    reported_incarnation: u64,
+    /// Lease that this incarnation, if it names itself, may hold by orders meant for earlier ones.
+    pub stray_lease: StrayLease,
+    /// Orders with a lease that their incarnation has not answered.
+    pub lease_orders: LeaseOrders,
     /// The lease is not extended, and the worker gets no starts, until an owner record without the worker
     /// is stored.
     pub lease_withheld: bool,
@@ -154,6 +165,9 @@
             lease_until: WorkerTime::ZERO,
             prior_leases_until,
             restart_leases_until: Time::ZERO,
+            reported_incarnation: 0,
+            stray_lease: StrayLease::None,
+            lease_orders: LeaseOrders::default(),
             lease_withheld: false,
             lease_announced: false,
             assigned: IndexMap::new(),
@@ -175,8 +189,18 @@
 
     /// Applies what the record of an earlier owner says about the worker's leases.
     pub fn with_prior_lease(mut self, lease: &PriorLease) -> Worker {
-        self.prior_leases_until = lease.until;
+        self.prior_leases_until = lease.until.unwrap_or(self.prior_leases_until);
         (self.lease_withheld, self.lease_announced) = (lease.withheld, lease.withheld);
+        self.reported_incarnation = lease.incarnation;
+        if let Some(at) = lease.stray_until {
+            if lease.incarnation >= self.incarnation {
+                self.stray_lease = StrayLease::Until { at, announcement: Announcement::Stored };
+            } else {
+                // The entry may be another writer's.
+                self.restart_leases_until = at;
+                self.stray_lease = StrayLease::Open(StraySource::EarlierOwner);
+            }
+        }
         // The registry may be behind.
         self.incarnation = self.incarnation.max(lease.incarnation);
         self
@@ -192,8 +216,8 @@
     }
 
     /// Resets the state that belongs to the previous incarnation. `incarnation` is `None` if only a clock
-    /// shows the restart: orders meant for the previous one cannot be kept from a worker that does not name
-    /// its incarnation, and may have brought a lease of `max_lease`.
+    /// shows the restart: the worker may be one that does not name its incarnation, so that orders meant for
+    /// the previous one cannot be kept from it and may have brought a lease of `max_lease`.
     pub fn begin_incarnation(
         &mut self,
         incarnation: Option<u64>,
@@ -206,6 +230,15 @@
             Some(_) => self.leases_expire_at(),
             None => lease_end(now, max_lease),
         };
+        self.stray_lease = match (self.lease_orders.stray_source(now), self.stray_lease) {
+            (Some(source), _) => StrayLease::Open(source),
+            // The previous incarnation may still be up.
+            (None, StrayLease::Until { at, .. }) if now < at => {
+                StrayLease::Open(StraySource::Unanswered)
+            }
+            (None, _) => StrayLease::None,
+        };
+        self.reported_incarnation = 0;
         self.incarnation = incarnation.unwrap_or(self.incarnation);
         self.incarnation_seen_at = now;
         self.resync(fence_counter);
@@ -251,19 +284,25 @@
 
     /// Records the leases that the worker may hold after a report under a fence that voids earlier orders:
     /// the last one of earlier owners, which ends at `prior_lease` by the worker's clock, and if it has
-    /// restarted and does not name its incarnation, one of `max_lease`.
+    /// restarted and does not name its incarnation or may have got a stray lease, one of `max_lease`.
     pub fn settle_leases(
         &mut self,
         prior_lease: WorkerTime,
-        is_named: bool,
+        incarnation: u64,
         max_lease: Duration,
         now: Time,
     ) {
         self.prior_leases_until = Time::ZERO;
-        if is_named {
+        self.reported_incarnation = incarnation;
+        let is_open = matches!(self.stray_lease, StrayLease::Open(_));
+        let at = lease_end(now, max_lease);
+        if incarnation != 0 {
             self.restart_leases_until = Time::ZERO;
-        } else if !self.restart_leases_until.is_zero() {
-            self.restart_leases_until = lease_end(now, max_lease);
+            if is_open {
+                self.stray_lease = StrayLease::Until { at, announcement: Announcement::Missing };
+            }
+        } else if is_open || !self.restart_leases_until.is_zero() {
+            (self.restart_leases_until, self.stray_lease) = (at, StrayLease::None);
         }
         self.lease_until = self.lease_until.max(prior_lease);
     }
@@ -291,8 +330,12 @@
     /// Whether a reading of the worker's clock, made after `sent_at`, is below what the clock of the
     /// known incarnation showed at that time.
     pub fn clock_went_back(&self, clock: WorkerTime, sent_at: Time) -> bool {
-        self.clock_reading.is_some_and(|(_, at)| at <= sent_at)
-            && self.estimate_clock(sent_at).is_some_and(|c| c > clock + CLOCK_RESOLUTION)
+        let Some((known, at)) = self.clock_reading else { return false };
+        let least = match at.checked_sub(sent_at) {
+            Some(since) => known.saturating_sub(since.div_f64(MIN_CLOCK_RATE)),
+            None => known + (sent_at - at).mul_f64(MIN_CLOCK_RATE),
+        };
+        least > clock + CLOCK_RESOLUTION
     }
 
     /// By the owner's clock, when all leases sent so far have expired for certain.
@@ -306,6 +349,7 @@
             (self.own_leases_until(), LeaseSource::ThisOwner),
             (self.prior_leases_until, LeaseSource::EarlierOwner),
             (self.restart_leases_until, LeaseSource::EarlierIncarnation),
+            (self.stray_lease.expires_at().unwrap_or(Time::ZERO), LeaseSource::Stray),
         ];
         leases.into_iter().max_by_key(|(until, _)| *until).unwrap_or(leases[0])
     }
@@ -331,11 +375,21 @@
         self.lease_withheld |= self.lease_announced;
         let has_reported = self.clock_reading.is_some();
         let may_hold_lease = !self.assigned.is_empty() || now < self.leases_expire_at();
-        let is_named = self.lease_announced || resigning && (has_reported || may_hold_lease);
+        let stray_left = self.stray_lease.left(now);
+        let is_named = self.lease_announced
+            || stray_left.is_some()
+            || resigning && (has_reported || may_hold_lease);
+        if let StrayLease::Until { announcement: Announcement::Missing, .. } = self.stray_lease {
+            self.stray_lease = self.stray_lease.with_announcement(Announcement::Sent);
+        }
         is_named.then(|| WorkerLease {
             worker: self.info.id.clone(),
-            incarnation: self.incarnation,
-            lease_ms: remaining_ms(self.leases_expire_at(), now),
+            incarnation: self.reported_incarnation,
+            lease_ms: match self.lease_announced || resigning {
+                true => remaining_ms(self.leases_expire_at(), now),
+                false => EXTENDABLE_LEASE_MS,
+            },
+            stray_ms: remaining_ms(self.stray_lease.expires_at().unwrap_or(now), now),
             withheld: self.lease_announced,
         })
     }
@@ -343,11 +397,13 @@
     /// Records that the owner's next record does not name the worker.
     pub fn leave_unannounced(&mut self) {
         self.lease_announced = false;
+        self.stray_lease = self.stray_lease.with_announcement(Announcement::Missing);
     }
 
     /// Records that the owner record of the latest `announce_lease` is stored.
     pub fn record_lease_announced(&mut self) {
         self.lease_withheld = self.lease_announced;
+        self.stray_lease = self.stray_lease.record_announced();
     }
 
     fn own_leases_until(&self) -> Time {
@@ -448,6 +504,6 @@
 
 /// By the owner's clock, when a lease has expired for certain that had `remaining` left by a worker's
 /// clock at `at`.
-fn lease_end(at: Time, remaining: Duration) -> Time {
+pub(super) fn lease_end(at: Time, remaining: Duration) -> Time {
     at + remaining.div_f64(MIN_CLOCK_RATE)
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -143,6 +143,7 @@
     WorkerListed, 845, Info, "worker machine incarnation", "A worker was listed that this owner did not know.", "None.";
     WorkerCrashed, 846, Warning, "worker earlier_incarnation incarnation runs started jobs", "A worker crashed under the runs of so many jobs, of which it had confirmed those started; a newer process runs in its place.", "Check the worker if this repeats without BatchJobGivenUp.";
     WorkerSilent, 847, Info, "worker incarnation tasks silent_ms lease lease_ms", "A worker does not respond; its tasks start elsewhere when its leases are over, in lease_ms at the latest as far as this owner knows.", "Check the worker.";
+    WorkerStrayLease, 848, Info, "worker incarnation source lease_ms", "A worker may hold a lease by an order that was meant for its earlier process; it counts for the longest time, lease_ms.", "None.";
     WaveAsked, 850, Info, "wave machines", "Operators requested maintenance of machines.", "None.";
     UpkeepOrdered, 851, Info, "machine wave answer", "Maintenance of a machine was ordered.", "None.";
     WaveComplete, 852, Info, "wave", "Maintenance of all machines of a wave was completed.", "None.";
--- a/src/instance/election.rs
+++ b/src/instance/election.rs
@@ -144,7 +144,10 @@
 
     /// Records what an owner record that was followed says about leases.
     pub fn record_leases(&mut self, leases: Option<&LeaseRecord>, now: Time) {
-        self.prior_leases = leases.map(|l| PriorLeases::new(l, now)).unwrap_or_default();
+        self.prior_leases = match leases {
+            Some(leases) => PriorLeases::new(leases, now),
+            None => PriorLeases::unknown(),
+        };
     }
 
     /// Returns what the latest owner's record says about leases.
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -315,6 +315,15 @@
                 ];
                 self.log.event(Event::WorkerSilent, &fields);
             }
+            OwnerEvent::WorkerStrayLease { worker, incarnation, source, lease_left } => {
+                let fields = [
+                    ("worker", worker.into()),
+                    ("incarnation", (*incarnation).into()),
+                    ("source", source.as_str().into()),
+                    ("lease_ms", ms(lease_left).into()),
+                ];
+                self.log.event(Event::WorkerStrayLease, &fields);
+            }
             OwnerEvent::WorkerListed { worker, machine, incarnation } => {
                 let fields = [
                     ("worker", worker.into()),
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -1,7 +1,8 @@
 //! Orders to workers and polls of their runs during one term.
 
-use crate::batch::orders::{Orders, StartOrder, StartOutcome, StopOrder, WorkerTime};
+use crate::batch::orders::{Orders, StartOrder, StartOutcome, StopOrder, WorkerTime, is_same};
 use crate::batch::owner::Owner;
+use crate::batch::stray_lease::{LeaseOrderEnd, LeaseOrderId};
 use crate::batch::worker::WorkerInfo;
 use crate::event::Event;
 use crate::ids::Time;
@@ -10,7 +11,7 @@
 use crate::instance::topics;
 use crate::platform::http::Permit;
 use crate::platform::store::{self, StoreError};
-use crate::platform::worker_client::{PollError, PollRequest, WorkerTarget};
+use crate::platform::worker_client::{PollAnswer, PollError, PollRequest, WorkerTarget};
 use futures::stream::{self, StreamExt};
 use indexmap::IndexMap;
 use std::sync::Arc;
@@ -98,7 +99,8 @@
 
 /// Next step of a worker's poll loop.
 enum PollStep {
-    Poll(WorkerTarget, PollRequest),
+    /// With the number of the order if it carries a lease.
+    Poll(WorkerTarget, PollRequest, Option<LeaseOrderId>),
     /// The worker has no runs and no ends to acknowledge.
     Idle,
     /// Ended runs have not been stored yet.
@@ -123,9 +125,9 @@
                 // runs.
                 store_wait_elapsed = timeout(POLL_WAIT, wake.notified()).await.is_err();
             }
-            PollStep::Poll(target, request) => {
+            PollStep::Poll(target, request, lease_order) => {
                 term.load.record_poll();
-                let pause = poll(&shared, &term, &id, &target, request).await;
+                let pause = poll(&shared, &term, &id, &target, request, lease_order).await;
                 sleep(pause).await;
             }
         }
@@ -157,8 +159,10 @@
         incarnation: worker.incarnation,
     };
     let acknowledged = worker.next_acknowledged();
-    let lease = if synced { owner.extend_lease(shared.now(), id) } else { None };
-    PollStep::Poll(target, PollRequest { lease, acknowledged, wait })
+    let now = shared.now();
+    let lease = if synced { owner.extend_lease(now, id) } else { None };
+    let lease_order = lease.and_then(|_| owner.begin_lease_order(id, now));
+    PollStep::Poll(target, PollRequest { lease, acknowledged, wait }, lease_order)
 }
 
 /// Polls a worker. Returns the pause before the next poll.
@@ -168,11 +172,15 @@
     id: &Arc<str>,
     target: &WorkerTarget,
     request: PollRequest,
+    lease_order: Option<LeaseOrderId>,
 ) -> Duration {
     let requested_at = shared.now();
     let result = shared.worker_client.poll(target, request, requested_at).await;
     let mut lock = shared.owner.lock();
     let Some(owner) = lock.as_mut() else { return POLL_INTERVAL };
+    if let Some(order) = lease_order {
+        owner.end_lease_order(id, order, poll_end(target, &result));
+    }
     match result {
         Ok(answer) => {
             let now = shared.now();
@@ -180,9 +188,11 @@
             let changed = owner.apply_report(id, answer.report, now);
             owner.record_acknowledged(id, target.fence, answer.acknowledged);
             let is_withheld = owner.workers.get(id).is_some_and(|w| w.lease_withheld);
+            let is_unannounced = owner.awaits_stray_announcement(id, now);
             drop(lock);
-            if is_withheld {
-                // A heartbeat without the worker lets its lease be extended again.
+            if is_withheld || is_unannounced {
+                // A heartbeat without the worker lets its lease be extended again; one that names its stray lease
+                // lets it get starts.
                 shared.heartbeat_needed.notify_one();
             }
             if changed || !was_synced {
@@ -206,6 +216,23 @@
     }
 }
 
+/// Returns how a poll with a lease ended.
+pub fn poll_end(target: &WorkerTarget, result: &Result<PollAnswer, PollError>) -> LeaseOrderEnd {
+    match result {
+        Ok(answer) if answer.lease_sent => {
+            match is_same(answer.report.incarnation, target.incarnation) {
+                true => LeaseOrderEnd::Settled,
+                false => LeaseOrderEnd::Misdirected,
+            }
+        }
+        Ok(_) => LeaseOrderEnd::Settled,
+        Err(PollError::Lost | PollError::Malformed) => LeaseOrderEnd::Unanswered,
+        Err(
+            PollError::Fenced | PollError::OtherWorker | PollError::Refused | PollError::Unreached,
+        ) => LeaseOrderEnd::Settled,
+    }
+}
+
 /// Processes a poll that brought no lists.
 pub fn record_failed_poll(
     owner: &mut Owner,
@@ -217,7 +244,7 @@
     match error {
         PollError::OtherWorker => owner.record_other_worker(&target.worker, target.fence, now),
         // A poll that was refused has not extended the lease.
-        PollError::Lost | PollError::Malformed | PollError::Refused => {
+        PollError::Lost | PollError::Unreached | PollError::Malformed | PollError::Refused => {
             owner.record_unanswered_poll(&target.worker);
         }
         PollError::Fenced => end_term_if_fenced(term, owner, target),
@@ -276,11 +303,16 @@
     let started = Instant::now();
     let mut outcome = StartOutcome::NotSent;
     for _ in 0..MAX_START_ATTEMPTS {
-        let Some((target, lease)) = await_authorization(shared, term, &start).await else { break };
+        let Some((target, lease, order)) = await_authorization(shared, term, &start).await else {
+            break;
+        };
         let sent_at = shared.now();
         let (attempt, clock) =
             shared.worker_client.start(&target, &start, lease, permit.clone()).await;
         outcome = outcome.merge_retry(attempt);
+        if let Some(owner) = shared.owner.lock().as_mut() {
+            owner.end_start_attempt(&start, order, attempt, clock, sent_at);
+        }
         if attempt != StartOutcome::OtherWorker
             && let Some(clock) = clock
             && let Some(owner) = shared.owner.lock().as_mut()
@@ -327,7 +359,7 @@
     shared: &Shared,
     term: &Term,
     start: &StartOrder,
-) -> Option<(WorkerTarget, WorkerTime)> {
+) -> Option<(WorkerTarget, WorkerTime, LeaseOrderId)> {
     let mut has_waited = false;
     loop {
         match term.start_permission(shared.now()) {
@@ -335,7 +367,8 @@
             StartPermission::Denied => return None,
             StartPermission::Unconfirmed => {}
         }
-        if !shared.owner.lock().as_ref().is_some_and(|owner| owner.is_start_valid(start)) {
+        let now = shared.now();
+        if !shared.owner.lock().as_ref().is_some_and(|owner| owner.is_start_valid(start, now)) {
             return None;
         }
         if !has_waited {
@@ -355,13 +388,19 @@
 }
 
 /// Returns where to send a start order, and the lease that it carries, if it may be sent now.
-fn authorize_start(shared: &Shared, start: &StartOrder) -> Option<(WorkerTarget, WorkerTime)> {
+fn authorize_start(
+    shared: &Shared,
+    start: &StartOrder,
+) -> Option<(WorkerTarget, WorkerTime, LeaseOrderId)> {
     let mut lock = shared.owner.lock();
     let owner = lock.as_mut()?;
-    let lease = owner.authorize_start(start, shared.now())?;
+    let now = shared.now();
+    let lease = owner.authorize_start(start, now)?;
+    let order = owner.begin_lease_order(&start.worker, now)?;
     let address = owner.workers.get(&start.worker)?.info.address.clone();
     let (worker, fence) = (start.worker.clone(), start.fence);
-    Some((WorkerTarget { address, worker, fence, incarnation: start.incarnation }, lease))
+    let target = WorkerTarget { address, worker, fence, incarnation: start.incarnation };
+    Some((target, lease, order))
 }
 
 async fn send_stop(shared: Arc<Shared>, term: Arc<Term>, stop: StopOrder) {
--- a/src/platform/worker_client.rs
+++ b/src/platform/worker_client.rs
@@ -67,11 +67,13 @@
     Fenced,
     /// The address now belongs to another worker.
     OtherWorker,
-    /// The worker refused the request or sent an unexpected status.
+    /// The worker refused the request, which has no effect.
     Refused,
-    /// There was no response.
+    /// There was no response; the request may have taken effect, or may still do so.
     Lost,
-    /// The response is not a list of runs.
+    /// There was no connection or no response, and nothing was sent that extends a lease.
+    Unreached,
+    /// The response is not a list of runs, and does not tell whether the request has taken effect.
     Malformed,
 }
 
@@ -95,6 +97,8 @@
     /// Index up to which the worker dropped ended runs. 0 on a new connection: it is first polled alone, to find
     /// out which incarnation answers.
     pub acknowledged: u64,
+    /// Whether the poll carried a lease.
+    pub lease_sent: bool,
 }
 
 /// Client of the workers.
@@ -167,7 +171,9 @@
             Err(PollError::Fenced) => Err(StartOutcome::Fenced),
             Err(PollError::OtherWorker) => Err(StartOutcome::OtherWorker),
             Err(PollError::Refused) => Err(StartOutcome::Busy),
-            Err(PollError::Lost | PollError::Malformed) => Err(StartOutcome::NotSent),
+            Err(PollError::Lost | PollError::Unreached | PollError::Malformed) => {
+                Err(StartOutcome::NotSent)
+            }
         }
     }
 
@@ -210,13 +216,15 @@
                 Err(ListsError::Poll(e)) => return Err(e),
                 Ok(report) => {
                     self.connections.put(&target.address, kept);
-                    return Ok(PollAnswer { report, acknowledged: request.acknowledged });
+                    let (acknowledged, lease_sent) =
+                        (request.acknowledged, request.lease.is_some());
+                    return Ok(PollAnswer { report, acknowledged, lease_sent });
                 }
             }
         }
         let (new, report) = self.verify_new(target, requested_at).await?;
         self.connections.put(&target.address, new);
-        Ok(PollAnswer { report, acknowledged: 0 })
+        Ok(PollAnswer { report, acknowledged: 0, lease_sent: false })
     }
 
     /// Takes an idle connection that ends at the incarnation of `target`.
@@ -234,14 +242,14 @@
         let plain = PollRequest::PLAIN;
         for timeout in VERIFY_TIMEOUTS {
             let opened = self.connections.open(&target.address).await;
-            let mut new = opened.map_err(|_| PollError::Lost)?;
+            let mut new = opened.map_err(|_| PollError::Unreached)?;
             match self.request_lists(target, &mut new, plain, timeout, requested_at).await {
                 Ok(report) => return Ok((new, report)),
                 Err(ListsError::NotSent | ListsError::Poll(PollError::Lost)) => {}
                 Err(ListsError::Poll(e)) => return Err(e),
             }
         }
-        Err(PollError::Lost)
+        Err(PollError::Unreached)
     }
 
     async fn request_lists(
@@ -269,7 +277,9 @@
             200 => {}
             409 => return Err(PollError::Fenced.into()),
             421 => return Err(PollError::OtherWorker.into()),
-            _ => return Err(PollError::Refused.into()),
+            400..=499 | 503 => return Err(PollError::Refused.into()),
+            // As an intermediary answers that does not know what has become of the request.
+            _ => return Err(PollError::Malformed.into()),
         }
         let report = decode_report(&response.json(), requested_at, target.fence)
             .ok_or(PollError::Malformed)?;
--- a/src/platform/worker_connections.rs
+++ b/src/platform/worker_connections.rs
@@ -5,6 +5,7 @@
 //! order that must not reach another incarnation is therefore sent on a connection on which that incarnation
 //! has answered before.
 
+pub use crate::batch::orders::is_same;
 use crate::platform::http::{CallFailure, Connection, Http, IDLE_TIMEOUT, MAX_IDLE_PER_HOST};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -30,11 +31,6 @@
     }
 }
 
-/// Whether two incarnations are the same, as far as they are known.
-pub fn is_same(a: u64, b: u64) -> bool {
-    a == b || a == 0 || b == 0
-}
-
 #[derive(Debug)]
 struct Idle {
     connection: WorkerConnection,
--- a/tests/batch_prior_leases.rs
+++ b/tests/batch_prior_leases.rs
@@ -130,9 +130,19 @@
     let started_at = cluster.now - Duration::from_secs(2);
     cluster.fake_workers[&worker] =
         FakeWorker { incarnation: 5, started_at, ..FakeWorker::default() };
-    let lease =
-        WorkerLease { worker: worker.clone(), incarnation: 5, lease_ms: 4_000, withheld: false };
-    let record = LeaseRecord { workers: vec![lease], others_ms: Some(4_000) };
+    let lease = WorkerLease {
+        worker: worker.clone(),
+        incarnation: 5,
+        lease_ms: 4_000,
+        stray_ms: 0,
+        withheld: false,
+    };
+    let record = LeaseRecord {
+        names_stray_leases: true,
+        workers: vec![lease],
+        others_ms: Some(4_000),
+        ..LeaseRecord::default()
+    };
     let mut next = next_owner(&cluster, &record);
     let mut info = worker_info("w0", 0);
     info.incarnation = 5;
@@ -148,14 +158,15 @@
 fn prior_leases_unknown_or_odd() {
     let size = MachineSize { processors_milli: 250, link_mbps: 1_000 };
     let mut election = Election::new("a".into(), 8, size, Duration::ZERO);
-    election.record_leases(Some(&LeaseRecord { workers: vec![], others_ms: Some(0) }), PASS);
+    election
+        .record_leases(Some(&LeaseRecord { others_ms: Some(0), ..LeaseRecord::default() }), PASS);
     assert_eq!(election.prior_leases().others_until(), Some(PASS));
     election.record_leases(None, PASS);
     assert_eq!(election.prior_leases().others_until(), None);
     let owner = Owner::new(2, bounds(), Arc::new(active_config()), PASS)
         .with_prior_leases(election.prior_leases().clone());
     assert!(owner.prior_leases_until() >= PASS + MAX_STORE_OUTAGE + LEASE_DURATION);
-    let odd = LeaseRecord { workers: vec![], others_ms: Some(u64::MAX) };
+    let odd = LeaseRecord { others_ms: Some(u64::MAX), ..LeaseRecord::default() };
     election.record_leases(Some(&odd), PASS);
     assert!(election.prior_leases().others_until().is_some());
 }
--- a/tests/batch_prior_leases_restarts.rs
+++ b/tests/batch_prior_leases_restarts.rs
@@ -8,6 +8,7 @@
 use jacinthhook::batch::owner::{LEASE_DURATION, MAX_STORE_OUTAGE, Owner};
 use jacinthhook::batch::prior_leases::{LeaseRecord, PriorLeases};
 use jacinthhook::batch::worker::WorkerInfo;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,16 +57,24 @@
 /// owners send is over by a slow clock: not before, and not much later.
 fn assert_waits_for_lease(next: &mut Cluster) {
     let from = next.now;
-    let wait = start_elsewhere(next) - from;
+    let wait = start_elsewhere(next).end - from;
     assert!(wait + PASS >= LEASE_DURATION.div_f64(SLOWEST_CLOCK), "{wait:?}");
     assert!(wait <= RESTART_BOUND, "{wait:?}");
 }
 
-/// Starts a task, silences its worker and returns when the task is ordered to start on another.
-fn start_elsewhere(cluster: &mut Cluster) -> Duration {
+/// Starts a task, silences its worker and returns when that was, and when the task is ordered to start on another.
+fn start_elsewhere(cluster: &mut Cluster) -> Range<Duration> {
     cluster.poll_all();
     cluster.submit(JOB, vec![long_running_step(1, 1)]);
     cluster.settle();
+    let submitted_at = cluster.now;
+    while cluster.running_tasks().is_empty() {
+        assert!(cluster.now < submitted_at + Duration::from_secs(3), "the task does not start");
+        cluster.owner.announce_leases(false, cluster.now);
+        cluster.owner.record_leases_announced();
+        cluster.settle();
+    }
+    let silent_at = cluster.now;
     let (silent, ..) = cluster.running_tasks().remove(0);
     loop {
         let ids: Vec<WorkerId> = cluster.fake_workers.keys().cloned().collect();
@@ -78,7 +87,7 @@
         }
         let starts = cluster.decide().orders.starts;
         if starts.iter().any(|start| start.worker != silent) {
-            return cluster.now;
+            return silent_at..cluster.now;
         }
         cluster.advance(PASS);
     }
@@ -113,7 +122,9 @@
     assert_waits_for_lease(&mut next);
 }
 
-/// The same two cases after an owner that confirmed its end but said nothing of leases.
+/// The same two cases after an owner of an earlier version, which lets orders for the incarnations before reach these.
+/// Guards against a second run within the longest lease that they may have got, and against a long-running task that
+/// is missing for 9 s.
 #[test]
 fn apply_report_unnoticed_restart_earlier_version() {
     for incarnation in [1, 2] {
@@ -124,7 +135,11 @@
         let record = LeaseRecord::default();
         let mut next = next_owner(&cluster, 2, &record, &registry(2, incarnation));
         next.owner.record_previous_owners_stopped(next.now);
-        assert_waits_for_lease(&mut next);
+        let reported_at = next.now;
+        let silence = start_elsewhere(&mut next);
+        let lease = bounds().max_lease.div_f64(SLOWEST_CLOCK);
+        assert!(silence.end + PASS >= reported_at + lease, "{silence:?}");
+        assert!(silence.end - silence.start < Duration::from_secs(9), "{silence:?}");
     }
 }
 
@@ -235,7 +250,7 @@
 #[test]
 fn inherited_record_resigned_before_load() {
     let cluster = Cluster::new(1);
-    let resigned = LeaseRecord { workers: vec![], others_ms: Some(1_000) };
+    let resigned = LeaseRecord { others_ms: Some(1_000), ..LeaseRecord::default() };
     let prior = PriorLeases::new(&resigned, cluster.now);
     let record = prior.inherited_record(true, cluster.now);
     let mut next = next_owner(&cluster, 3, &record, &registry(1, 1));
--- a/tests/owner_model/messages.rs
+++ b/tests/owner_model/messages.rs
@@ -388,7 +388,7 @@
         let sender = &mut self.processes[process];
         let permission = sender.term.start_permission(now);
         let Some(owner) = sender.owner.as_mut() else { return };
-        if permission == StartPermission::Unconfirmed && owner.is_start_valid(&start) {
+        if permission == StartPermission::Unconfirmed && owner.is_start_valid(&start, now) {
             let event = Event::SendStart(process, start, attempt, outcome);
             return self.schedule(now + START_CHECK_INTERVAL, event);
         }
@@ -492,7 +492,9 @@
             Err(error) => {
                 match error {
                     PollError::OtherWorker => owner.record_other_worker(id, poll.fence, now),
-                    PollError::Lost | PollError::Malformed => owner.record_unanswered_poll(id),
+                    PollError::Lost | PollError::Unreached | PollError::Malformed => {
+                        owner.record_unanswered_poll(id);
+                    }
                     PollError::Fenced => self.end_term_if_fenced(process, id, poll.fence),
                     PollError::Refused => {}
                 }
--- a/tests/worker_connections.rs
+++ b/tests/worker_connections.rs
@@ -3,11 +3,14 @@
 use indexmap::IndexMap;
 use jacinthhook::batch::job::{JobSpec, TaskId};
 use jacinthhook::batch::orders::{StartOrder, StartOutcome};
+use jacinthhook::batch::stray_lease::LeaseOrderEnd;
+use jacinthhook::instance::workers::poll_end;
 use jacinthhook::platform::http::Http;
-use jacinthhook::platform::worker_client::{PollRequest, WorkerClient, WorkerTarget};
+use jacinthhook::platform::worker_client::{PollError, PollRequest, WorkerClient, WorkerTarget};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -16,6 +19,8 @@
 /// Incarnations of the worker before and after its restart.
 const EARLIER: u64 = 1_000;
 const LATER: u64 = 2_000;
+/// Stands for a process that reads requests and answers none.
+const SILENT: u64 = u64::MAX;
 /// Longer than any lease by the clock of the later incarnation, which starts anew.
 const LEASE: Duration = Duration::from_secs(90);
 
@@ -23,6 +28,8 @@
 struct Process {
     address: SocketAddr,
     received: Arc<parking_lot::Mutex<Vec<(String, Value)>>>,
+    /// Incarnation that answers. It changes under open connections where an intermediary keeps them.
+    incarnation: Arc<AtomicU64>,
     tasks: JoinSet<()>,
 }
 
@@ -32,14 +39,15 @@
         let listener = listen(port);
         let address = listener.local_addr().expect("an address");
         let received: Arc<parking_lot::Mutex<Vec<(String, Value)>>> = Arc::default();
-        let (log, mut tasks) = (received.clone(), JoinSet::new());
+        let incarnation = Arc::new(AtomicU64::new(incarnation));
+        let (log, answering, mut tasks) = (received.clone(), incarnation.clone(), JoinSet::new());
         tasks.spawn(async move {
             let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
-                connections.spawn(serve(stream, incarnation, log.clone()));
+                connections.spawn(serve(stream, answering.clone(), log.clone()));
             }
         });
-        Process { address, received, tasks }
+        Process { address, received, incarnation, tasks }
     }
 
     async fn crash(mut self) {
@@ -63,12 +71,16 @@
 
 async fn serve(
     mut stream: TcpStream,
-    incarnation: u64,
+    incarnation: Arc<AtomicU64>,
     log: Arc<parking_lot::Mutex<Vec<(String, Value)>>>,
 ) {
     while let Some((path, body)) = read_request(&mut stream).await {
         log.lock().push((path, body));
-        let body = json!({ "clockMs": 100, "born": incarnation, "running": [], "finished": [] });
+        let born = incarnation.load(Ordering::Relaxed);
+        if born == SILENT {
+            continue;
+        }
+        let body = json!({ "clockMs": 100, "born": born, "running": [], "finished": [] });
         let body = body.to_string();
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
         if stream.write_all((head + &body).as_bytes()).await.is_err() {
@@ -211,3 +223,50 @@
         .collect();
     assert_eq!(leases["1"], 3, "fence, acknowledgement and lease");
 }
+
+/// An intermediary keeps a connection open over the worker's restart. Guards against taking the answer of the next
+/// process for one of the process that the lease was meant for.
+#[tokio::test]
+async fn poll_end_kept_connection_other_process() {
+    let process = Process::start(0, EARLIER).await;
+    let client = WorkerClient::new(Http::new());
+    let target = target(process.address, EARLIER);
+    let first = client.poll(&target, lease_request(0), Duration::ZERO).await;
+    assert_eq!(
+        poll_end(&target, &first),
+        LeaseOrderEnd::Settled,
+        "a new connection carries no lease"
+    );
+    let second = client.poll(&target, lease_request(0), Duration::ZERO).await;
+    assert_eq!(poll_end(&target, &second), LeaseOrderEnd::Settled);
+    process.incarnation.store(LATER, Ordering::Relaxed);
+    let third = client.poll(&target, lease_request(0), Duration::ZERO).await;
+    assert!(third.as_ref().is_ok_and(|answer| answer.lease_sent), "{third:?}");
+    assert_eq!(poll_end(&target, &third), LeaseOrderEnd::Misdirected);
+}
+
+/// Guards against counting with a lease that was not sent, since no connection to the worker was left.
+#[tokio::test]
+async fn poll_end_unreached() {
+    let process = Process::start(0, EARLIER).await;
+    let client = WorkerClient::new(Http::new());
+    let target = target(process.address, EARLIER);
+    process.crash().await;
+    let result = client.poll(&target, lease_request(0), Duration::ZERO).await;
+    assert_eq!(result, Err(PollError::Unreached));
+    assert_eq!(poll_end(&target, &result), LeaseOrderEnd::Settled);
+}
+
+/// Guards against taking a poll that got no answer for one without effect: it may be carried out later.
+#[tokio::test]
+async fn poll_end_unanswered() {
+    let process = Process::start(0, EARLIER).await;
+    let client = WorkerClient::new(Http::new());
+    let target = target(process.address, EARLIER);
+    let first = client.poll(&target, lease_request(0), Duration::ZERO).await;
+    assert!(first.is_ok());
+    process.incarnation.store(SILENT, Ordering::Relaxed);
+    let second = client.poll(&target, lease_request(0), Duration::ZERO).await;
+    assert_eq!(second, Err(PollError::Lost));
+    assert_eq!(poll_end(&target, &second), LeaseOrderEnd::Unanswered);
+}
