Wait for a start that a worker's next process may still carry out

Cause: a start without a response was given up with the lease of the process that it was sent to, also when the worker had restarted and not reported since; one that the next process answered counted as confirmed by the earlier one; and the next owner did not ask whether a run that it takes over was meant for the process that is listed now.

Change: such a run is kept until the next process has reported, or until the start can neither begin nor its run last any more: 15 s and the longest lease. An answer of another process leaves the start open. Long-running tasks do not wait for it, which would leave them missing for longer than callers accept: for them the case stays open.

Tests, which fail without the change: tick_unanswered_start_silent_restarted_worker, end_start_attempt_restart_known, finish_restore_run_of_earlier_process, and that the answer is open in end_start_attempt_clock_went_back; apply_report_unanswered_start_restarted_worker guards the end of the wait.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -16,7 +16,7 @@
 use crate::batch::ordered_machines::OrderedMachines;
 use crate::batch::orders::{
     FinishedRun, Orders, PaceOrder, RunOutcome, StartOrder, StartOutcome, StopOrder, WorkerReport,
-    WorkerTime,
+    WorkerTime, is_same,
 };
 use crate::batch::prior_leases::{
     LeaseRecord, PriorLeases, WorkerLease, fits_open_orders, leases_per_record, remaining_ms,
@@ -880,8 +880,9 @@
         }
     }
 
-    /// Records how an attempt to send a start order ended, by the worker's clock in the answer if there was one. A clock
-    /// that went back, or a restart that is known by now, shows that another process may have answered.
+    /// Records how an attempt to send a start order ended, by the worker's clock in the answer if there was one. Returns
+    /// the outcome as far as it is known: a process other than the one that the order was meant for, shown by a clock
+    /// that went back or a restart that is known by now, may be running the task.
     pub fn end_start_attempt(
         &mut self,
         start: &StartOrder,
@@ -889,18 +890,19 @@
         outcome: StartOutcome,
         clock: Option<WorkerTime>,
         sent_at: Time,
-    ) {
-        let Some(worker) = self.workers.get_mut(&start.worker) else { return };
+    ) -> StartOutcome {
+        let Some(worker) = self.workers.get_mut(&start.worker) else { return outcome };
         let is_misdirected = worker.incarnation != start.incarnation
             || clock.is_some_and(|clock| worker.clock_went_back(clock, sent_at));
-        let end = match outcome {
-            StartOutcome::Unknown => LeaseOrderEnd::Unanswered,
+        match outcome {
+            StartOutcome::Unknown => worker.lease_orders.end(order, LeaseOrderEnd::Unanswered),
             StartOutcome::Started | StartOutcome::Over | StartOutcome::NoRoom if is_misdirected => {
-                LeaseOrderEnd::Misdirected
+                worker.lease_orders.end(order, LeaseOrderEnd::Misdirected);
+                return StartOutcome::Unknown;
             }
-            _ => LeaseOrderEnd::Settled,
-        };
-        worker.lease_orders.end(order, end);
+            _ => worker.lease_orders.end(order, LeaseOrderEnd::Settled),
+        }
+        outcome
     }
 
     /// Whether a worker gets no starts until an owner record names the lease that it may hold.
@@ -1244,14 +1246,14 @@
     pub fn tick(&mut self, now: Time, unix_time: Duration) {
         self.wall_clock.set(now, unix_time);
         self.ordered_machines.set_wall_clock(self.wall_clock);
-        let expired: Vec<WorkerId> = self
-            .workers
-            .values()
-            .filter(|w| !w.assigned.is_empty() && now > w.leases_expire_at())
-            .map(|w| w.info.id.clone())
-            .collect();
-        for id in expired {
-            self.expire_lease(&id, now);
+        let expired = self.workers.values().filter(|w| now > w.leases_expire_at());
+        let expired = expired.filter_map(|w| {
+            let over: Vec<TaskId> =
+                w.assigned.keys().filter(|t| !self.may_start_late(w, t, now)).cloned().collect();
+            (!over.is_empty()).then(|| (w.info.id.clone(), over))
+        });
+        for (id, over) in expired.collect::<Vec<_>>() {
+            self.expire_lease(&id, over, now);
         }
         self.update_crash_state(now);
         self.begin_due_occurrences(now, unix_time);
@@ -1264,18 +1266,42 @@
     /// Ends a worker's current incarnation and all its runs, because another worker uses its
     /// address or its machine was taken away.
     pub fn end_incarnation(&mut self, id: &WorkerId, now: Time) {
-        self.expire_lease(id, now);
+        let over =
+            self.workers.get(id).map_or(Vec::new(), |w| w.assigned.keys().cloned().collect());
+        self.expire_lease(id, over, now);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.registered = false;
             worker.ended_incarnation = Some(worker.incarnation);
         }
     }
 
-    fn expire_lease(&mut self, id: &WorkerId, now: Time) {
+    /// Whether a start of the task that was not answered may still begin a run of the worker's next process, which has
+    /// not reported, or that run may last. Long-running tasks do not wait for it.
+    fn may_start_late(&self, worker: &Worker, task: &TaskId, now: Time) -> bool {
+        let state = self.jobs.get(&task.job).and_then(|j| j.task(task));
+        let Some(Phase::Assigned(assignment)) = state.map(|t| &t.phase) else { return false };
+        if self.step_of(task).is_some_and(|s| s.long_running) {
+            return false;
+        }
+        match assignment.start {
+            StartStatus::Started => false,
+            StartStatus::InFlight | StartStatus::Unanswered => {
+                matches!(worker.stray_lease, StrayLease::Open(_))
+                    && now <= assignment.assigned_at + self.order_horizon()
+            }
+            StartStatus::Inherited => {
+                worker.clock_reading.is_none()
+                    && !is_same(assignment.process.incarnation, worker.incarnation)
+                    && worker.lease_orders.may_be_earlier_owners(now)
+            }
+        }
+    }
+
+    /// Gives up `tasks` of a worker, whose leases are over.
+    fn expire_lease(&mut self, id: &WorkerId, tasks: Vec<TaskId>, now: Time) {
         let runs = self.assigned_runs(id);
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.resync(&mut self.fence_counter);
-        let tasks: Vec<TaskId> = worker.assigned.keys().cloned().collect();
         self.events.push(OwnerEvent::WorkerLeaseExpired {
             worker: id.clone(),
             tasks: tasks.len() as u64,
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -309,10 +309,12 @@
         let sent_at = shared.now();
         let (attempt, clock) =
             shared.worker_client.start(&target, &start, lease, permit.clone()).await;
+        let answer = attempt;
+        let attempt = match shared.owner.lock().as_mut() {
+            Some(owner) => owner.end_start_attempt(&start, order, answer, clock, sent_at),
+            None => answer,
+        };
         outcome = outcome.merge_retry(attempt);
-        if let Some(owner) = shared.owner.lock().as_mut() {
-            owner.end_start_attempt(&start, order, attempt, clock, sent_at);
-        }
         if attempt != StartOutcome::OtherWorker
             && let Some(clock) = clock
             && let Some(owner) = shared.owner.lock().as_mut()
--- a/tests/batch_stray_leases.rs
+++ b/tests/batch_stray_leases.rs
@@ -20,6 +20,8 @@
 const PASS: Duration = Duration::from_millis(100);
 /// Lowest rate of a worker's clock by the users' pages.
 const SLOWEST_CLOCK: f64 = 0.98;
+/// Longest time after which an order without a response is carried out.
+const LATEST_ORDER: Duration = Duration::from_secs(15);
 /// By the users' rules, a long-running task may not be missing for this long.
 const LONG_RUNNING_BOUND: Duration = Duration::from_secs(9);
 
@@ -153,9 +155,10 @@
     restart(&mut cluster, &worker, 2);
     cluster.fake_workers[&worker].running.insert(start.task.clone(), start.run);
     let clock = Some(Duration::from_millis(5));
-    cluster.owner.end_start_attempt(&start, order, StartOutcome::Started, clock, now);
+    let outcome = cluster.owner.end_start_attempt(&start, order, StartOutcome::Started, clock, now);
+    assert_eq!(outcome, StartOutcome::Unknown, "another process runs the task");
     cluster.owner.record_start_clock(&start, Duration::from_millis(5), now, now);
-    cluster.owner.record_start_outcome(&start, StartOutcome::Started, now);
+    cluster.owner.record_start_outcome(&start, outcome, now);
     resync(&mut cluster, &worker);
     assert_eq!(cluster.running_tasks().len(), 1, "the run goes on");
     let reported_at = cluster.now;
@@ -345,6 +348,40 @@
     assert!(cluster.owner.awaits_stray_announcement(&worker, cluster.now));
 }
 
+/// A start is not answered; the worker restarts and falls silent. Guards against giving the run up while the next
+/// process may still carry out the start, or runs it: it keeps a late run for the longest lease.
+#[test]
+fn tick_unanswered_start_silent_restarted_worker() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit(JOB, vec![short_step(1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    let worker = start.worker.clone();
+    let sent_at = cluster.now;
+    let _ = cluster.owner.begin_lease_order(&worker, sent_at);
+    cluster.owner.record_start_outcome(&start, StartOutcome::Unknown, cluster.now);
+    cluster.owner.record_unanswered_poll(&worker);
+    restart(&mut cluster, &worker, 2);
+    list_workers(&mut cluster);
+    assert_waits_for_longest_lease(&mut cluster, sent_at + LATEST_ORDER);
+}
+
+/// Guards against keeping the run when the next process has reported that it does not run it.
+#[test]
+fn apply_report_unanswered_start_restarted_worker() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit(JOB, vec![short_step(1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    let worker = start.worker.clone();
+    let sent_at = cluster.now;
+    let _ = cluster.owner.begin_lease_order(&worker, sent_at);
+    cluster.owner.record_start_outcome(&start, StartOutcome::Unknown, cluster.now);
+    restart(&mut cluster, &worker, 2);
+    list_workers(&mut cluster);
+    cluster.advance(PASS);
+    cluster.poll(&worker);
+    assert_eq!(pass_for(&mut cluster, PASS * 5).len(), 1);
+}
+
 /// Guards against tasks that wait for the longest lease, if the worker falls silent, although another had room.
 #[test]
 fn schedule_tasks_stray_lease_other_room() {
@@ -488,3 +525,46 @@
     assert!(known.clock_went_back(Duration::from_millis(5), sent_at));
     assert!(!known.clock_went_back(sent_at, sent_at));
 }
+
+/// The registry names the next process before that one's answer to a start is processed, and the worker falls silent.
+/// Guards against giving the run up with the lease of the earlier process.
+#[test]
+fn end_start_attempt_restart_known() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit(JOB, vec![short_step(1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    let worker = start.worker.clone();
+    let now = cluster.now;
+    let order = cluster.owner.begin_lease_order(&worker, now).expect("a worker");
+    restart(&mut cluster, &worker, 2);
+    list_workers(&mut cluster);
+    let clock = Some(Duration::from_millis(5));
+    let outcome = cluster.owner.end_start_attempt(&start, order, StartOutcome::Started, clock, now);
+    cluster.owner.record_start_outcome(&start, outcome, now);
+    cluster.owner.record_unanswered_poll(&worker);
+    assert_eq!(pass_for(&mut cluster, bounds().max_lease.div_f64(SLOWEST_CLOCK)), []);
+}
+
+/// An owner is killed when it has sent a start for a process that has ended; the next one hears nothing of the new
+/// process. Guards against starting the task elsewhere while that process may run it.
+#[test]
+fn finish_restore_run_of_earlier_process() {
+    let mut cluster = Cluster::new(2);
+    let record = announce(&mut cluster);
+    cluster.submit(JOB, vec![short_step(1)]);
+    let batch = cluster.decide();
+    let worker = batch.orders.starts[0].worker.clone();
+    restart(&mut cluster, &worker, 2);
+    let mut next = next_owner(&cluster, 2, &record);
+    list_workers(&mut next);
+    restore(&mut next, &batch, short_step(1));
+    next.owner.record_previous_owners_stopped(next.now);
+    for id in next.fake_workers.keys().cloned().collect::<Vec<_>>() {
+        match id == worker {
+            true => next.owner.record_unanswered_poll(&id),
+            false => next.poll(&id),
+        }
+    }
+    let from = next.now;
+    assert_waits_for_longest_lease(&mut next, from + LATEST_ORDER);
+}
