Log the lease bound of workers that were silent before an owner's term, too

The next owner takes silent workers from the record of the one before and logged nothing of them, so that the bound by which it starts their tasks elsewhere was missing again. Test: announce_leases_silent_event, which failed without the change (no event of the next owner).

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -317,8 +317,11 @@
     /// Returns what the owner's next record says about leases. Workers that it names as silent get no lease
     /// from now on. `resigning` tells that the owner sends no orders any more.
     pub fn announce_leases(&mut self, resigning: bool, now: Time) -> LeaseRecord {
-        let silent = self.workers.values().filter(|w| w.awaits_announcement(now));
-        self.events.extend(silent.map(|w| worker_silent_event(w, now)));
+        let silent = self.workers.values_mut().filter_map(|w| {
+            let has_begun = w.begin_silence(now);
+            has_begun.then(|| worker_silent_event(w, now))
+        });
+        self.events.extend(silent);
         let workers = self.workers.values_mut().filter_map(|w| w.announce_lease(resigning, now));
         let mut workers: Vec<WorkerLease> = workers.collect();
         // Those that respond count as others if there are too many, then those that do not.
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -114,6 +114,8 @@
     pub lease_withheld: bool,
     /// The latest owner record names the worker as one whose lease is not extended.
     lease_announced: bool,
+    /// The present silence is in the event log.
+    silence_logged: bool,
     /// Tasks assigned to the worker, with the resources that each reserves.
     pub assigned: IndexMap<TaskId, Resources>,
     /// Resources of runs that are not assigned: those that the last report listed as running, and those
@@ -170,6 +172,7 @@
             lease_orders: LeaseOrders::default(),
             lease_withheld: false,
             lease_announced: false,
+            silence_logged: false,
             assigned: IndexMap::new(),
             unassigned_runs: Resources::default(),
             last_processed: 0,
@@ -368,6 +371,13 @@
         self.is_lease_withheld(now) && !self.lease_announced
     }
 
+    /// Whether the worker's present silence is to be logged, which happens once.
+    pub fn begin_silence(&mut self, now: Time) -> bool {
+        let is_silent = self.is_lease_withheld(now);
+        let was_logged = std::mem::replace(&mut self.silence_logged, is_silent);
+        is_silent && !was_logged
+    }
+
     /// Returns what the owner's next record says about the worker's leases; `None` if it does not name the
     /// worker. `resigning` tells that the owner sends no orders any more.
     pub fn announce_lease(&mut self, resigning: bool, now: Time) -> Option<WorkerLease> {
--- a/tests/batch_stray_leases.rs
+++ b/tests/batch_stray_leases.rs
@@ -568,3 +568,33 @@
     let from = next.now;
     assert_waits_for_longest_lease(&mut next, from + LATEST_ORDER);
 }
+
+/// Guards against a log that does not tell until when the next owner waits for a worker that was silent before.
+#[test]
+fn announce_leases_silent_event() {
+    let mut cluster = Cluster::new(1);
+    let worker: WorkerId = "w0".into();
+    cluster.submit(JOB, vec![short_step(1)]);
+    let batch = cluster.decide();
+    cluster.owner.record_unanswered_poll(&worker);
+    cluster.advance(Duration::from_secs(3));
+    let record = announce(&mut cluster);
+    let mut next = next_owner(&cluster, 2, &record);
+    list_workers(&mut next);
+    restore(&mut next, &batch, short_step(1));
+    for owner in [&mut cluster, &mut next] {
+        owner.owner.record_unanswered_poll(&worker);
+        announce(owner);
+        announce(owner);
+        let left: Vec<Duration> = owner.decide().events.iter().filter_map(lease_left).collect();
+        assert_eq!(left.len(), 1, "once a silence");
+        assert!(left[0] > Duration::ZERO && left[0] < LEASE_DURATION, "{left:?}");
+    }
+}
+
+fn lease_left(event: &OwnerEvent) -> Option<Duration> {
+    match event {
+        OwnerEvent::WorkerSilent { lease_left, .. } => Some(*lease_left),
+        _ => None,
+    }
+}
