Poll a worker with short waits while it is open whether a start took effect

Cause: a start that gets no response is given up by two reports: one without the run, after which a stop is ordered, and one requested after the stop was accepted. Polls wait up to 1 s for the end of a run, and 1.7 s if their response is lost, and no end tells that a run has not started. One lost start, with no other call lost, took up to 5 s (poll_wait_unanswered_start).

Change: while a start is without a known outcome after 0.1 s, polls of its worker wait for 0.2 s at most. When a run is given up is unchanged: only after its worker accepted a stop, or under a new fence.

Evidence: poll_wait_unanswered_start fails if polls wait as before (5.05 s), and passes.

--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -1,7 +1,7 @@
 //! Orders to workers and polls of their runs during one term.
 
 use crate::batch::orders::{Orders, StartOrder, StartOutcome, StopOrder, WorkerTime, is_same};
-use crate::batch::owner::Owner;
+use crate::batch::owner::{Owner, POLL_WAIT};
 use crate::batch::stray_lease::{LeaseOrderEnd, LeaseOrderId};
 use crate::batch::worker::WorkerInfo;
 use crate::event::Event;
@@ -22,9 +22,6 @@
 /// Time between two reads of the worker registry, which changes with every heartbeat of a worker. A
 /// worker that has just come up takes its first task after one.
 const LIST_POLL_INTERVAL: Duration = Duration::from_millis(150);
-/// Time for which a worker delays its response until a run ends. Leases last 4.5 s and are extended
-/// at least this often.
-const POLL_WAIT: Duration = Duration::from_millis(1_000);
 /// Time between two polls of a worker; runs that end within it are reported together.
 const POLL_INTERVAL: Duration = Duration::from_millis(30);
 /// Pause after a failed poll.
@@ -145,13 +142,8 @@
     if worker.last_processed > worker.last_stored && !store_wait_elapsed {
         return PollStep::AwaitStore;
     }
-    let (synced, stored) = (worker.synced, worker.last_stored);
-    let skip_wait = worker.assigned.is_empty() || worker.last_processed > stored;
-    let wait = if !synced || skip_wait || worker.unanswered_polls > 0 || worker.lease_withheld {
-        Duration::ZERO
-    } else {
-        POLL_WAIT
-    };
+    let synced = worker.synced;
+    let wait = owner.poll_wait(worker, shared.now());
     let target = WorkerTarget {
         address: worker.info.address.clone(),
         worker: id.clone(),
--- a/tests/batch_late_orders.rs
+++ b/tests/batch_late_orders.rs
@@ -5,12 +5,18 @@
 
 use batch::{Cluster, short_step};
 use jacinthhook::batch::job::{JobState, WorkerId};
-use jacinthhook::batch::orders::StartOutcome;
+use jacinthhook::batch::orders::{StartOrder, StartOutcome};
+use jacinthhook::batch::owner::POLL_WAIT;
 use std::time::Duration;
 
 const JOB: &str = "00000000000000a1";
 /// Longer than a lease.
 const LONG_IDLE: Duration = Duration::from_secs(20);
+const PASS: Duration = Duration::from_millis(10);
+/// Time after which the client gives up a start that gets no response.
+const UNANSWERED_AFTER: Duration = Duration::from_millis(1_800);
+/// By the users' rules, a job may have nothing running for this long.
+const IDLE_BOUND: Duration = Duration::from_secs(3);
 
 /// The lease of a worker that idled for long is over when a task is assigned to it. Guards against
 /// giving up the task before its order is sent: the order then started a second run.
@@ -121,3 +127,65 @@
     assert_eq!(cluster.decide().orders.starts, []);
     assert_eq!(cluster.owner.jobs[JOB].published_state, JobState::Cancelled);
 }
+
+/// A start gets no response and never arrives, and the worker has no other runs that could end. Guards
+/// against polls that wait for the end of a run: the task started elsewhere after up to 5 s.
+#[test]
+fn poll_wait_unanswered_start() {
+    for percent in (0..100).step_by(10) {
+        let mut cluster = Cluster::new(2);
+        cluster.submit(JOB, vec![short_step(1)]);
+        let start = cluster.decide().orders.starts.remove(0);
+        let wait = time_to_restart(&mut cluster, &start, POLL_WAIT * percent / 100);
+        assert!(wait < IDLE_BOUND, "{wait:?} after a poll that lasts {percent}%");
+    }
+}
+
+/// Follows a start that never arrives until its task is ordered to start again. The worker answers each poll
+/// when its wait is over, first after `remaining` one that was sent before the start, and takes stops.
+fn time_to_restart(cluster: &mut Cluster, start: &StartOrder, remaining: Duration) -> Duration {
+    let worker = &start.worker;
+    let assigned_at = cluster.now;
+    let mut poll = (assigned_at, assigned_at + remaining);
+    let mut is_open = true;
+    loop {
+        if is_open && cluster.now >= assigned_at + UNANSWERED_AFTER {
+            cluster.owner.record_start_outcome(start, StartOutcome::Unknown, cluster.now);
+            is_open = false;
+        }
+        let (requested_at, answered_at) = poll;
+        if cluster.now >= answered_at {
+            let mut report = cluster.report(worker);
+            report.requested_at = requested_at;
+            cluster.owner.apply_report(worker, report, cluster.now);
+            cluster.owner.extend_lease(cluster.now, worker);
+            let known = &cluster.owner.workers[worker];
+            poll = (cluster.now, cluster.now + cluster.owner.poll_wait(known, cluster.now));
+        }
+        let orders = cluster.decide().orders;
+        for stop in orders.stops {
+            cluster.owner.record_stop_accepted(&stop, cluster.now);
+        }
+        if orders.starts.iter().any(|other| other.task == start.task) {
+            return cluster.now - assigned_at;
+        }
+        cluster.advance(PASS);
+    }
+}
+
+/// Guards against frequent polls of workers whose runs have all started, or whose starts are in time.
+#[test]
+fn poll_wait_started_runs() {
+    let mut cluster = Cluster::new(1);
+    cluster.submit(JOB, vec![short_step(2)]);
+    let starts = cluster.decide().orders.starts;
+    let poll_wait =
+        |cluster: &Cluster| cluster.owner.poll_wait(&cluster.owner.workers["w0"], cluster.now);
+    assert_eq!(poll_wait(&cluster), POLL_WAIT);
+    for start in &starts {
+        let outcome = cluster.carry_out_start(start);
+        cluster.owner.record_start_outcome(start, outcome, cluster.now);
+    }
+    cluster.advance(Duration::from_secs(2));
+    assert_eq!(poll_wait(&cluster), POLL_WAIT);
+}
