Add sequences in which orders reach a worker's next process

The model of the owner's fuzzer ended each order with the process that had received it. The sequences of the other tests stay as they are; the orders with a lease, the answers of other processes and the early owner records are driven as in instance::workers and instance::term.

--- a/tests/owner_fuzz.rs
+++ b/tests/owner_fuzz.rs
@@ -7,7 +7,7 @@
 mod batch;
 mod owner_model;
 
-use owner_model::command::Sequence;
+use owner_model::command::{Sequence, Transport};
 use owner_model::run::{Failure, run, search};
 
 /// Default number of sequences.
@@ -101,6 +101,33 @@
     run_sequences("owner_freezes_seed_", Sequence::generate_freezes);
 }
 
+/// Workers restart and are cut off soon after. Guards against leases that a worker's process has by a poll for its
+/// earlier process that had no response.
+#[test]
+fn owner_random_stray_polls() {
+    run_sequences("owner_stray_polls_seed_", |seed, steps| {
+        Sequence::generate_restarts(seed, steps, Transport::StrayPolls)
+    });
+}
+
+/// The same where connections outlive a worker's process. Guards against leases by orders that another process has
+/// answered than the one they were meant for.
+#[test]
+fn owner_random_proxies() {
+    run_sequences("owner_proxies_seed_", |seed, steps| {
+        Sequence::generate_restarts(seed, steps, Transport::Proxies)
+    });
+}
+
+/// The same with starts. Guards against runs of a worker's process, by a start for its earlier process that had no
+/// response, beside or after those that replaced them.
+#[test]
+fn owner_random_stray_starts() {
+    run_sequences("owner_stray_starts_seed_", |seed, steps| {
+        Sequence::generate_restarts(seed, steps, Transport::StrayStarts)
+    });
+}
+
 /// Runs one sequence with frozen owners that failed earlier with this seed.
 fn run_freezes_seed(seed: u64) {
     let generate = |seed| Sequence::generate_freezes(seed, STEPS as usize);
--- a/tests/owner_model/command.rs
+++ b/tests/owner_model/command.rs
@@ -24,6 +24,12 @@
         worker: u8,
         tenths: u8,
     },
+    /// Restarts a worker under its id, and lets no order reach it any more when the process has been up for a while.
+    RestartAndSilence {
+        worker: u8,
+        tenths_up: u8,
+        tenths: u8,
+    },
     /// Replaces a worker by one with another id at its address.
     Replace {
         worker: u8,
@@ -65,17 +71,33 @@
     CutStore,
     /// Another process takes over from an owner that is well.
     TakeOver,
-    /// The owner resigns, and another process follows. Not generated, see `with_resignations`.
+    /// The owner resigns, and another process follows. Not in `Sequence::generate`, see `with_resignations`.
     Resign,
     Wait {
         tenths: u8,
     },
 }
 
+/// What the platform does with orders that meet another process of a worker than the one they were sent to.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Transport {
+    /// What a process has received ends with it.
+    #[default]
+    Bound,
+    /// A poll without a response is carried out, as it was sent, by the process that is up when it arrives.
+    StrayPolls,
+    /// Besides, an intermediary keeps connections open over a restart for a while: the next process carries out
+    /// and answers what is sent on them.
+    Proxies,
+    /// As `StrayPolls`, with starts.
+    StrayStarts,
+}
+
 /// The commands of a run and the seed of its random numbers.
 #[derive(Clone, Debug)]
 pub struct Sequence {
     pub seed: u64,
+    pub transport: Transport,
     pub steps: Vec<Cmd>,
 }
 
@@ -83,7 +105,8 @@
     /// Generates the sequence of a seed.
     pub fn generate(seed: u64, steps: usize) -> Sequence {
         let mut g = Gen::from_size_and_seed(steps, seed);
-        Sequence { seed, steps: (0..steps).map(|_| Cmd::arbitrary(&mut g)).collect() }
+        let steps = (0..steps).map(|_| Cmd::arbitrary(&mut g)).collect();
+        Sequence { seed, transport: Transport::Bound, steps }
     }
 
     /// Replaces some of the pauses by owners that resign, and restarts of workers by silences: what
@@ -113,13 +136,48 @@
                 _ => Cmd::Wait { tenths: a % 20 },
             }
         };
-        Sequence { seed, steps: (0..steps).map(|_| command(&mut g)).collect() }
+        let steps = (0..steps).map(|_| command(&mut g)).collect();
+        Sequence { seed, transport: Transport::Bound, steps }
+    }
+
+    /// Generates a sequence of workers that restart and are cut off soon after, among lost answers, and owners that
+    /// are replaced.
+    pub fn generate_restarts(seed: u64, steps: usize, transport: Transport) -> Sequence {
+        let mut g = Gen::from_size_and_seed(steps, seed);
+        let command = |g: &mut Gen| {
+            let [a, b, c] = [0; 3].map(|_| u8::arbitrary(g));
+            match u8::arbitrary(g) % 32 {
+                0..=6 => Cmd::Submit { count: 1 + a % 4, then: b % 3, tenths: c % 120 },
+                7 => Cmd::SubmitLongRunning { count: 1 + a % 3 },
+                8 => Cmd::Cancel { job: a },
+                9 | 10 => Cmd::Restart { worker: a, tenths: b % 25 },
+                11..=13 => {
+                    Cmd::RestartAndSilence { worker: a, tenths_up: b % 20, tenths: 20 + c % 100 }
+                }
+                14 => Cmd::Silence { worker: a, tenths: b % 120 },
+                15 => Cmd::CutLink { worker: a, tenths: b % 120 },
+                16 | 17 => Cmd::Disorder { tenths: a % 50 },
+                18 => Cmd::Leave { worker: a, tenths: b % 80 },
+                19 => Cmd::SlowStore { tenths: a % 40 },
+                20 => Cmd::Freeze { tenths: a % 60 },
+                21 | 22 => Cmd::Kill,
+                23 => match a % 4 {
+                    0 => Cmd::CutStore,
+                    1 => Cmd::TakeOver,
+                    2 => Cmd::Resign,
+                    _ => Cmd::Replace { worker: b },
+                },
+                _ => Cmd::Wait { tenths: a % 60 },
+            }
+        };
+        let steps = (0..steps).map(|_| command(&mut g)).collect();
+        Sequence { seed, transport, steps }
     }
 
     /// Returns candidates for a smaller sequence in the order in which quickcheck shrinks a vector.
     pub fn shrunk(&self) -> impl Iterator<Item = Sequence> + use<> {
-        let seed = self.seed;
-        self.steps.shrink().map(move |steps| Sequence { seed, steps })
+        let (seed, transport) = (self.seed, self.transport);
+        self.steps.shrink().map(move |steps| Sequence { seed, transport, steps })
     }
 }
 
--- a/tests/owner_model/messages.rs
+++ b/tests/owner_model/messages.rs
@@ -1,16 +1,17 @@
 //! Orders and answers between owners and workers, some of them lost or late.
 
-use super::oracle::{CheckResult, Started};
+use super::command::Transport;
+use super::oracle::{CheckResult, Started, Stray};
 use super::process::{POLL_WAIT, PollStep};
-use super::worker::{Ended, Run};
+use super::worker::{Ended, Run, SimWorker};
 use super::world::{Event, World};
 use jacinthhook::batch::job::WorkerId;
-use jacinthhook::batch::orders::{
-    RunOutcome, StartOrder, StartOutcome, StopOrder, WorkerReport, WorkerTime,
-};
+use jacinthhook::batch::orders::{RunOutcome, StartOrder, StartOutcome, StopOrder, WorkerTime};
+use jacinthhook::batch::stray_lease::LeaseOrderId;
 use jacinthhook::ids::Time;
 use jacinthhook::instance::term::StartPermission;
-use jacinthhook::platform::worker_client::PollError;
+use jacinthhook::instance::workers::poll_end;
+use jacinthhook::platform::worker_client::{PollAnswer, PollError, WorkerTarget};
 use std::time::Duration;
 
 const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
@@ -30,6 +31,8 @@
     /// Incarnation for which the lease and the acknowledgement are meant.
     pub incarnation: u64,
     pub lease: Option<WorkerTime>,
+    /// Number of the order if it carries a lease.
+    pub lease_order: Option<LeaseOrderId>,
     pub acknowledged: u64,
     pub wait: Duration,
 }
@@ -41,6 +44,7 @@
     Start {
         start: StartOrder,
         lease: WorkerTime,
+        lease_order: LeaseOrderId,
         attempt: u32,
         outcome: StartOutcome,
     },
@@ -61,7 +65,7 @@
     /// With the worker's clock, if it answered.
     Start(StartOutcome, Option<WorkerTime>),
     Stop(bool),
-    Poll(Result<WorkerReport, PollError>),
+    Poll(Result<PollAnswer, PollError>),
 }
 
 /// An order under way.
@@ -70,8 +74,13 @@
     pub process: usize,
     pub worker: WorkerId,
     /// Incarnation that received the order and carries it out late; `None` for the present one. What
-    /// a process has received ends with it.
+    /// a process has received ends with it, unless the transport lets it stray.
     pub incarnation: Option<u64>,
+    /// Incarnation at the address when the order was sent.
+    pub sent_to: u64,
+    /// Incarnation at which the connection ends as far as the sender knows: what is meant for another one is not
+    /// sent on it.
+    pub verified: u64,
     pub sent_at: Time,
     pub timeout_at: Time,
     /// The sender waits for the answer.
@@ -102,12 +111,25 @@
         }
     }
 
-    fn lost(&self) -> Answer {
+    /// Incarnation for which the order is meant; `None` if it is the same for all.
+    fn incarnation(&self) -> Option<u64> {
+        match self {
+            Order::Start { start, .. } => Some(start.incarnation),
+            Order::Poll(poll) => Some(poll.incarnation),
+            Order::Stop { .. } | Order::Verify { .. } => None,
+        }
+    }
+
+    /// The answer of an order that has none, at a connection which ends at `verified` as far as its sender knows.
+    fn lost(&self, verified: u64) -> Answer {
         match self {
             Order::Start { .. } | Order::Verify { .. } => {
                 Answer::Start(StartOutcome::Unknown, None)
             }
             Order::Stop { .. } => Answer::Stop(false),
+            Order::Poll(poll) if poll.incarnation != verified => {
+                Answer::Poll(Err(PollError::Unreached))
+            }
             Order::Poll(_) => Answer::Poll(Err(PollError::Lost)),
         }
     }
@@ -118,7 +140,8 @@
             Order::Start { .. } | Order::Verify { .. } => {
                 Answer::Start(StartOutcome::NotSent, None)
             }
-            Order::Stop { .. } | Order::Poll(_) => self.lost(),
+            Order::Stop { .. } => Answer::Stop(false),
+            Order::Poll(_) => Answer::Poll(Err(PollError::Unreached)),
         }
     }
 
@@ -133,6 +156,12 @@
     }
 }
 
+impl Message {
+    fn lost(&self) -> Answer {
+        self.order.lost(self.verified)
+    }
+}
+
 impl World {
     /// Sends an order. Whether it is lost, late or unanswered is drawn here.
     fn send(&mut self, process: usize, worker: &WorkerId, order: Order) {
@@ -145,17 +174,27 @@
         let is_cut = sender.cut_until.get(worker).is_some_and(|until| *until > now);
         let Some(target) = self.workers.get(worker) else { return };
         let is_silent = is_cut || target.silent_until > now;
+        let (present, incarnation) = (target.up || target.replaced, target.incarnation);
+        let is_kept = self.transport == Transport::Proxies
+            && order.incarnation().is_some_and(|i| sender.answered_by.get(worker) == Some(&i))
+            && (!target.up || now < target.proxied_until);
         let mut message = Message {
             process,
             worker: worker.clone(),
             incarnation: None,
+            sent_to: incarnation,
+            verified: order.incarnation().filter(|_| is_kept).unwrap_or(incarnation),
             sent_at: now,
             timeout_at: now + timeout,
             answered: true,
             in_touch: sender.in_touch,
             order,
         };
-        let (present, incarnation) = (target.up || target.replaced, target.incarnation);
+        if !present && is_kept && self.below(2) == 0 {
+            // The intermediary waits for the next process.
+            let arrives_at = now + self.millis(50, 2_500);
+            return self.arrive_at(message, arrives_at);
+        }
         if !present {
             let answer = message.order.refused();
             let delay = self.millis(1, 20);
@@ -170,21 +209,24 @@
         if draw < lost {
             let answer = match self.below(4) {
                 0 => message.order.refused(),
-                _ => message.order.lost(),
+                _ => message.lost(),
             };
             let at = message.timeout_at;
             return self.answer(message, answer, at);
         }
         let mut arrives_at = now + self.transit();
         if draw < lost + late {
-            let answer = message.order.lost();
+            let answer = message.lost();
             let at = message.timeout_at;
             self.answer(message.clone(), answer, at);
-            message.incarnation = Some(incarnation);
+            message.incarnation = match self.transport {
+                Transport::Bound => Some(incarnation),
+                Transport::StrayPolls | Transport::Proxies | Transport::StrayStarts => None,
+            };
             message.answered = false;
             arrives_at = now + self.millis(2_000, 12_000);
         } else if draw < lost + late + unanswered {
-            let answer = message.order.lost();
+            let answer = message.lost();
             let at = message.timeout_at;
             self.answer(message.clone(), answer, at);
             message.answered = false;
@@ -192,6 +234,51 @@
         self.schedule(arrives_at, Event::Arrive(message));
     }
 
+    /// Lets an order arrive at `at`. Its sender does not wait longer than it would have.
+    fn arrive_at(&mut self, mut message: Message, at: Time) {
+        if at > message.timeout_at {
+            let (answer, timeout_at) = (message.lost(), message.timeout_at);
+            self.answer(message.clone(), answer, timeout_at);
+            message.answered = false;
+        }
+        self.schedule(at, Event::Arrive(message));
+    }
+
+    /// Ends an order whose process has ended. It may be carried out later.
+    fn strand(&mut self, mut message: Message, back: Time) {
+        if !message.answered {
+            return;
+        }
+        let answer = message.lost();
+        self.answer(message.clone(), answer, back);
+        message.answered = false;
+        let arrives_at = match self.below(4) {
+            0 => self.now + self.millis(0, 600),
+            1 => self.now + self.millis(0, 12_000),
+            _ => return,
+        };
+        self.schedule(arrives_at, Event::Arrive(message));
+    }
+
+    /// Returns what the present process of a worker gets of an order, `None` if nothing.
+    fn received(&self, message: &Message, worker: &SimWorker) -> Option<Order> {
+        let present = worker.incarnation;
+        let is_stray_start = match &message.order {
+            Order::Start { start, .. } => !message.answered && start.incarnation != present,
+            Order::Stop { .. } | Order::Poll(_) | Order::Verify { .. } => false,
+        };
+        let is_proxied = self.now < worker.proxied_until;
+        let reaches_next = match self.transport {
+            Transport::Bound => return Some(message.order.at_incarnation(present)),
+            Transport::StrayPolls => !message.answered && !is_stray_start,
+            Transport::Proxies if is_stray_start => is_proxied && self.now <= message.timeout_at,
+            Transport::Proxies => !message.answered || is_proxied,
+            Transport::StrayStarts => !message.answered,
+        };
+        let is_received = present == message.sent_to && !is_stray_start || reaches_next;
+        is_received.then(|| message.order.at_incarnation(message.verified))
+    }
+
     fn transit(&mut self) -> Duration {
         match self.below(12) {
             0 => self.millis(1, 250),
@@ -206,7 +293,7 @@
         }
         let (answer, at) = match at <= message.timeout_at {
             true => (answer, at),
-            false => (message.order.lost(), message.timeout_at),
+            false => (message.lost(), message.timeout_at),
         };
         self.schedule(at, Event::Answer(message, answer));
     }
@@ -227,7 +314,12 @@
             self.answer(message, answer, back);
             return Ok(());
         }
-        match message.order.at_incarnation(worker.incarnation) {
+        let Some(order) = self.received(&message, &self.workers[&message.worker]) else {
+            self.strand(message, back);
+            return Ok(());
+        };
+        let worker = &mut self.workers[&message.worker];
+        match order {
             Order::Verify { fence } => {
                 let accepted = worker.accept_fence(fence);
                 let outcome = match accepted {
@@ -292,6 +384,14 @@
             (false, false) => (RunOutcome::Done, now + takes),
         };
         let worker = &mut self.workers[&message.worker];
+        let incarnation = worker.incarnation;
+        let owner = self.processes.last().and_then(|p| p.owner.as_ref());
+        let known = owner.and_then(|o| o.workers.get(&message.worker)).map(|w| w.incarnation);
+        let stray = Stray {
+            sent_by: message.process,
+            latest: self.processes.len() - 1,
+            is_noticed: known == Some(incarnation),
+        };
         let before = worker.running.get(&start.task).map(|r| r.run);
         let run = Run { run: start.run, ends_at, outcome };
         let answer = worker.start(start, lease, run, now);
@@ -302,6 +402,7 @@
                 run: start.run,
                 worker: message.worker.clone(),
                 in_touch: message.in_touch,
+                stray: (start.incarnation != incarnation).then_some(stray),
             };
             let mut others: Vec<(WorkerId, u32)> = self
                 .workers
@@ -321,8 +422,20 @@
         let Order::Poll(poll) = &message.order else { return };
         let worker = &self.workers[&message.worker];
         let answer = match worker.up && worker.incarnation == incarnation {
-            true => Answer::Poll(Ok(worker.report(message.sent_at, poll.fence, now))),
-            false => message.order.lost(),
+            true => {
+                let report = worker.report(message.sent_at, poll.fence, now);
+                let meant = match self.transport {
+                    Transport::Bound => incarnation,
+                    Transport::StrayPolls | Transport::Proxies | Transport::StrayStarts => {
+                        message.verified
+                    }
+                };
+                let poll = if poll.incarnation == meant { *poll } else { poll.plain() };
+                let (acknowledged, lease_sent) = (poll.acknowledged, poll.lease.is_some());
+                Answer::Poll(Ok(PollAnswer { report, acknowledged, lease_sent }))
+            }
+            false if self.transport == Transport::Bound || !message.answered => message.lost(),
+            false => return self.strand(message, back),
         };
         self.answer(message, answer, back);
     }
@@ -399,7 +512,9 @@
         match lease.filter(|_| owner.workers.contains_key(&start.worker)) {
             Some(lease) => {
                 let worker = start.worker.clone();
-                self.send(process, &worker, Order::Start { start, lease, attempt, outcome });
+                let Some(lease_order) = owner.begin_lease_order(&worker, now) else { return };
+                let order = Order::Start { start, lease, lease_order, attempt, outcome };
+                self.send(process, &worker, order);
             }
             None => self.end_start(process, &start, outcome),
         }
@@ -442,14 +557,22 @@
         if self.processes[process].owner.is_none() {
             return;
         }
+        if let Answer::Poll(Ok(answer)) = &answer {
+            let incarnation = answer.report.incarnation;
+            self.processes[process].answered_by.insert(id.clone(), incarnation);
+        }
         match (message.order, answer) {
-            (Order::Start { start, attempt, outcome, .. }, Answer::Start(answer, clock)) => {
-                let outcome = outcome.merge_retry(answer);
-                if let Some(owner) = self.processes[process].owner.as_mut()
-                    && let Some(clock) = clock
-                {
-                    owner.record_start_clock(&start, clock, message.sent_at, now);
+            (
+                Order::Start { start, lease_order, attempt, outcome, .. },
+                Answer::Start(answer, clock),
+            ) => {
+                let Some(owner) = self.processes[process].owner.as_mut() else { return };
+                let sent_at = message.sent_at;
+                let answer = owner.end_start_attempt(&start, lease_order, answer, clock, sent_at);
+                if let Some(clock) = clock {
+                    owner.record_start_clock(&start, clock, sent_at, now);
                 }
+                let outcome = outcome.merge_retry(answer);
                 if answer == StartOutcome::Fenced {
                     self.end_term_if_fenced(process, &id, start.fence);
                 }
@@ -476,17 +599,29 @@
         process: usize,
         id: &WorkerId,
         poll: &PollOrder,
-        result: Result<WorkerReport, PollError>,
+        result: Result<PollAnswer, PollError>,
     ) {
         let now = self.now;
         let sender = &mut self.processes[process];
         let Some(owner) = sender.owner.as_mut() else { return };
+        if let Some(order) = poll.lease_order {
+            let target = WorkerTarget {
+                address: "".into(),
+                worker: id.clone(),
+                fence: poll.fence,
+                incarnation: poll.incarnation,
+            };
+            owner.end_lease_order(id, order, poll_end(&target, &result));
+        }
         let pause = match result {
-            Ok(report) => {
+            Ok(answer) => {
                 let was_synced = owner.workers.get(id).is_some_and(|w| w.synced);
-                let changed = owner.apply_report(id, report, now);
-                owner.record_acknowledged(id, poll.fence, poll.acknowledged);
+                let changed = owner.apply_report(id, answer.report, now);
+                owner.record_acknowledged(id, poll.fence, answer.acknowledged);
                 sender.plan_needed |= changed || !was_synced;
+                if owner.awaits_stray_announcement(id, now) {
+                    self.request_heartbeat(process);
+                }
                 POLL_INTERVAL
             }
             Err(error) => {
--- a/tests/owner_model/oracle.rs
+++ b/tests/owner_model/oracle.rs
@@ -53,6 +53,32 @@
     pub worker: WorkerId,
     /// The sender reached the store when it sent the order.
     pub in_touch: bool,
+    /// Set if the order was meant for another process of the worker.
+    pub stray: Option<Stray>,
+}
+
+/// What was known of a start that another process of its worker carried out than the one it was meant for.
+#[derive(Clone, Copy, Debug)]
+pub struct Stray {
+    pub sent_by: usize,
+    /// Latest process that took over.
+    pub latest: usize,
+    /// The owner of that process knows of the restart.
+    pub is_noticed: bool,
+}
+
+impl Started {
+    fn describe(&self) -> String {
+        let run = format!("run {} on {}", self.run, self.worker);
+        let Some(stray) = self.stray else { return run };
+        let sender = match stray.sent_by == stray.latest {
+            true => "the owner",
+            false => "an earlier owner",
+        };
+        let noticed = if stray.is_noticed { "noticed" } else { "unnoticed" };
+        let delay = self.at.saturating_sub(self.sent_at);
+        format!("{run} (sent by {sender} {delay:?} before, restart {noticed})")
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -87,9 +113,15 @@
         others: &[(WorkerId, u32)],
     ) -> CheckResult {
         if let Some((worker, run)) = others.first() {
+            let starts = self.tasks.get(task).map_or(&[][..], |t| &t.starts);
+            let other = starts.iter().rfind(|s| s.worker == *worker && s.run == *run);
+            let is_stray = start.stray.is_some() || other.is_some_and(|s| s.stray.is_some());
             return Err(format!(
-                "two runs: {task} run {} on {} while run {run} is on {worker}, at {:?}",
-                start.run, start.worker, start.at
+                "two runs{}: {task} {} while {}, at {:?}",
+                if is_stray { " by a stray start" } else { "" },
+                start.describe(),
+                other.map(Started::describe).unwrap_or_default(),
+                start.at
             ));
         }
         let Some(job) = self.jobs.get(&task.job) else {
@@ -138,8 +170,12 @@
             let done = before.clone().find(|e| e.outcome == RunOutcome::Done);
             if let Some(end) = done {
                 return Err(format!(
-                    "start after done: {task} run {} on {} at {:?} after run {} at {:?}",
-                    start.run, start.worker, start.at, end.run, end.at
+                    "start after done{}: {task} {} at {:?} after run {} at {:?}",
+                    if start.stray.is_some() { " by a stray start" } else { "" },
+                    start.describe(),
+                    start.at,
+                    end.run,
+                    end.at
                 ));
             }
             if before.filter(|e| e.outcome == RunOutcome::Failed).count() >= self.max_attempts {
--- a/tests/owner_model/process.rs
+++ b/tests/owner_model/process.rs
@@ -46,8 +46,16 @@
     pub in_touch: bool,
     pub frozen_until: Time,
     pub loops: IndexMap<WorkerId, PollLoop>,
+    /// Incarnation of each worker that answered last, at which the connections end as far as the process knows.
+    pub answered_by: IndexMap<WorkerId, u64>,
     /// The batch that is being stored.
     pub batch: Option<DecisionBatch>,
+    /// Number of the scheduled heartbeat; earlier ones are void.
+    pub heartbeat_generation: u64,
+    /// Before this time no heartbeat is sent; `None` while one is being stored.
+    pub heartbeat_from: Option<Time>,
+    /// A heartbeat is wanted before the next one is due.
+    pub heartbeat_needed: bool,
     /// Until when orders of this process do not reach a worker.
     pub cut_until: IndexMap<WorkerId, Time>,
     /// A pass is wanted before the longest time between two passes is over.
@@ -67,7 +75,11 @@
             in_touch: true,
             frozen_until: Time::ZERO,
             loops: IndexMap::new(),
+            answered_by: IndexMap::new(),
             batch: None,
+            heartbeat_generation: 0,
+            heartbeat_from: Some(now),
+            heartbeat_needed: false,
             cut_until: IndexMap::new(),
             plan_needed: true,
             last_pass_at: now,
@@ -115,6 +127,8 @@
         let (acknowledged, fence) = (worker.next_acknowledged(), owner.fence(id));
         let incarnation = worker.incarnation;
         let lease = if synced { owner.extend_lease(now, id) } else { None };
-        Some(PollStep::Poll(PollOrder { fence, incarnation, lease, acknowledged, wait }))
+        let lease_order = lease.and_then(|_| owner.begin_lease_order(id, now));
+        let poll = PollOrder { fence, incarnation, lease, lease_order, acknowledged, wait };
+        Some(PollStep::Poll(poll))
     }
 }
--- a/tests/owner_model/run.rs
+++ b/tests/owner_model/run.rs
@@ -31,7 +31,7 @@
 /// Runs a sequence, and prints what happens if `trace` is set. A panic counts as a failure.
 pub fn run(sequence: &Sequence, trace: bool) -> CheckResult {
     let result = catch_unwind(AssertUnwindSafe(|| {
-        let mut world = World::new(sequence.seed, trace);
+        let mut world = World::new(sequence.seed, sequence.transport, trace);
         world.advance(Duration::from_secs(1))?;
         for cmd in &sequence.steps {
             world.step(cmd)?;
@@ -135,6 +135,17 @@
                 let listed_at = up_at + self.millis(20, 2_500);
                 self.schedule(listed_at, Event::Register(id, incarnation));
             }
+            Cmd::RestartAndSilence { worker, tenths_up, tenths: count } => {
+                let Some(id) = self.worker_up(worker) else { return };
+                self.crash_worker(&id);
+                let up_at = now + self.millis(50, 300);
+                self.schedule(up_at, Event::WorkerUp(id.clone()));
+                let silent_at = up_at + tenths(tenths_up);
+                self.schedule(silent_at, Event::Silence(id.clone(), silent_at + tenths(count)));
+                let incarnation = up_at.as_millis() as u64;
+                let listed_at = up_at + self.millis(20, 2_500);
+                self.schedule(listed_at, Event::Register(id, incarnation));
+            }
             Cmd::Replace { worker } => {
                 let Some(id) = self.worker_up(worker) else { return };
                 self.crash_worker(&id);
--- a/tests/owner_model/trace.rs
+++ b/tests/owner_model/trace.rs
@@ -3,9 +3,10 @@
 use super::messages::{Answer, Message, Order};
 use super::world::Event;
 use jacinthhook::batch::owner::OwnerEvent;
+use jacinthhook::platform::worker_client::PollAnswer;
 
 fn describe_message(message: &Message) -> String {
-    let Message { process, worker, incarnation, sent_at, .. } = message;
+    let Message { process, worker, incarnation, sent_to, verified, sent_at, .. } = message;
     let order = match &message.order {
         Order::Verify { fence } => format!("verify fence {fence:x}"),
         Order::Start { start, lease, attempt, .. } => format!(
@@ -21,7 +22,10 @@
         ),
     };
     let late = if incarnation.is_some() { " late" } else { "" };
-    format!("process {process} to {worker}: {order}, sent at {sent_at:?}{late}")
+    let unanswered = if message.answered { "" } else { " unanswered" };
+    format!(
+        "process {process} to {worker}: {order}, sent at {sent_at:?} to {sent_to} as for {verified}{late}{unanswered}"
+    )
 }
 
 /// Describes an event; `None` for those that happen all the time.
@@ -30,7 +34,7 @@
         Event::Arrive(message) => format!("arrives: {}", describe_message(message)),
         Event::Answer(message, answer) => {
             let answer = match answer {
-                Answer::Poll(Ok(report)) => {
+                Answer::Poll(Ok(PollAnswer { report, .. })) => {
                     let running = report.running.iter().map(|r| format!("{} {}", r.name, r.run));
                     let ends = report.finished.iter().filter_map(|f| {
                         Some(format!("{} {} {} {:?}", f.index, f.task.as_ref()?, f.run, f.outcome))
@@ -45,6 +49,7 @@
             format!("answer {answer}: {}", describe_message(message))
         }
         Event::WorkerUp(_)
+        | Event::Silence(..)
         | Event::Register(..)
         | Event::Unregister(_)
         | Event::TakeOver
--- a/tests/owner_model/worker.rs
+++ b/tests/owner_model/worker.rs
@@ -62,6 +62,8 @@
     /// Another worker has its address.
     pub replaced: bool,
     pub silent_until: Time,
+    /// Until when an intermediary connects this process to what was meant for earlier ones.
+    pub proxied_until: Time,
     started_at: Time,
     /// Rate of the worker's clock.
     rate: f64,
@@ -88,6 +90,7 @@
             up: false,
             replaced: false,
             silent_until: Time::ZERO,
+            proxied_until: Time::ZERO,
             started_at: Time::ZERO,
             rate: 1.0,
             fence: 0,
--- a/tests/owner_model/world.rs
+++ b/tests/owner_model/world.rs
@@ -1,6 +1,7 @@
 //! The simulated platform: clock, workers, registry, store, and the processes that take turns as
 //! owner.
 
+use super::command::Transport;
 use super::messages::{Answer, Message};
 use super::oracle::{CheckResult, Oracle, SubmittedJob};
 use super::process::Process;
@@ -30,12 +31,15 @@
 const CAPACITY: usize = 4;
 const MAX_ATTEMPTS: u32 = 3;
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 const LIST_POLL_INTERVAL: Duration = Duration::from_millis(150);
 const COMMIT_INTERVAL: Duration = Duration::from_millis(25);
 const MAX_PLAN_INTERVAL: Duration = Duration::from_millis(200);
 const EARLIER_OWNER_POLL_INTERVAL: Duration = Duration::from_millis(200);
 const ELECTION_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time in ms for which an intermediary keeps connections open after a restart.
+const MAX_PROXIED_MS: u64 = 6_000;
 /// Time after which a killed process is there again and says that its term is over.
 const PROCESS_RESTART: Duration = Duration::from_secs(2);
 
@@ -48,6 +52,8 @@
     List(Message, u64),
     /// A worker's process starts.
     WorkerUp(WorkerId),
+    /// No order reaches a worker until the given time.
+    Silence(WorkerId, Time),
     /// An entry of the registry changes; voided if the worker has another incarnation by then.
     Register(WorkerId, u64),
     /// An entry is removed.
@@ -66,7 +72,8 @@
     SendStop(usize, StopOrder),
     Commit(usize),
     Stored(usize, Time),
-    Heartbeat(usize),
+    /// With the number of the heartbeat.
+    Heartbeat(usize, u64),
     HeartbeatStored(usize, Time),
     ReadRegistry(usize),
     ReadJobs(usize),
@@ -86,7 +93,7 @@
             | Event::SendStop(process, _)
             | Event::Commit(process)
             | Event::Stored(process, _)
-            | Event::Heartbeat(process)
+            | Event::Heartbeat(process, _)
             | Event::HeartbeatStored(process, _)
             | Event::ReadRegistry(process)
             | Event::ReadJobs(process)
@@ -109,6 +116,7 @@
 pub struct World {
     /// True time.
     pub now: Time,
+    pub transport: Transport,
     rng: ChaCha8Rng,
     events: BTreeMap<(Time, u64), Event>,
     event_count: u64,
@@ -145,7 +153,7 @@
 }
 
 impl World {
-    pub fn new(seed: u64, trace: bool) -> World {
+    pub fn new(seed: u64, transport: Transport, trace: bool) -> World {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let max_lease = Duration::from_millis([4_000, 6_000, 10_000][rng.random_range(0..3)]);
         let limits = Limits { max_lease, capacity: CAPACITY, late_by_lease: rng.random() };
@@ -153,6 +161,7 @@
         Arc::make_mut(&mut config.declarations).queues[0].max_attempts = MAX_ATTEMPTS;
         let mut world = World {
             now: Duration::from_secs(1_000),
+            transport,
             rng,
             events: BTreeMap::new(),
             event_count: 0,
@@ -251,6 +260,11 @@
             Event::Arrive(message) => return self.arrive(message),
             Event::List(message, incarnation) => self.list(message, incarnation),
             Event::WorkerUp(id) => self.start_worker(&id),
+            Event::Silence(id, until) => {
+                if !self.settling {
+                    self.workers[&id].silent_until = until;
+                }
+            }
             Event::Register(id, incarnation) => {
                 if self.workers[&id].up && self.workers[&id].incarnation == incarnation {
                     self.register(&id);
@@ -269,7 +283,7 @@
             Event::SendStop(process, stop) => self.send_stop(process, stop),
             Event::Commit(process) => self.commit(process),
             Event::Stored(process, sent_at) => return self.stored(process, sent_at),
-            Event::Heartbeat(process) => self.heartbeat(process),
+            Event::Heartbeat(process, generation) => self.heartbeat(process, generation),
             Event::HeartbeatStored(process, sent_at) => self.heartbeat_stored(process, sent_at),
             Event::ReadRegistry(process) => self.read_registry(process),
             Event::ReadJobs(process) => self.read_jobs(process),
@@ -297,9 +311,14 @@
 
     pub fn start_worker(&mut self, id: &WorkerId) {
         let rate = 1.0 - self.below(2_001) as f64 / 100_000.0;
+        let proxied_until = match self.transport {
+            Transport::Bound | Transport::StrayPolls | Transport::StrayStarts => Time::ZERO,
+            Transport::Proxies => self.now + self.millis(0, MAX_PROXIED_MS),
+        };
         let worker = &mut self.workers[id];
         if !worker.up && !worker.replaced {
             worker.begin(self.now.as_millis() as u64, rate, self.now);
+            worker.proxied_until = proxied_until;
         }
     }
 
@@ -375,7 +394,7 @@
         let process = self.processes.len() - 1;
         let delay = self.millis(2, 100);
         self.schedule(now + delay, Event::Fence(process));
-        self.schedule(now + HEARTBEAT_INTERVAL, Event::Heartbeat(process));
+        self.schedule_heartbeat(process, now + HEARTBEAT_INTERVAL);
     }
 
     /// Time that the store takes for a call.
@@ -386,15 +405,35 @@
         }
     }
 
-    fn heartbeat(&mut self, process: usize) {
+    fn schedule_heartbeat(&mut self, process: usize, at: Time) {
+        let sender = &mut self.processes[process];
+        sender.heartbeat_generation += 1;
+        let generation = sender.heartbeat_generation;
+        self.schedule(at, Event::Heartbeat(process, generation));
+    }
+
+    /// Lets the next heartbeat of an owner be sent early.
+    pub fn request_heartbeat(&mut self, process: usize) {
+        let sender = &mut self.processes[process];
+        let was_needed = std::mem::replace(&mut sender.heartbeat_needed, true);
+        if let Some(from) = sender.heartbeat_from.filter(|_| !was_needed) {
+            self.schedule_heartbeat(process, from.max(self.now));
+        }
+    }
+
+    fn heartbeat(&mut self, process: usize, generation: u64) {
+        if generation != self.processes[process].heartbeat_generation {
+            return;
+        }
         let (now, took) = (self.now, self.store_time());
         let owner = &mut self.processes[process];
         if owner.in_touch {
+            (owner.heartbeat_from, owner.heartbeat_needed) = (None, false);
             let (term, leases) = (owner.term.number, owner.announce_leases(false, now));
             self.schedule(now + took, Event::HeartbeatApplied(term, leases));
             self.schedule(now + took, Event::HeartbeatStored(process, now));
         } else if owner.term.may_send_orders(now) {
-            self.schedule(now + RETRY_DELAY, Event::Heartbeat(process));
+            self.schedule_heartbeat(process, now + RETRY_DELAY);
         } else {
             owner.end_term("the store does not answer");
         }
@@ -416,7 +455,12 @@
                 owner.record_leases_announced();
             }
         }
-        self.schedule(now + HEARTBEAT_INTERVAL, Event::Heartbeat(process));
+        owner.heartbeat_from = Some(now + MIN_HEARTBEAT_INTERVAL);
+        let pause = match owner.heartbeat_needed {
+            true => MIN_HEARTBEAT_INTERVAL,
+            false => HEARTBEAT_INTERVAL,
+        };
+        self.schedule_heartbeat(process, now + pause);
     }
 
     fn apply_heartbeat(&mut self, term: u64, leases: &LeaseRecord) {
