Poll as before while the start of a long-running task is open

What callers saw: nothing on its own.

Change: only starts of other tasks shorten the waits. Test: poll_wait_long_running_start, which failed before.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -406,8 +406,12 @@
         }
     }
 
-    /// Whether it should be known by now whether the current run of a task has started, and is not.
+    /// Whether it should be known by now whether the current run of a task has started, and is not. Long-running tasks
+    /// do not count: a stop that is sent sooner may end one at work whose start took effect late.
     fn is_start_open(&self, id: &TaskId, now: Time) -> bool {
+        if self.step_of(id).is_some_and(|s| s.long_running) {
+            return false;
+        }
         let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
         let Some(Phase::Assigned(assignment)) = task.map(|t| &t.phase) else { return false };
         assignment.start != StartStatus::Started
--- a/tests/batch_late_orders.rs
+++ b/tests/batch_late_orders.rs
@@ -3,7 +3,7 @@
 
 mod batch;
 
-use batch::{Cluster, short_step};
+use batch::{Cluster, long_running_step, short_step};
 use jacinthhook::batch::job::{JobState, WorkerId};
 use jacinthhook::batch::orders::{StartOrder, StartOutcome};
 use jacinthhook::batch::owner::POLL_WAIT;
@@ -189,3 +189,13 @@
     cluster.advance(Duration::from_secs(2));
     assert_eq!(poll_wait(&cluster), POLL_WAIT);
 }
+
+/// Guards against stopping a long-running task sooner whose start takes effect late: it is at work by then.
+#[test]
+fn poll_wait_long_running_start() {
+    let mut cluster = Cluster::new(1);
+    cluster.submit(JOB, vec![long_running_step(1, 1)]);
+    assert_eq!(cluster.decide().orders.starts.len(), 1);
+    cluster.advance(Duration::from_secs(2));
+    assert_eq!(cluster.owner.poll_wait(&cluster.owner.workers["w0"], cluster.now), POLL_WAIT);
+}
