--- a/tests/owner_fuzz.rs
+++ b/tests/owner_fuzz.rs
@@ -119,6 +119,15 @@
     });
 }
 
+/// Several restarts meet one task. Guards against giving up its job for crashes that it did not cause.
+#[test]
+fn owner_proxies_seed_282() {
+    let generate = |seed| Sequence::generate_restarts(seed, STEPS as usize, Transport::Proxies);
+    if let Some(failure) = search(std::iter::once(282), generate).1 {
+        panic!("{}", report(&failure));
+    }
+}
+
 /// The same with starts. Guards against runs of a worker's process, by a start for its earlier process that had no
 /// response, beside or after those that replaced them.
 #[test]
