--- a/tests/owner_fuzz.rs
+++ b/tests/owner_fuzz.rs
@@ -158,6 +158,18 @@
     run_freezes_seed(267);
 }
 
+/// As seed 267.
+#[test]
+fn owner_freezes_seed_253() {
+    run_freezes_seed(253);
+}
+
+/// As seed 267.
+#[test]
+fn owner_freezes_seed_342() {
+    run_freezes_seed(342);
+}
+
 /// As seed 134 with frozen owners.
 #[test]
 fn owner_freezes_seed_304() {
