Give each world of the restart tests a folder of its own

Cause: worlds of one process with the same name and seed shared a folder; each wrote its settings over the others', and the first to end removed them. Their address, which is their own, is part of the name now. No check changed.

--- a/tests/restart_world/mod.rs
+++ b/tests/restart_world/mod.rs
@@ -153,7 +153,7 @@
             workers.push(worker);
         }
         let dir =
-            std::env::temp_dir().join(format!("restart-{}-{name}-{seed}", std::process::id()));
+            std::env::temp_dir().join(format!("restart-{}-{name}-{seed}-{ip}", std::process::id()));
         fs::create_dir_all(&dir).expect("create the folder");
         let mut instances = Vec::new();
         for number in 0..INSTANCE_COUNT {
