--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -18,6 +18,8 @@
     FinishedRun, Orders, PaceOrder, RunOutcome, StartOrder, StartOutcome, StopOrder, WorkerReport,
     WorkerTime, is_same,
 };
+use crate::batch::overload::OverloadSettings;
+use crate::batch::pool_demand::PoolSettings;
 use crate::batch::prior_leases::{
     LeaseRecord, PriorLeases, WorkerLease, fits_open_orders, leases_per_record, remaining_ms,
 };
@@ -266,6 +268,8 @@
     early_cancellations: IndexMap<JobId, Moment>,
     wall_clock: WallClock,
     pub(super) crashes: CrashState,
+    pub(super) overload: OverloadSettings,
+    pub(super) pool_demand: PoolSettings,
     pub(super) run_failures: RunFailures,
 }
 
@@ -307,10 +311,18 @@
             early_cancellations: IndexMap::new(),
             wall_clock: WallClock::default(),
             crashes: CrashState::default(),
+            overload: OverloadSettings::default(),
+            pool_demand: PoolSettings::default(),
             run_failures: RunFailures::default(),
         }
     }
 
+    /// Sets how the owner decides while there is too little room, and how many machines pools want.
+    pub fn with_settings(mut self, overload: OverloadSettings, pools: PoolSettings) -> Owner {
+        (self.overload, self.pool_demand) = (overload, pools);
+        self
+    }
+
     /// Sets what is known about leases of previous owners. Called before any worker is known.
     pub fn with_prior_leases(mut self, prior_leases: PriorLeases) -> Owner {
         if let Some(until) = prior_leases.others_until() {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,6 +4,7 @@
 use crate::exit::{CommandError, Exit};
 use crate::ids::InstanceId;
 use crate::instance::process;
+use crate::instance::run_settings::{self, RunSettings};
 use crate::load_command::{self, LoadArgs};
 use crate::measure_command::{self, MeasureArgs};
 use crate::operator_commands::{self, CommandTarget, PublishMode, Report, StatusFormat};
@@ -69,7 +70,11 @@
 /// Run an instance on the users' platform, which supplies its settings.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "run")]
-struct RunArgs {}
+struct RunArgs {
+    /// settings file of the instance's parts (defaults)
+    #[argh(option)]
+    settings: Option<String>,
+}
 
 /// Check a settings or declarations file and report all mistakes.
 #[derive(Debug, FromArgs)]
@@ -320,7 +325,7 @@
         Command::Status(args) => block_on(status(args)),
         Command::Dev(args) => block_on(dev::run(args.http_addr, out)),
         Command::Serve(args) => serve(&args.file, out),
-        Command::Run(RunArgs {}) => process::run(),
+        Command::Run(args) => process::run(run_settings(args.settings.as_deref())?),
         Command::Load(args) => block_on(load_command::run(args)),
         Command::Measure(args) => measure_command::run(args),
         Command::Platform(args) => block_on(standin_command::platform(args.into(), out)),
@@ -348,6 +353,7 @@
         CheckedFile::Settings(settings) => {
             format!("settings of entry instance {} in zone {}", settings.id, settings.zone)
         }
+        CheckedFile::RunSettings(_) => "settings of run".to_string(),
         CheckedFile::Declarations(cfg) => format!(
             "declarations: {} zones, {} teams, {} pools, {} profiles, {} services",
             cfg.zones.len(),
@@ -365,6 +371,12 @@
     serve_command::serve(settings.map_err(|mistakes| CommandError::Mistakes { mistakes })?, out)
 }
 
+/// Reads the settings of `run`; the defaults hold without a file.
+fn run_settings(file: Option<&str>) -> Result<RunSettings, CommandError> {
+    let Some(file) = file else { return Ok(RunSettings::default()) };
+    run_settings::read(file, &read(file)?).map_err(|mistakes| CommandError::Mistakes { mistakes })
+}
+
 fn target(at: SocketAddr, wait_ms: u64, op: Option<String>) -> CommandTarget {
     CommandTarget { at, wait: Duration::from_millis(wait_ms), op }
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -411,6 +411,11 @@
         }
     }
 
+    /// Returns whether a key says `on` or `off`, or the default if the key is absent.
+    pub fn switch(&mut self, key: &'static str, default: bool) -> bool {
+        self.keyword(key, &[("on", true), ("off", false)], default)
+    }
+
     /// Returns a duration in milliseconds within a range, or the default if the key is absent.
     pub fn millis(
         &mut self,
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -4,6 +4,7 @@
 
 pub mod append_queue;
 pub mod boottime;
+pub mod caller_limits;
 pub mod config;
 pub mod election;
 pub mod http_api;
@@ -12,7 +13,10 @@
 pub mod peers;
 pub mod process;
 pub mod repeated_append;
+pub mod run_settings;
 pub mod shared;
+pub mod start_attempts;
+pub mod submissions;
 pub mod tasks;
 pub mod term;
 pub mod topics;
--- a/src/instance/config.rs
+++ b/src/instance/config.rs
@@ -2,6 +2,7 @@
 
 use crate::batch::declarations::Bounds;
 use crate::ids::{EntryId, ZoneId};
+use crate::instance::run_settings::RunSettings;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -62,4 +63,6 @@
     pub stop_timeout: Duration,
     pub machine: MachineSize,
     pub bounds: Bounds,
+    /// The product's own settings.
+    pub settings: RunSettings,
 }
--- a/src/instance/process.rs
+++ b/src/instance/process.rs
@@ -4,6 +4,7 @@
 use crate::exit::{CommandError, Exit};
 use crate::http_server;
 use crate::instance::config::InstanceConfig;
+use crate::instance::run_settings::RunSettings;
 use crate::instance::shared::Shared;
 use crate::instance::{http_api, peers, tasks, term, topics};
 use crate::metrics::Metrics;
@@ -23,8 +24,8 @@
 const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(2_500);
 
 /// Runs an instance until SIGTERM or SIGINT.
-pub fn run() -> Result<Report, CommandError> {
-    let cfg = boot_settings::load().map_err(process_error)?;
+pub fn run(settings: RunSettings) -> Result<Report, CommandError> {
+    let cfg = InstanceConfig { settings, ..boot_settings::load().map_err(process_error)? };
     // A machine has a quarter of a core, so more threads would only compete for it.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     runtime.map_err(process_error)?.block_on(serve(cfg))
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -547,6 +547,7 @@
     let workers = read_latest(shared, term, store::WORKERS_TOPIC).await?;
     let now = shared.now();
     let mut owner = Owner::new(term.number, shared.cfg.bounds, shared.active_config(), now)
+        .with_settings(shared.cfg.settings.overload, shared.cfg.settings.pool_demand)
         .with_prior_leases(prior_leases);
     for record in &jobs.records {
         accept_job(shared, &mut owner, record);
--- a/src/platform/boot_settings.rs
+++ b/src/platform/boot_settings.rs
@@ -2,6 +2,7 @@
 
 use crate::batch::declarations::Bounds;
 use crate::instance::config::{InstanceConfig, MachineSize};
+use crate::instance::run_settings::RunSettings;
 use crate::platform::json;
 use serde_json::Value;
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -75,6 +76,7 @@
                 .unwrap_or(Duration::from_secs(120)),
             holder_gap: json::millis(&bounds, "leaseMs"),
         },
+        settings: RunSettings::default(),
     })
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,7 @@
 use crate::config::{Config, Mistake, SectionReader, did_you_mean};
 use crate::file::{FileMistake, FileSections};
 use crate::ids::*;
+use crate::instance::run_settings::{self, RunSettings};
 use crate::record::SectionChange;
 use indexmap::IndexMap;
 use std::net::SocketAddr;
@@ -112,16 +113,21 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum CheckedFile {
     Settings(Box<Settings>),
+    RunSettings(Box<RunSettings>),
     Declarations(Box<Config>),
 }
 
-/// Checks a file of either kind. A file with an `[entry]` section contains settings, any other
-/// declarations.
+/// Checks a file of any kind. A file with an `[entry]` section contains settings of an entry instance, one
+/// with a section of `run_settings` those of `run`, any other declarations.
 pub fn check(file: &str, text: &str) -> Result<CheckedFile, Vec<FileMistake>> {
     let (sections, _) = FileSections::read(file, text);
     if sections.sections.contains_key("entry") {
         return read_settings(file, text).map(|settings| CheckedFile::Settings(Box::new(settings)));
     }
+    if run_settings::SECTION_NAMES.iter().any(|name| sections.sections.contains_key(*name)) {
+        let settings = run_settings::read(file, text);
+        return settings.map(|settings| CheckedFile::RunSettings(Box::new(settings)));
+    }
     check_declarations(file, text).map(|cfg| CheckedFile::Declarations(Box::new(cfg)))
 }
 
