Cancel jobs that run on the group whose stops get lost

Cause, by the logs of its instances: the three jobs that it cancels ran on w1, w2 and w7, and only stops to w0, w3, w6 and w9 get lost, so there was nothing to lose. Which workers run the last three jobs depends on the course of the run. The test now waits until a worker of the group runs a task, and cancels jobs with tasks there. No check has changed.

--- a/tests/restart_world/mod.rs
+++ b/tests/restart_world/mod.rs
@@ -229,12 +229,22 @@
         false
     }
 
-    /// Cancels the last `count` jobs that were accepted.
-    pub async fn cancel_jobs(&self, count: usize) {
+    /// Waits until a worker of the group runs a task, and cancels the last `count` jobs with tasks there.
+    pub async fn cancel_jobs_on(&self, group: &[Arc<Worker>], count: usize) {
+        let runs_there =
+            |job: &Job| group.iter().any(|worker| worker.running_jobs().contains(&job.id));
+        self.wait_until("the group runs a job", || async {
+            self.jobs.lock().iter().any(runs_there)
+        })
+        .await;
         let cancelled = {
             let mut jobs = self.jobs.lock();
-            let kept = jobs.len().saturating_sub(count);
-            jobs.split_off(kept)
+            let (there, mut kept): (Vec<Job>, Vec<Job>) = jobs.drain(..).partition(runs_there);
+            let mut others = there;
+            let cancelled = others.split_off(others.len().saturating_sub(count));
+            kept.append(&mut others);
+            *jobs = kept;
+            cancelled
         };
         for job in cancelled {
             self.call(0, Method::DELETE, &job.id, String::new()).await;
--- a/tests/restart_world/modes.rs
+++ b/tests/restart_world/modes.rs
@@ -85,7 +85,7 @@
             group.iter().for_each(|worker| worker.set_losses(losses));
             sleep(LOSS_DURATION).await;
             if losses.path == "/-/run-stop" {
-                world.cancel_jobs(3).await;
+                world.cancel_jobs_on(&group, 3).await;
             }
             let lost_count = || group.iter().map(|worker| worker.lost_count()).sum::<u64>();
             world.wait_until("a call is lost", || async { lost_count() > 0 }).await;
--- a/tests/restart_world/worker.rs
+++ b/tests/restart_world/worker.rs
@@ -262,6 +262,13 @@
         self.state.lock().lost_count
     }
 
+    /// Returns the ids of the jobs of which a task runs here.
+    pub fn running_jobs(&self) -> Vec<String> {
+        let state = self.state.lock();
+        let tasks = state.process.iter().flat_map(|process| process.running.keys());
+        tasks.filter_map(|task| task.split('.').next()).map(String::from).collect()
+    }
+
     pub fn running_count(&self) -> usize {
         self.state.lock().process.as_ref().map_or(0, |p| p.running.len())
     }
