--- a/src/instance/append_queue.rs
+++ b/src/instance/append_queue.rs
@@ -1,11 +1,12 @@
 //! Queue that batches appends of callers' records to the store.
 //!
-//! The store processes the appends to one topic one after another. This instance has one append in
-//! flight at a time; records that arrive meanwhile go into the next one, so that a slow store
-//! receives fewer calls rather than more.
+//! The store processes the appends to one partition one after another. This instance has one append in
+//! flight for each partition; records that arrive meanwhile go into the next one, so that a slow store
+//! receives fewer calls rather than more. A partition that does not answer holds up its own records only.
 
-use crate::platform::store::{self, AppendCondition, Store, StoreError};
+use crate::platform::store::{self, AppendCondition, Partition, Store, StoreError};
 use bytes::Bytes;
+use futures::future::join_all;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use std::sync::Arc;
@@ -37,22 +38,53 @@
     reply: oneshot::Sender<AppendOutcome>,
 }
 
-/// Records that wait to be appended to the store.
+/// Records of one partition.
 #[derive(Default)]
+struct Lane {
+    pending: Vec<PendingAppend>,
+    /// Keys of the append in flight.
+    in_flight: Vec<String>,
+}
+
+impl Lane {
+    fn holds(&self, key: &str) -> bool {
+        self.pending.iter().any(|p| p.key == key) || self.in_flight.iter().any(|k| k == key)
+    }
+}
+
+/// Records that wait to be appended to the store, by partition.
 pub struct AppendQueue {
-    pending: Mutex<Vec<PendingAppend>>,
-    /// Until when the record of a key may be stored by an append that got no response.
+    /// A key has records in one lane at a time, so that the outcome of an append is known before the next
+    /// record of its key is appended.
+    lanes: Mutex<Vec<Lane>>,
+    /// One for each lane.
+    wakes: Vec<Notify>,
+    /// Until when the record of a key may be stored by an append that got no response, in any partition.
     uncertain_until: Mutex<IndexMap<String, Instant>>,
-    wake: Notify,
 }
 
 impl AppendQueue {
-    /// Stores a record. Gives up at `deadline`.
-    pub async fn store(&self, key: &str, value: Bytes, deadline: Instant) -> AppendOutcome {
+    /// Creates a queue for partitions numbered from 0.
+    pub fn new(partitions: u32) -> AppendQueue {
+        AppendQueue {
+            lanes: Mutex::new((0..partitions).map(|_| Lane::default()).collect()),
+            wakes: (0..partitions).map(|_| Notify::new()).collect(),
+            uncertain_until: Mutex::default(),
+        }
+    }
+
+    /// Stores a record in a partition, or in the one where an earlier record of the same key waits or is in
+    /// flight. Gives up at `deadline`.
+    pub async fn store(
+        &self,
+        partition: u32,
+        key: &str,
+        value: Bytes,
+        deadline: Instant,
+    ) -> AppendOutcome {
         let (reply, outcome) = oneshot::channel();
         let (key, maybe_stored) = (key.to_string(), false);
-        self.pending.lock().push(PendingAppend { key, value, deadline, maybe_stored, reply });
-        self.wake.notify_one();
+        self.push(partition, PendingAppend { key, value, deadline, maybe_stored, reply });
         // A record that is in flight at the deadline may still be stored.
         match timeout_at(deadline.into(), outcome).await {
             Ok(Ok(outcome)) => outcome,
@@ -60,21 +92,42 @@
         }
     }
 
+    fn push(&self, partition: u32, record: PendingAppend) {
+        let mut lanes = self.lanes.lock();
+        let busy = lanes.iter().position(|lane| lane.holds(&record.key));
+        let number = busy.unwrap_or(partition as usize);
+        lanes[number].pending.push(record);
+        drop(lanes);
+        self.wakes[number].notify_one();
+    }
+
     /// Appends queued records for as long as the process runs.
     pub async fn run(self: Arc<AppendQueue>, store: Store) {
+        join_all((0..self.wakes.len()).map(|number| self.run_lane(number, &store))).await;
+    }
+
+    async fn run_lane(&self, number: usize, store: &Store) {
+        // What an earlier call of `run` had in flight has an unknown outcome.
+        let interrupted = std::mem::take(&mut self.lanes.lock()[number].in_flight);
+        self.record_uncertain(interrupted.into_iter());
+        let partition = Partition::new(store::JOBS_TOPIC, number as u32);
         loop {
-            let mut batch = self.take_batch();
+            let mut batch = self.take_batch(number);
             if batch.is_empty() {
-                self.wake.notified().await;
+                self.wakes[number].notified().await;
                 continue;
             }
             let records: Vec<(&str, Option<&[u8]>)> =
                 batch.iter().map(|p| (p.key.as_str(), Some(&*p.value))).collect();
-            match store.append(store::JOBS_TOPIC, &records, AppendCondition::default()).await {
-                Ok(_) => complete(batch, AppendOutcome::Stored),
+            match store.append(partition, &records, AppendCondition::default()).await {
+                Ok(_) => {
+                    complete(batch, AppendOutcome::Stored);
+                    self.requeue(number, Vec::new());
+                }
                 Err(StoreError::NoResponse) => {
-                    self.record_uncertain(&mut batch);
-                    self.requeue(batch);
+                    batch.iter_mut().for_each(|p| p.maybe_stored = true);
+                    self.record_uncertain(batch.iter().map(|p| p.key.clone()));
+                    self.requeue(number, batch);
                     sleep(RETRY_DELAY).await;
                 }
                 // This append had no effect, but an earlier one of the same record may have had.
@@ -83,21 +136,18 @@
                         .into_iter()
                         .partition(|p| p.maybe_stored || self.is_uncertain(&p.key));
                     complete(not_stored, AppendOutcome::NotStored);
-                    self.requeue(maybe_stored);
+                    self.requeue(number, maybe_stored);
                     sleep(RETRY_DELAY).await;
                 }
             }
         }
     }
 
-    fn record_uncertain(&self, batch: &mut [PendingAppend]) {
+    fn record_uncertain(&self, keys: impl Iterator<Item = String>) {
         let now = Instant::now();
         let mut uncertain_until = self.uncertain_until.lock();
         uncertain_until.retain(|_, until| now < *until);
-        for pending in batch {
-            pending.maybe_stored = true;
-            uncertain_until.insert(pending.key.clone(), now + LATE_APPEND_WINDOW);
-        }
+        uncertain_until.extend(keys.map(|key| (key, now + LATE_APPEND_WINDOW)));
     }
 
     /// Whether an earlier call's record of this key may be stored or become so.
@@ -105,21 +155,26 @@
         self.uncertain_until.lock().get(key).is_some_and(|until| Instant::now() < *until)
     }
 
-    fn take_batch(&self) -> Vec<PendingAppend> {
-        let mut pending = self.pending.lock();
-        let count = store::records_per_append(pending.iter().map(|p| p.key.len() + p.value.len()));
-        pending.drain(..count).collect()
+    fn take_batch(&self, number: usize) -> Vec<PendingAppend> {
+        let lane = &mut self.lanes.lock()[number];
+        let sizes = lane.pending.iter().map(|p| p.key.len() + p.value.len());
+        let batch: Vec<PendingAppend> =
+            lane.pending.drain(..store::records_per_append(sizes)).collect();
+        lane.in_flight = batch.iter().map(|p| p.key.clone()).collect();
+        batch
     }
 
-    /// Requeues records whose deadline has not passed. Storing a record again has no effect.
-    fn requeue(&self, batch: Vec<PendingAppend>) {
+    /// Ends an append: requeues those of its records whose outcome is open and whose deadline has not passed.
+    /// Storing a record again has no effect.
+    fn requeue(&self, number: usize, batch: Vec<PendingAppend>) {
         let now = Instant::now();
         let (mut retained, expired): (Vec<PendingAppend>, Vec<PendingAppend>) =
             batch.into_iter().partition(|p| p.deadline > now);
         complete(expired, AppendOutcome::Unknown);
-        let mut pending = self.pending.lock();
-        retained.append(&mut pending);
-        *pending = retained;
+        let lane = &mut self.lanes.lock()[number];
+        lane.in_flight.clear();
+        retained.append(&mut lane.pending);
+        lane.pending = retained;
     }
 }
 
--- a/src/instance/config.rs
+++ b/src/instance/config.rs
@@ -57,6 +57,8 @@
     pub metrics_addr: Option<SocketAddr>,
     /// Address of the metadata store, `IP:PORT`.
     pub store_addr: String,
+    /// Partitions of each topic of the store, at least 1.
+    pub store_partitions: u32,
     /// Address of the service that manages the machines, `IP:PORT`.
     pub machines_addr: Option<String>,
     /// Time between the stop signal and the forced end of the process.
--- a/src/instance/http_api.rs
+++ b/src/instance/http_api.rs
@@ -9,7 +9,7 @@
 use crate::instance::append_queue::AppendOutcome;
 use crate::instance::peers::{JobLookup, OwnerClient};
 use crate::instance::shared::Shared;
-use crate::instance::term::CANCEL_KEY_SUFFIX;
+use crate::instance::submissions::CANCEL_KEY_SUFFIX;
 use crate::platform::job_format;
 use bytes::Bytes;
 use rocket::data::ToByteUnit;
@@ -20,7 +20,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Longest request body, as limited by the platform.
 const MAX_BODY_BYTES: u64 = 262_144;
@@ -213,11 +213,12 @@
         if job_format::parse_job(body).is_err() {
             return Err(malformed);
         }
-        let Ok(record) = job_format::encode_stored_job(queue, team.as_ref(), body) else {
+        let taken_at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let Ok(record) = job_format::encode_stored_job(queue, team.as_ref(), body, taken_at) else {
             return Err(malformed);
         };
         let wait = deadline.unwrap_or(DEFAULT_DEADLINE).mul_f64(STORE_TIME_FRACTION);
-        self.store_record(id, record, started + wait).await?;
+        self.store_record(id, id, record, started + wait).await?;
         // The key may have been withdrawn while the record was being stored; such a call must not
         // succeed.
         if !queue.public && !self.shared.keys_are_fresh() {
@@ -240,11 +241,13 @@
     /// Stores a record of a job.
     async fn store_record(
         &self,
+        id: &str,
         key: &str,
         value: Bytes,
         deadline: Instant,
     ) -> Result<(), Rejection> {
-        match self.shared.append_queue.store(key, value, deadline).await {
+        let partition = self.shared.submission_partition(id);
+        match self.shared.append_queue.store(partition, key, value, deadline).await {
             AppendOutcome::Stored => Ok(()),
             AppendOutcome::NotStored => {
                 Err(Rejection::new(status::UNAVAILABLE, "the store takes nothing"))
@@ -276,7 +279,7 @@
         }
         let key = format!("{id}{CANCEL_KEY_SUFFIX}");
         let deadline = Instant::now() + DEFAULT_DEADLINE.mul_f64(STORE_TIME_FRACTION);
-        self.store_record(&key, Bytes::from_static(CANCEL_VALUE), deadline).await?;
+        self.store_record(id, &key, Bytes::from_static(CANCEL_VALUE), deadline).await?;
         self.shared
             .log
             .event(Event::BatchJobCancelled, &[("job", id.into()), ("status", 200u64.into())]);
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -90,7 +90,7 @@
     let Some(owner) = lock.as_ref() else { return JobLookup::Unsure };
     match owner.jobs.get(id) {
         Some(job) => JobLookup::Known(job.published_state),
-        None if shared.jobs_read_age() < MAX_JOBS_AGE => JobLookup::Absent,
+        None if shared.job_read_age(id) < MAX_JOBS_AGE => JobLookup::Absent,
         None => JobLookup::Unsure,
     }
 }
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -10,17 +10,20 @@
 use crate::instance::append_queue::AppendQueue;
 use crate::instance::boottime;
 use crate::instance::config::{InstanceConfig, MachineSize};
+use crate::instance::submissions::{
+    OwnerReads, partition_of, possible_partitions, readable_partitions,
+};
 use crate::instance::unreadable_records::UnreadableRecords;
 use crate::metrics::Metrics;
 use crate::platform::http::Http;
-use crate::platform::store::{self, Store};
+use crate::platform::store::{self, Partition, Store};
 use crate::platform::worker_client::WorkerClient;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use rand::RngExt;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
@@ -74,8 +77,11 @@
     pub term: Mutex<Option<u64>>,
     pub view: Mutex<ConfigView>,
     pub known_owner: Mutex<Option<OwnerInfo>>,
-    /// When the owner last read callers' jobs up to their end.
-    jobs_read_at: Mutex<Option<Time>>,
+    owner_reads: Mutex<Option<OwnerReads>>,
+    /// Over how many partitions callers' records were spread last.
+    partitions_in_use: AtomicU32,
+    /// When the owner last read each partition of callers' jobs up to its end, by number.
+    jobs_read_at: Mutex<IndexMap<u32, Time>>,
     /// Recently accepted jobs of this instance, with the time of acceptance.
     recent_jobs: Mutex<IndexMap<JobId, Instant>>,
     unreadable_records: Mutex<UnreadableRecords>,
@@ -102,7 +108,7 @@
         Shared {
             store: Store::new(http.clone(), cfg.store_addr.clone()),
             worker_client: WorkerClient::new(http.clone()),
-            append_queue: Arc::new(AppendQueue::default()),
+            append_queue: Arc::new(AppendQueue::new(readable_partitions(cfg.store_partitions))),
             cfg,
             incarnation: rand::rng().random(),
             log,
@@ -113,7 +119,9 @@
             term: Mutex::new(None),
             view: Mutex::new(ConfigView::default()),
             known_owner: Mutex::new(None),
-            jobs_read_at: Mutex::new(None),
+            owner_reads: Mutex::new(None),
+            partitions_in_use: AtomicU32::new(1),
+            jobs_read_at: Mutex::default(),
             recent_jobs: Mutex::new(IndexMap::new()),
             unreadable_records: Mutex::default(),
             plan_needed: Notify::new(),
@@ -148,14 +156,59 @@
         self.view_age().is_some_and(|age| age < bound)
     }
 
-    /// Records that callers' jobs were read up to their end.
-    pub fn mark_jobs_read(&self) {
-        *self.jobs_read_at.lock() = Some(self.now());
+    /// Returns from how many partitions this instance reads callers' records as the owner.
+    pub fn read_partitions(&self) -> u32 {
+        readable_partitions(self.cfg.store_partitions)
     }
 
-    /// Returns the time since callers' jobs were read up to their end.
+    /// Records from how many partitions an owner reads callers' records, as its record says.
+    pub fn record_owner_reads(&self, partitions: u32) {
+        let heard_at = self.now();
+        *self.owner_reads.lock() = Some(OwnerReads { partitions, heard_at });
+    }
+
+    /// Returns the partition that takes a job's record now, and logs a change of their number.
+    pub fn submission_partition(&self, id: &str) -> u32 {
+        let (owner, now) = (*self.owner_reads.lock(), self.now());
+        let settings = &self.cfg.settings.submissions;
+        let partitions = settings.partitions_in_use(self.cfg.store_partitions, owner, now);
+        let earlier = self.partitions_in_use.swap(partitions, Ordering::Relaxed);
+        if earlier != partitions {
+            self.metrics.set_submission_partitions(partitions);
+            let age =
+                owner.map_or(0, |reads| now.saturating_sub(reads.heard_at).as_millis() as u64);
+            let fields = [
+                ("partitions", partitions.into()),
+                ("earlier", earlier.into()),
+                ("owner_reads", owner.map_or(0, |reads| reads.partitions).into()),
+                ("age_ms", age.into()),
+            ];
+            self.log.event(Event::SubmissionPartitions, &fields);
+        }
+        partition_of(id, partitions)
+    }
+
+    /// Records that a partition of callers' jobs was read up to its end.
+    pub fn mark_jobs_read(&self, partition: u32) {
+        self.jobs_read_at.lock().insert(partition, self.now());
+    }
+
+    /// Returns the longest time since any of these partitions of callers' jobs was read up to its end.
+    fn partitions_read_age(&self, mut partitions: impl Iterator<Item = u32>) -> Duration {
+        let read_at = self.jobs_read_at.lock();
+        let oldest = partitions
+            .try_fold(Time::MAX, |oldest, number| read_at.get(&number).map(|at| oldest.min(*at)));
+        oldest.map_or(Duration::MAX, |at| self.now().saturating_sub(at))
+    }
+
+    /// Returns the time since all of callers' jobs were read up to their end.
     pub fn jobs_read_age(&self) -> Duration {
-        self.jobs_read_at.lock().map_or(Duration::MAX, |at| self.now().saturating_sub(at))
+        self.partitions_read_age(0..self.read_partitions())
+    }
+
+    /// Returns the time since the partitions that may hold a job were read up to their end.
+    pub fn job_read_age(&self, id: &str) -> Duration {
+        self.partitions_read_age(possible_partitions(id, self.read_partitions()))
     }
 
     /// Records that this instance accepted a job.
@@ -191,10 +244,17 @@
     }
 
     /// Logs and counts a record that is skipped, once however often it is read.
-    pub fn log_unreadable(&self, topic: &str, offset: u64, key: &str, error: &str) {
-        if self.unreadable_records.lock().insert(topic, offset) {
+    pub fn log_unreadable<'a>(
+        &self,
+        partition: impl Into<Partition<'a>>,
+        offset: u64,
+        key: &str,
+        error: &str,
+    ) {
+        let topic = partition.into().to_string();
+        if self.unreadable_records.lock().insert(&topic, offset) {
             let fields = [
-                ("topic", topic.into()),
+                ("topic", (&topic).into()),
                 ("offset", offset.into()),
                 ("key", key.into()),
                 ("error", error.into()),
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -16,10 +16,15 @@
 use crate::instance::owner_load::{self, OwnerLoad};
 use crate::instance::repeated_append::RepeatedAppend;
 use crate::instance::shared::{OwnerInfo, Shared};
+use crate::instance::submissions::{CANCEL_KEY_SUFFIX, Deletion, SubmissionIndex, merge_by_time};
 use crate::instance::topics::{self, OWNER_KEY};
 use crate::instance::{machine_orders, peers, tasks, workers};
-use crate::platform::store::{self, AppendCondition, Fetched, LatestRead, Record, StoreError};
-use crate::platform::{job_format, registry};
+use crate::platform::job_format::{self, StoredJob};
+use crate::platform::registry;
+use crate::platform::store::{
+    self, AppendCondition, Fetched, LatestRead, Partition, Record, StoreError,
+};
+use futures::future::try_join_all;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use std::sync::Arc;
@@ -58,10 +63,9 @@
 const DELETE_INTERVAL: Duration = Duration::from_millis(200);
 /// Dropped jobs that one append deletes, so that it stays below `store::MAX_APPEND_BYTES`.
 const MAX_DELETIONS: usize = 1_000;
-/// Longest wait of a read of callers' jobs.
-const JOBS_READ_WAIT: Duration = Duration::from_secs(1);
-/// Suffix of the job's id in the key of a cancellation.
-pub const CANCEL_KEY_SUFFIX: &str = "/cancel";
+/// Longest wait of a read of callers' jobs. With the answer of a slow store it ends before the owner may not
+/// tell any more that a job does not exist.
+const JOBS_READ_WAIT: Duration = Duration::from_millis(1_300);
 
 /// Takes part in the election of the owner for as long as the process runs.
 pub async fn run_election(shared: Arc<Shared>) {
@@ -142,6 +146,7 @@
             RecordOutcome::Followed => {
                 election.record_leases(status.leases.as_ref(), now);
                 update_known_owner(shared, &owner_info, status.has_resigned);
+                shared.record_owner_reads(status.submission_partitions);
             }
             RecordOutcome::EarlierTerm | RecordOutcome::SameTerm => {
                 let known_term = election.latest_owner().map_or(0, |o| o.term);
@@ -332,6 +337,7 @@
     let number = term.number;
     let term = Arc::new(term);
     *shared.term.lock() = Some(number);
+    shared.record_owner_reads(shared.read_partitions());
     let heartbeats = Heartbeats::new(number, shared.incarnation, topic_end);
     let mut tasks = JoinSet::new();
     tasks.spawn(send_heartbeats(shared.clone(), term.clone(), heartbeats, prior_leases.clone()));
@@ -420,6 +426,7 @@
             Err(e) => return end_term(&shared, &term, &e),
         };
         term.record_heartbeat(sent_at);
+        shared.record_owner_reads(shared.read_partitions());
         if stopping {
             return term.end("stopping");
         }
@@ -496,16 +503,20 @@
     if let Err(e) = fence_earlier_owners(&shared, &term, sequence).await {
         return end_term(&shared, &term, &e);
     }
-    let (jobs_next, workers_next, listed) = match load(&shared, &term, prior_leases).await {
+    let loaded = match load(&shared, &term, prior_leases).await {
         Ok(loaded) => loaded,
         Err(e) => return term.end(&e.to_string()),
     };
+    let Loaded { jobs_next, index, workers_next, listed } = loaded;
+    let index = Arc::new(Mutex::new(index));
     let mut tasks = JoinSet::new();
-    tasks.spawn(follow_jobs(shared.clone(), term.clone(), jobs_next));
+    for (number, from) in (0..).zip(jobs_next) {
+        tasks.spawn(follow_jobs(shared.clone(), term.clone(), index.clone(), number, from));
+    }
     tasks.spawn(workers::follow_worker_list(shared.clone(), term.clone(), workers_next, listed));
     tasks.spawn(machine_orders::run(shared.clone(), term.clone()));
     tasks.spawn(commit_batches(shared.clone(), term.clone(), sequence));
-    tasks.spawn(delete_submissions(shared.clone(), term.clone()));
+    tasks.spawn(delete_submissions(shared.clone(), term.clone(), index));
     let error = tasks::first_panic(&mut tasks).await;
     end_term_after_panic(&term, error);
 }
@@ -533,7 +544,14 @@
     append_in_term(shared, term, append).await.map(|_| ())
 }
 
-type Loaded = (u64, u64, IndexMap<Arc<str>, WorkerInfo>);
+/// Where to continue reading after the stored state was loaded.
+struct Loaded {
+    /// Offset in each partition of callers' jobs.
+    jobs_next: Vec<u64>,
+    index: SubmissionIndex,
+    workers_next: u64,
+    listed: IndexMap<Arc<str>, WorkerInfo>,
+}
 
 /// Loads jobs, their progress and the workers into a new owner.
 async fn load(
@@ -542,15 +560,18 @@
     prior_leases: PriorLeases,
 ) -> Result<Loaded, StoreError> {
     let started = Instant::now();
-    let progress = read_latest(shared, term, store::PROGRESS_TOPIC).await?;
-    let jobs = read_latest(shared, term, store::JOBS_TOPIC).await?;
-    let workers = read_latest(shared, term, store::WORKERS_TOPIC).await?;
+    let progress = read_latest(shared, term, store::PROGRESS_TOPIC.into()).await?;
+    let numbers = 0..shared.read_partitions();
+    let reads = numbers.map(|number| read_latest(shared, term, jobs_partition(number)));
+    let jobs = try_join_all(reads).await?;
+    let workers = read_latest(shared, term, store::WORKERS_TOPIC.into()).await?;
     let now = shared.now();
     let mut owner = Owner::new(term.number, shared.cfg.bounds, shared.active_config(), now)
         .with_settings(shared.cfg.settings.overload, shared.cfg.settings.pool_demand)
         .with_prior_leases(prior_leases);
-    for record in &jobs.records {
-        accept_job(shared, &mut owner, record);
+    let mut index = SubmissionIndex::default();
+    for (key, job) in submissions_in_order(shared, &jobs, &mut index) {
+        accept_job(&mut owner, key, job, now);
     }
     for record in &progress.records {
         if let Some(value) = &record.value {
@@ -558,7 +579,7 @@
         }
     }
     // Cancellations are stored separately from jobs; those not carried out yet are applied again.
-    for record in &jobs.records {
+    for record in jobs.iter().flat_map(|fetched| &fetched.records) {
         if let Some(job) = record.key.strip_suffix(CANCEL_KEY_SUFFIX) {
             owner.cancel(job, now);
         }
@@ -578,21 +599,46 @@
     ];
     shared.log.event(Event::OwnerReady, &fields);
     *shared.owner.lock() = Some(owner);
-    shared.mark_jobs_read();
+    (0..shared.read_partitions()).for_each(|number| shared.mark_jobs_read(number));
     shared.plan_needed.notify_one();
-    Ok((jobs.next_offset, workers.next_offset, listed))
+    let jobs_next = jobs.iter().map(|fetched| fetched.next_offset).collect();
+    Ok(Loaded { jobs_next, index, workers_next: workers.next_offset, listed })
+}
+
+fn jobs_partition(number: u32) -> Partition<'static> {
+    Partition::new(store::JOBS_TOPIC, number)
+}
+
+/// Returns the submitted jobs of all partitions in the order in which they were taken.
+fn submissions_in_order<'a>(
+    shared: &Shared,
+    partitions: &'a [Fetched],
+    index: &mut SubmissionIndex,
+) -> Vec<(&'a str, StoredJob)> {
+    let mut submissions = Vec::new();
+    for (number, fetched) in (0..).zip(partitions) {
+        let mut decoded = Vec::new();
+        for record in &fetched.records {
+            index.record(number, &record.key, record.value.is_some());
+            if let Some(job) = decode_submission(shared, jobs_partition(number), record) {
+                decoded.push((job.taken_at, (&*record.key, job)));
+            }
+        }
+        submissions.push(decoded);
+    }
+    merge_by_time(submissions)
 }
 
 async fn read_latest(
     shared: &Shared,
     term: &Term,
-    topic: &str,
+    partition: Partition<'_>,
 ) -> Result<store::Fetched, StoreError> {
     let mut read = LatestRead::default();
     loop {
-        match shared.store.continue_read_latest(topic, &mut read).await {
+        match shared.store.continue_read_latest(partition, &mut read).await {
             Ok(fetched) => {
-                topics::log_unreadable_records(shared, topic, &fetched);
+                topics::log_unreadable_records(shared, partition, &fetched);
                 return Ok(fetched);
             }
             Err(e) if !term.may_append(shared.now()) => return Err(e),
@@ -626,58 +672,62 @@
     }
 }
 
-/// Adds a submitted job to the owner. Returns whether the job is new.
-fn accept_job(shared: &Shared, owner: &mut Owner, record: &Record) -> bool {
+/// Decodes the record of a submitted job; `None` if it is another record, or an odd one, which is logged.
+fn decode_submission(
+    shared: &Shared,
+    partition: Partition<'_>,
+    record: &Record,
+) -> Option<StoredJob> {
     let key = &*record.key;
-    let Some(value) = &record.value else { return false };
-    if key.ends_with(CANCEL_KEY_SUFFIX) {
-        return false;
-    }
+    let value = record.value.as_ref().filter(|_| !key.ends_with(CANCEL_KEY_SUFFIX))?;
     let decoded = match job_format::is_job_id(key) {
         true => job_format::decode_stored_job(value),
         false => Err(format!("{key} is no job id")),
     };
-    match decoded {
-        Ok(job) => {
-            let spec = Arc::new(job.spec);
-            let is_new = owner.add_job(key.into(), spec, job.queue, job.team, shared.now());
-            if let Some(queue) = job.accepted_queue.filter(|_| is_new) {
-                owner.record_accepted_queue(key, queue);
-            }
-            is_new
-        }
-        Err(error) => {
-            shared.log_unreadable(store::JOBS_TOPIC, record.offset, key, &error);
-            false
-        }
+    decoded.inspect_err(|e| shared.log_unreadable(partition, record.offset, key, e)).ok()
+}
+
+/// Adds a submitted job to the owner. Returns whether the job is new.
+fn accept_job(owner: &mut Owner, key: &str, job: StoredJob, now: Time) -> bool {
+    let is_new = owner.add_job(key.into(), Arc::new(job.spec), job.queue, job.team, now);
+    if let Some(queue) = job.accepted_queue.filter(|_| is_new) {
+        owner.record_accepted_queue(key, queue);
     }
+    is_new
 }
 
-/// Reads submitted jobs and cancellations and applies them to the owner.
-async fn follow_jobs(shared: Arc<Shared>, term: Arc<Term>, from: u64) {
+/// Reads submitted jobs and cancellations of one partition and applies them to the owner.
+async fn follow_jobs(
+    shared: Arc<Shared>,
+    term: Arc<Term>,
+    index: Arc<Mutex<SubmissionIndex>>,
+    number: u32,
+    from: u64,
+) {
+    let partition = jobs_partition(number);
     let mut next = Some(from);
     loop {
-        match topics::read_topic(&shared, store::JOBS_TOPIC, next, JOBS_READ_WAIT).await {
-            Ok((fetched, _)) => {
+        match topics::read_topic(&shared, partition, next, JOBS_READ_WAIT).await {
+            Ok((fetched, is_full)) => {
                 next = Some(fetched.next_offset);
                 let mut lock = shared.owner.lock();
                 let Some(owner) = lock.as_mut() else { return term.end("the owner state is gone") };
+                let mut index = index.lock();
+                if is_full {
+                    index.clear_partition(number);
+                }
                 for record in &fetched.records {
-                    match record.key.strip_suffix(CANCEL_KEY_SUFFIX) {
-                        Some(job) if record.value.is_some() => {
-                            owner.cancel(job, shared.now());
-                        }
-                        Some(_) => {}
-                        None => {
-                            if accept_job(&shared, owner, record) {
-                                owner.record_arrival(&record.key, shared.now());
-                            }
-                        }
-                    }
+                    index.record(number, &record.key, record.value.is_some());
+                    apply_submission(&shared, owner, partition, record);
                 }
+                drop(index);
                 drop(lock);
-                shared.mark_jobs_read();
-                shared.plan_needed.notify_one();
+                if fetched.next_offset >= fetched.end {
+                    shared.mark_jobs_read(number);
+                }
+                if !fetched.records.is_empty() {
+                    shared.plan_needed.notify_one();
+                }
             }
             Err(StoreError::Truncated { .. }) => next = None,
             Err(_) => sleep(RETRY_DELAY).await,
@@ -685,6 +735,24 @@
     }
 }
 
+/// Applies a record of callers' jobs to the owner.
+fn apply_submission(shared: &Shared, owner: &mut Owner, partition: Partition<'_>, record: &Record) {
+    let now = shared.now();
+    match record.key.strip_suffix(CANCEL_KEY_SUFFIX) {
+        Some(job) if record.value.is_some() => {
+            owner.cancel(job, now);
+        }
+        Some(_) => {}
+        None => {
+            if let Some(job) = decode_submission(shared, partition, record)
+                && accept_job(owner, &record.key, job, now)
+            {
+                owner.record_arrival(&record.key, now);
+            }
+        }
+    }
+}
+
 /// Plans, stores the decisions, and sends the resulting orders after that.
 async fn commit_batches(shared: Arc<Shared>, term: Arc<Term>, mut sequence: u64) {
     loop {
@@ -724,30 +792,40 @@
 }
 
 /// Deletes the submissions and cancellations of dropped jobs. Apart from the batches, which go on while
-/// this topic cannot be written.
-async fn delete_submissions(shared: Arc<Shared>, term: Arc<Term>) {
+/// this topic cannot be written. One partition at a time, so that their number costs no more appends.
+async fn delete_submissions(
+    shared: Arc<Shared>,
+    term: Arc<Term>,
+    index: Arc<Mutex<SubmissionIndex>>,
+) {
     loop {
         sleep(DELETE_INTERVAL).await;
-        let ids: Vec<JobId> = match shared.owner.lock().as_ref() {
-            Some(owner) => owner.dropped_jobs().take(MAX_DELETIONS).cloned().collect(),
-            None => return term.end("the owner state is gone"),
+        let Some(deletion) = next_deletion(&shared, &index) else {
+            return term.end("the owner state is gone");
         };
-        if ids.is_empty() || !term.may_append(shared.now()) {
-            continue;
-        }
-        let keys = ids.iter().flat_map(|id| [id.to_string(), format!("{id}{CANCEL_KEY_SUFFIX}")]);
-        let keys: Vec<String> = keys.collect();
-        let records: Vec<(&str, Option<&[u8]>)> = keys.iter().map(|k| (k.as_str(), None)).collect();
-        let condition = AppendCondition::default();
-        // Deleting a key again has no effect.
-        if shared.store.append(store::JOBS_TOPIC, &records, condition).await.is_ok()
-            && let Some(owner) = shared.owner.lock().as_mut()
+        if let Some(Deletion { partition, keys }) = deletion
+            && term.may_append(shared.now())
         {
-            owner.record_submissions_deleted(&ids);
+            let records: Vec<(&str, Option<&[u8]>)> =
+                keys.iter().map(|k| (k.as_str(), None)).collect();
+            let condition = AppendCondition::default();
+            // Repeated unless the deletion is read. Deleting a key again has no effect.
+            let _ = shared.store.append(jobs_partition(partition), &records, condition).await;
         }
     }
 }
 
+/// Tells the owner which dropped jobs have no records any more, and returns what to delete next; `None`
+/// without an owner.
+fn next_deletion(shared: &Shared, index: &Mutex<SubmissionIndex>) -> Option<Option<Deletion>> {
+    let mut lock = shared.owner.lock();
+    let owner = lock.as_mut()?;
+    let mut index = index.lock();
+    let deleted: Vec<JobId> = owner.dropped_jobs().filter(|id| !index.holds(id)).cloned().collect();
+    owner.record_submissions_deleted(&deleted);
+    Some(index.next_deletion(owner.dropped_jobs(), MAX_DELETIONS))
+}
+
 /// Stores the updates of a batch, in several appends if it is large. If only the first ones succeed,
 /// the next owner finds some tasks assigned that were never ordered, as after any lost order.
 async fn store_batch(
--- a/src/instance/topics.rs
+++ b/src/instance/topics.rs
@@ -8,7 +8,7 @@
 use crate::instance::config::MachineSize;
 use crate::instance::shared::{OwnerInfo, Shared};
 use crate::platform::operator_records::{self, OperatorKey};
-use crate::platform::store::{self, Fetched, Record, StoreError};
+use crate::platform::store::{self, Fetched, Partition, Record, StoreError};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -44,6 +44,13 @@
     /// Absent in records of earlier versions.
     #[serde(default)]
     leases: Option<LeaseRecord>,
+    /// Absent in records of earlier versions, whose owners read the first partition only.
+    #[serde(default = "first_partition_only")]
+    submission_partitions: u32,
+}
+
+fn first_partition_only() -> u32 {
+    1
 }
 
 /// Content of an owner record.
@@ -53,6 +60,8 @@
     pub has_resigned: bool,
     /// What the owner says about leases; `None` in records of earlier versions.
     pub leases: Option<LeaseRecord>,
+    /// Partitions from which the owner reads callers' records, counted from the first.
+    pub submission_partitions: u32,
 }
 
 /// Follows the operators' topic for as long as the process runs.
@@ -78,26 +87,27 @@
     }
 }
 
-/// Reads a topic from an offset on, or the latest record of each key if there is no offset. The
-/// returned flag tells whether the records are the full content of the topic.
+/// Reads a partition from an offset on, or the latest record of each key if there is no offset. The
+/// returned flag tells whether the records are the full content of the partition.
 pub async fn read_topic(
     shared: &Shared,
-    topic: &str,
+    partition: impl Into<Partition<'_>>,
     from: Option<u64>,
     wait: Duration,
 ) -> Result<(Fetched, bool), StoreError> {
+    let partition = partition.into();
     let fetched = match from {
-        Some(from) => shared.store.read(topic, from, wait).await?,
-        None => shared.store.read_latest(topic).await?,
+        Some(from) => shared.store.read(partition, from, wait).await?,
+        None => shared.store.read_latest(partition).await?,
     };
-    log_unreadable_records(shared, topic, &fetched);
+    log_unreadable_records(shared, partition, &fetched);
     Ok((fetched, from.is_none()))
 }
 
 /// Logs the records of a read that have no readable key or value.
-pub fn log_unreadable_records(shared: &Shared, topic: &str, fetched: &Fetched) {
+pub fn log_unreadable_records(shared: &Shared, partition: Partition<'_>, fetched: &Fetched) {
     for offset in &fetched.unreadable {
-        shared.log_unreadable(topic, *offset, "", "the record has no readable key or value");
+        shared.log_unreadable(partition, *offset, "", "the record has no readable key or value");
     }
 }
 
@@ -189,6 +199,7 @@
         resigned,
         term_age_ms: u64::try_from(term_age.as_millis()).unwrap_or(u64::MAX),
         leases: Some(leases),
+        submission_partitions: shared.read_partitions(),
     };
     // Serializing numbers and strings cannot fail.
     serde_json::to_vec(&record).unwrap_or_default()
@@ -211,7 +222,12 @@
         machine: record.machine,
         term_age: Duration::from_millis(record.term_age_ms),
     };
-    Some(OwnerStatus { owner, has_resigned: record.resigned, leases: record.leases })
+    Some(OwnerStatus {
+        owner,
+        has_resigned: record.resigned,
+        leases: record.leases,
+        submission_partitions: record.submission_partitions,
+    })
 }
 
 fn is_term_in_range(record: &OwnerRecord) -> bool {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -71,6 +71,7 @@
     OWNER_STAGE, "owner_stage_seconds", "histogram", ["stage"], "Durations at the owner: a planning pass, an append of its decisions, a start order until its response, and the delay of a timer.";
     WORKER_CRASHES, "worker_crashes_total", "counter", [], "Crashes of workers under runs of batch jobs, counted by the owner.";
     JOBS_GIVEN_UP, "jobs_given_up_total", "counter", [], "Batch jobs that failed because workers crashed under their tasks.";
+    SUBMISSION_PARTITIONS, "submission_partitions", "gauge", [], "Partitions of the store over which this instance spreads its callers' records.";
     EVENTS, "events_total", "counter", ["event"], "Log events by number, also those that were suppressed or below the level.";
 }
 
@@ -143,6 +144,7 @@
     owner_stage: HistogramVec,
     worker_crashes: IntCounterVec,
     jobs_given_up: IntCounterVec,
+    submission_partitions: IntGaugeVec,
     events: IntCounterVec,
 }
 
@@ -170,6 +172,7 @@
             owner_stage: histogram(r, &OWNER_STAGE)?,
             worker_crashes: zero_counter(r, &WORKER_CRASHES)?,
             jobs_given_up: zero_counter(r, &JOBS_GIVEN_UP)?,
+            submission_partitions: gauge(r, &SUBMISSION_PARTITIONS)?,
             events: counter(r, &EVENTS)?,
             teams: BoundedLabel::new(MAX_TEAMS),
             services: BoundedLabel::new(MAX_SERVICES),
@@ -254,6 +257,11 @@
         set(&self.log_reachable, reachable.into());
     }
 
+    /// Sets over how many partitions callers' records are spread.
+    pub fn set_submission_partitions(&self, count: u32) {
+        set(&self.submission_partitions, count.into());
+    }
+
     /// Sets the number of holds.
     pub fn set_holds(&self, count: u32) {
         set(&self.holds, count.into());
--- a/src/platform/boot_settings.rs
+++ b/src/platform/boot_settings.rs
@@ -65,6 +65,7 @@
             .filter(|port| last_port.is_some_and(|last| last >= u64::from(*port)))
             .map(|port| SocketAddr::new(ip, port)),
         store_addr: address("platform").context(FieldSnafu { field: "platform.address" })?,
+        store_partitions: value.get("platform").map_or(1, |p| json::number_u32(p, "parts")).max(1),
         machines_addr: address("cloud"),
         stop_timeout: json::seconds(&bounds, "graceS").unwrap_or(Duration::from_secs(6)),
         machine: decode_machine_size(value.get("limits")),
--- a/src/platform/job_format.rs
+++ b/src/platform/job_format.rs
@@ -106,15 +106,19 @@
     /// The queue as it was declared when the job was accepted; `None` in records of earlier versions.
     pub accepted_queue: Option<Queue>,
     pub team: Option<TeamId>,
+    /// When an instance took the job, by its clock and since the Unix epoch; 0 in records of earlier versions.
+    /// It only orders jobs of several partitions.
+    pub taken_at: Duration,
     pub spec: JobSpec,
 }
 
-/// Encodes a submitted job for the store, with the declaration by which it is accepted. Fails if the store would
-/// not take it.
+/// Encodes a submitted job for the store, with the declaration by which it is accepted and the time since the
+/// Unix epoch. Fails if the store would not take it.
 pub fn encode_stored_job(
     queue: &Queue,
     team: Option<&TeamId>,
     body: &[u8],
+    taken_at: Duration,
 ) -> Result<Bytes, String> {
     let job: Value = serde_json::from_slice(body).map_err(|e| format!("invalid JSON: {e}"))?;
     let accepted = json!({
@@ -129,7 +133,14 @@
         "requires_advice": queue.requires_advice,
     });
     let team = team.map(|t| &**t);
-    let stored = json!({ "queue": &*queue.id, "accepted": accepted, "team": team, "job": job });
+    let taken_at_ms = taken_at.as_millis() as u64;
+    let stored = json!({
+        "queue": &*queue.id,
+        "accepted": accepted,
+        "team": team,
+        "taken_at_ms": taken_at_ms,
+        "job": job,
+    });
     let stored = stored.to_string();
     if stored.len() + RECORD_OVERHEAD_BYTES > MAX_RECORD_BYTES {
         return Err(format!("{} bytes are too many for a record", stored.len()));
@@ -144,7 +155,8 @@
     let job = stored.get("job").ok_or("the job is missing")?;
     let accepted_queue = stored.get("accepted").and_then(|a| decode_accepted_queue(&queue, a));
     let team = json::non_empty_text(&stored, "team");
-    Ok(StoredJob { queue, accepted_queue, team, spec: parse_spec(job)? })
+    let taken_at = json::millis(&stored, "taken_at_ms");
+    Ok(StoredJob { queue, accepted_queue, team, taken_at, spec: parse_spec(job)? })
 }
 
 fn decode_accepted_queue(id: &QueueId, accepted: &Value) -> Option<Queue> {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,6 +9,7 @@
 use hyper::Method;
 use indexmap::IndexSet;
 use snafu::Snafu;
+use std::fmt;
 use std::time::Duration;
 
 /// Submitted jobs and cancellations, by job.
@@ -40,6 +41,38 @@
 /// Maximum size of one read in KB; the platform's default.
 const READ_KB: u32 = 1_024;
 
+/// Partition of a topic.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Partition<'a> {
+    pub topic: &'a str,
+    /// From 0 on, below the number of partitions that the store offers.
+    pub number: u32,
+}
+
+impl<'a> Partition<'a> {
+    /// Creates a partition of a topic.
+    pub fn new(topic: &'a str, number: u32) -> Partition<'a> {
+        Partition { topic, number }
+    }
+}
+
+impl<'a> From<&'a str> for Partition<'a> {
+    /// Returns the first partition of a topic, the only one of most topics.
+    fn from(topic: &'a str) -> Partition<'a> {
+        Partition::new(topic, 0)
+    }
+}
+
+impl fmt::Display for Partition<'_> {
+    /// Writes the topic, and the number of a partition other than the first.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.number {
+            0 => write!(f, "{}", self.topic),
+            number => write!(f, "{}/{number}", self.topic),
+        }
+    }
+}
+
 /// Why a call failed or has an unknown outcome.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
 pub enum StoreError {
@@ -126,14 +159,15 @@
         Store { http, address }
     }
 
-    /// Appends records to a topic atomically. Returns the offset after them.
+    /// Appends records to a partition atomically. Returns the offset after them.
     pub async fn append(
         &self,
-        topic: &str,
+        partition: impl Into<Partition<'_>>,
         records: &[(&str, Option<&[u8]>)],
         condition: AppendCondition,
     ) -> Result<u64, StoreError> {
-        let mut path = format!("/-/log-append?topic={topic}&part=0");
+        let Partition { topic, number } = partition.into();
+        let mut path = format!("/-/log-append?topic={topic}&part={number}");
         if let Some(at) = condition.expected_end {
             path.push_str(&format!("&at={at}"));
         }
@@ -156,16 +190,17 @@
         }
     }
 
-    /// Reads a topic from an offset on. Waits up to `wait` for a record if there is none.
+    /// Reads a partition from an offset on. Waits up to `wait` for a record if there is none.
     pub async fn read(
         &self,
-        topic: &str,
+        partition: impl Into<Partition<'_>>,
         from: u64,
         wait: Duration,
     ) -> Result<Fetched, StoreError> {
+        let Partition { topic, number } = partition.into();
         let wait_ms = wait.as_millis();
         let path = format!(
-            "/-/log-read?topic={topic}&part=0&from={from}&maxKb={READ_KB}&waitMs={wait_ms}"
+            "/-/log-read?topic={topic}&part={number}&from={from}&maxKb={READ_KB}&waitMs={wait_ms}"
         );
         let timeout = if wait.is_zero() { CALL_TIMEOUT } else { wait + WAIT_TIMEOUT_MARGIN };
         let response = self.send(Method::GET, &path, Bytes::new(), timeout).await?;
@@ -178,19 +213,23 @@
 
     /// Reads the latest record of each key, in the order in which they were appended. Records from
     /// the result's `next_offset` on may be missing.
-    pub async fn read_latest(&self, topic: &str) -> Result<Fetched, StoreError> {
-        self.continue_read_latest(topic, &mut LatestRead::default()).await
+    pub async fn read_latest(
+        &self,
+        partition: impl Into<Partition<'_>>,
+    ) -> Result<Fetched, StoreError> {
+        self.continue_read_latest(partition, &mut LatestRead::default()).await
     }
 
     /// Like `read_latest`. After an error, another call with the same `read` continues with the page
     /// that failed.
     pub async fn continue_read_latest(
         &self,
-        topic: &str,
+        partition: impl Into<Partition<'_>>,
         read: &mut LatestRead,
     ) -> Result<Fetched, StoreError> {
+        let Partition { topic, number } = partition.into();
         loop {
-            let mut path = format!("/-/log-newest?topic={topic}&part=0");
+            let mut path = format!("/-/log-newest?topic={topic}&part={number}");
             if let Some(key) = read.page_ends.last() {
                 let key = http::percent_encode(key);
                 path.push_str(&format!("&after={key}"));
--- a/tests/batch_accepted_queue.rs
+++ b/tests/batch_accepted_queue.rs
@@ -9,6 +9,7 @@
 use jacinthhook::batch::orders::RunOutcome;
 use jacinthhook::platform::job_format;
 use std::sync::Arc;
+use std::time::Duration;
 
 const JOB: &str = "00000000000000a1";
 
@@ -77,7 +78,8 @@
 fn record_accepted_queue_next_owner() {
     let queue = active_config().declarations.queues[0].clone();
     let team = TEAM.into();
-    let stored = job_format::encode_stored_job(&queue, Some(&team), BODY).expect("a job");
+    let stored =
+        job_format::encode_stored_job(&queue, Some(&team), BODY, Duration::ZERO).expect("a job");
     let accepted = job_format::decode_stored_job(&stored).expect("a stored job").accepted_queue;
     assert_eq!(accepted.as_ref(), Some(&queue));
     let mut cluster = next_owner(stored);
--- a/tests/batch_large_jobs.rs
+++ b/tests/batch_large_jobs.rs
@@ -275,7 +275,8 @@
         let empty = r#"{"spec":"","steps":[]}"#;
         format!(r#"{{"spec":"{}","steps":[]}}"#, "x".repeat(len - empty.len()))
     };
-    let stored = |len| job_format::encode_stored_job(&queue, None, body(len).as_bytes());
+    let stored =
+        |len| job_format::encode_stored_job(&queue, None, body(len).as_bytes(), Duration::ZERO);
     assert!(stored(MAX_RECORD_BYTES).is_err());
     assert!(stored(4_000).is_ok_and(|record| record.len() < MAX_RECORD_BYTES));
     let longest = (1..=MAX_RECORD_BYTES).rev().step_by(16).find_map(|len| stored(len).ok());
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -3,9 +3,10 @@
 
 use jacinthhook::catalogue;
 use jacinthhook::event::Event;
+use jacinthhook::instance::run_settings::{self, SECTION_NAMES};
 use jacinthhook::metrics;
 use jacinthhook::settings;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::path::Path;
 
 mod common;
@@ -103,23 +104,63 @@
         let keys = allowed.trim_start_matches("keys ").split(", ").map(str::to_string);
         keys.collect::<HashSet<String>>()
     };
+    let (settings_of_serve, settings_of_run) = settings_pages();
+    check_run_settings(&settings_of_run);
     let pages = [
         ("settings.md", ["entry", "limits", "log"].as_slice()),
         ("declarations.md", ["zone x", "team x", "pool x", "profile x", "service x"].as_slice()),
     ];
     for (page, sections) in pages {
         let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs").join(page);
-        let text = std::fs::read_to_string(path).expect("a page");
+        let text = match page {
+            "settings.md" => settings_of_serve.clone(),
+            _ => std::fs::read_to_string(path).expect("a page"),
+        };
         let parts: Vec<&str> = text.split("\n## ").skip(1).collect();
         assert_eq!(parts.len(), sections.len());
         for (part, section) in parts.iter().zip(sections) {
-            let rows = part.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
-            let rows: HashSet<String> = rows.map(str::to_string).collect();
-            assert_eq!(rows, known(page, section), "[{section}] in docs/{page}");
+            assert_eq!(documented_keys(part), known(page, section), "[{section}] in docs/{page}");
         }
     }
 }
 
+/// Returns the keys in the tables of a part of a page.
+fn documented_keys(part: &str) -> HashSet<String> {
+    let rows = part.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
+    rows.map(str::to_string).collect()
+}
+
+/// Returns the settings page of `serve` and that of `run`, which follows it in the same file.
+fn settings_pages() -> (String, String) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/settings.md");
+    let text = std::fs::read_to_string(path).expect("a page");
+    let (serve, run) = text.split_once("\n# Settings of `run`").expect("both pages");
+    (serve.into(), run.into())
+}
+
+/// Compares the sections of the settings of `run` with the parser. Those without a part of their own have the
+/// key that the page describes for all.
+fn check_run_settings(text: &str) {
+    let mut parts = text.split("\n## ");
+    let overview = documented_keys(parts.next().unwrap_or_default());
+    let headers: HashSet<String> = SECTION_NAMES.iter().map(|name| format!("[{name}]")).collect();
+    assert_eq!(overview, headers);
+    let parts: HashMap<&str, &str> = parts.filter_map(|part| part.split_once('\n')).collect();
+    for header in parts.keys() {
+        assert!(headers.contains(header.trim_matches('`')), "{header} in docs/settings.md");
+    }
+    for name in SECTION_NAMES {
+        let text = format!("[{name}]\nno_such_key = 1\n");
+        let mistakes = run_settings::read("run.ini", &text).expect_err("a mistake");
+        let allowed = mistakes[0].mistake.allowed.trim_start_matches("keys ");
+        let known = allowed.split(", ").map(str::to_string).collect();
+        let documented = parts.get(format!("`[{name}]`").as_str());
+        let documented =
+            documented.map_or(HashSet::from(["enabled".to_string()]), |part| documented_keys(part));
+        assert_eq!(documented, known, "[{name}] in docs/settings.md");
+    }
+}
+
 /// Guards against events that are in the catalogue but never written.
 #[test]
 fn events_written() {
--- a/tests/instance.rs
+++ b/tests/instance.rs
@@ -602,3 +602,129 @@
     .await;
     assert_eq!(a.events("OwnerGone").len(), 0);
 }
+
+/// Starts an instance whose platform offers several partitions a topic.
+fn start_with_partitions(name: &str, store: SocketAddr, retention_secs: u64) -> Instance {
+    let bounds =
+        json!({ "maxHoldMs": 10000, "revokeMs": 5000, "status_s": retention_secs, "graceS": 6 });
+    let platform = json!({ "address": store.to_string(), "parts": 32 });
+    start_with_settings(name, store, json!({ "bounds": bounds, "platform": platform }))
+}
+
+/// Jobs are spread over partitions, one is cancelled, and the owner is killed while they run: the next one
+/// knows all of them, and every task starts exactly once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_of_all_partitions_next_owner() {
+    let (platform, address) = start_platform().await;
+    let mut a = start_with_partitions("spread-a", address, 120);
+    wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
+    let b = start_with_partitions("spread-b", address, 120);
+    wait_until("the other one follows", async || {
+        !b.events("OwnerSeen").is_empty() && b.is_ready().await
+    })
+    .await;
+    let ids: Vec<String> = (0..8).map(|n| format!("{:016x}", 0xa1 + n)).collect();
+    for id in &ids {
+        assert_eq!(b.call(post(), &format!("/q/{id}"), "k1", JOB).await.0, 200);
+    }
+    let kept: Vec<Vec<String>> =
+        ids.iter().map(|id| platform.partitions_with("keyed.jobs", id)).collect();
+    assert!(kept.iter().all(|partitions| partitions.len() == 1), "{kept:?}");
+    let used: std::collections::HashSet<_> = kept.iter().flatten().collect();
+    assert!(used.len() > 2, "{used:?}");
+    let long_running =
+        r#"{"spec":"until-stopped","steps":[{"count":1,"cpu":500,"longRunning":true}]}"#;
+    let cancelled = "/q/00000000000000c5";
+    assert_eq!(b.call(post(), cancelled, "k1", long_running).await.0, 200);
+    assert_eq!(b.call(reqwest::Method::DELETE, cancelled, "k1", "").await.0, 200);
+    let key = "00000000000000c5";
+    let (job, cancellation) = (
+        platform.partitions_with("keyed.jobs", key),
+        platform.partitions_with("keyed.jobs", &format!("{key}/cancel")),
+    );
+    assert_eq!(job, cancellation);
+    a.child.kill().expect("send the signal");
+    wait_until("all jobs are complete", async || {
+        let mut complete = 0;
+        for id in &ids {
+            let state = b.call(get(), &format!("/q/{id}"), "k1", "").await.1;
+            complete += usize::from(state["state"] == "complete");
+        }
+        complete == ids.len()
+    })
+    .await;
+    assert_eq!(b.call(get(), cancelled, "k1", "").await.1["state"], "cancelled");
+    let starts = platform.start_counts();
+    assert!(starts.values().all(|n| *n == 1), "{starts:?}");
+}
+
+/// The owner is an instance of an earlier version, which reads the first partition only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn earlier_owner_first_partition() {
+    let (platform, address) = start_platform().await;
+    let record = json!({
+        "term": 1, "life": 1, "name": "earlier", "zone": "z1", "peers": "127.0.0.1:1",
+        "resigned": false,
+    });
+    let owner = platform.clone();
+    let heartbeats = tokio::spawn(async move {
+        loop {
+            owner.put_record("keyed.owner", "owner", &record);
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+    });
+    let a = start_with_partitions("mixed", address, 120);
+    wait_until("the instance is ready", async || a.is_ready().await).await;
+    for id in ["00000000000000a1", "00000000000000a2", "00000000000000a3"] {
+        assert_eq!(a.call(post(), &format!("/q/{id}"), "k1", JOB).await.0, 200);
+        assert_eq!(platform.partitions_with("keyed.jobs", id), ["keyed.jobs"]);
+    }
+    heartbeats.abort();
+}
+
+/// A cancellation in another partition is read before the submission: the job never starts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cancelled_in_other_partition_before() {
+    let (platform, address) = start_platform().await;
+    let a = start_with_partitions("cancel-first", address, 120);
+    wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
+    wait_until("the instance is ready", async || a.is_ready().await).await;
+    let id = "00000000000000a1";
+    platform.put_bytes("keyed.jobs/31", format!("{id}/cancel").as_bytes(), b"1");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(a.call(post(), &format!("/q/{id}"), "k1", JOB).await.0, 200);
+    wait_until("the job is shown as cancelled", async || {
+        a.call(get(), &format!("/q/{id}"), "k1", "").await.1["state"] == "cancelled"
+    })
+    .await;
+    assert_eq!(platform.start_counts().len(), 0);
+}
+
+/// A job that an instance of an earlier version stored in the first partition comes again in its own: it
+/// runs once, and both records are deleted before its progress. Guards against a next owner that takes one of
+/// them for a new job.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn job_in_two_partitions_is_dropped() {
+    let (platform, address) = start_platform().await;
+    let mut a = start_with_partitions("two-a", address, 1);
+    wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
+    wait_until("the instance is ready", async || a.is_ready().await).await;
+    let id = "00000000000000a3";
+    let stored = json!({ "queue": "q", "team": "team", "job": serde_json::from_str::<Value>(JOB).expect("JSON") });
+    platform.put_record("keyed.jobs", id, &stored);
+    assert_eq!(a.call(post(), &format!("/q/{id}"), "k1", JOB).await.0, 200);
+    assert_eq!(platform.partitions_with("keyed.jobs", id).len(), 2);
+    wait_until("the job is deleted", async || {
+        platform.start_counts().len() == 4
+            && platform.partitions_with("keyed.jobs", id).is_empty()
+            && platform.partitions_with("keyed.progress", id).is_empty()
+    })
+    .await;
+    let b = start_with_partitions("two-b", address, 1);
+    a.child.kill().expect("send the signal");
+    wait_until("there is another owner", async || !b.events("OwnerReady").is_empty()).await;
+    assert_eq!(b.call(post(), "/q/00000000000000a4", "k1", JOB).await.0, 200);
+    wait_until("another job runs", async || platform.start_counts().len() == 8).await;
+    let starts = platform.start_counts();
+    assert!(starts.values().all(|n| *n == 1), "{starts:?}");
+}
--- a/tests/store_client.rs
+++ b/tests/store_client.rs
@@ -102,13 +102,13 @@
 /// large append: it never ended within its time limit, and was tried again from the start.
 #[tokio::test]
 async fn append_queue_slow_link() {
-    let queue = Arc::new(AppendQueue::default());
+    let queue = Arc::new(AppendQueue::new(1));
     let deadline = Instant::now() + Duration::from_secs(20);
     let mut waiting = JoinSet::new();
     for i in 0..128 {
         let queue = queue.clone();
         let value = Bytes::from(vec![b'x'; 4_000]);
-        waiting.spawn(async move { queue.store(&format!("job-{i}"), value, deadline).await });
+        waiting.spawn(async move { queue.store(0, &format!("job-{i}"), value, deadline).await });
     }
     tokio::task::yield_now().await;
     tokio::spawn(queue.run(slowly_reading_store().await));
@@ -254,11 +254,11 @@
             let _ = connection.write_all(head).await;
         }
     });
-    let queue = Arc::new(AppendQueue::default());
+    let queue = Arc::new(AppendQueue::new(1));
     tokio::spawn(queue.clone().run(Store::new(Http::new(), address)));
     let store = |key: &'static str| {
         let deadline = Instant::now() + Duration::from_millis(300);
-        queue.store(key, Bytes::from_static(b"x"), deadline)
+        queue.store(0, key, Bytes::from_static(b"x"), deadline)
     };
     assert_eq!(store("job").await, AppendOutcome::Unknown);
     assert_eq!(store("job").await, AppendOutcome::Unknown);
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -18,6 +18,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+/// One partition of a topic.
 #[derive(Default)]
 struct Topic {
     records: Vec<Vec<u8>>,
@@ -25,6 +26,13 @@
     sequence: Option<u64>,
 }
 
+/// How long each append to a partition takes, and the turn of the one that is being done.
+#[derive(Clone, Default)]
+struct SlowAppends {
+    time: Duration,
+    turn: Arc<tokio::sync::Mutex<()>>,
+}
+
 /// Run of a task on the worker.
 struct Run {
     run: u64,
@@ -45,7 +53,9 @@
 /// State of the stand-in.
 pub struct Platform {
     started: Instant,
+    /// By topic; a partition other than the first by topic, `/` and its number.
     topics: Mutex<HashMap<String, Topic>>,
+    slow_appends: Mutex<HashMap<String, SlowAppends>>,
     worker: Mutex<Worker>,
     /// Makes the store respond with 503 to every call.
     pub store_down: AtomicBool,
@@ -59,6 +69,7 @@
         Arc::new(Platform {
             started: Instant::now(),
             topics: Mutex::default(),
+            slow_appends: Mutex::default(),
             worker: Mutex::default(),
             store_down: AtomicBool::new(false),
         })
@@ -73,6 +84,13 @@
         jacinthhook::http_server::launch(rocket).await.expect("bind a free port").0
     }
 
+    /// Sets how long each append to a partition takes.
+    pub fn set_append_time(&self, partition: &str, time: Duration) {
+        self.slow_appends
+            .lock()
+            .insert(partition.into(), SlowAppends { time, ..SlowAppends::default() });
+    }
+
     /// Appends a record as an operator or a worker does.
     pub fn put_record(&self, topic: &str, key: &str, value: &Value) {
         self.put_bytes(topic, key.as_bytes(), value.to_string().as_bytes());
@@ -97,6 +115,15 @@
         serde_json::from_slice(&record[1 + key.len()..]).ok()
     }
 
+    /// Returns the partitions of a topic that hold a record of a key.
+    pub fn partitions_with(&self, topic: &str, key: &str) -> Vec<String> {
+        let topics = self.topics.lock();
+        let partitions = topics.keys().filter(|name| name.split('/').next() == Some(topic));
+        let names: Vec<String> = partitions.cloned().collect();
+        drop(topics);
+        names.into_iter().filter(|name| self.newest_record(name, key).is_some()).collect()
+    }
+
     /// Lets the worker have accepted an order with a fencing token.
     pub fn set_worker_fence(&self, fence: u64) {
         self.worker.lock().fence = fence;
@@ -114,7 +141,7 @@
     fn append(&self, query: &HashMap<String, String>, body: &[u8]) -> (u16, Vec<u8>) {
         let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok());
         let mut topics = self.topics.lock();
-        let topic = topics.entry(query["topic"].clone()).or_default();
+        let topic = topics.entry(partition_name(query)).or_default();
         let end = topic.records.len() as u64;
         if number("at").is_some_and(|at| at != end) {
             return json_response(412, &json!({ "end": end }));
@@ -150,7 +177,7 @@
         loop {
             {
                 let mut topics = self.topics.lock();
-                let topic = topics.entry(query["topic"].clone()).or_default();
+                let topic = topics.entry(partition_name(query)).or_default();
                 let end = topic.records.len() as u64;
                 if end > number("from") || Instant::now() >= until {
                     let mut out = end.to_be_bytes().to_vec();
@@ -168,7 +195,7 @@
 
     fn newest(&self, query: &HashMap<String, String>) -> (u16, Vec<u8>) {
         let mut topics = self.topics.lock();
-        let topic = topics.entry(query["topic"].clone()).or_default();
+        let topic = topics.entry(partition_name(query)).or_default();
         let mut newest = BTreeMap::new();
         for (offset, record) in topic.records.iter().enumerate() {
             let len = record[0] as usize;
@@ -252,6 +279,14 @@
     }
 }
 
+fn partition_name(query: &HashMap<String, String>) -> String {
+    let topic = &query["topic"];
+    match query["part"].as_str() {
+        "0" => topic.clone(),
+        number => format!("{topic}/{number}"),
+    }
+}
+
 fn json_response(status: u16, body: &Value) -> (u16, Vec<u8>) {
     (status, body.to_string().into_bytes())
 }
@@ -273,7 +308,14 @@
         let store_down = self.0.store_down.load(Ordering::Relaxed) && path.starts_with("/-/log");
         let (status, body) = match path.as_str() {
             _ if store_down => (503, Vec::new()),
-            "/-/log-append" => self.0.append(&query, &body),
+            "/-/log-append" => {
+                let slow = self.0.slow_appends.lock().get(&partition_name(&query)).cloned();
+                if let Some(SlowAppends { time, turn }) = slow {
+                    let _turn = turn.lock().await;
+                    tokio::time::sleep(time).await;
+                }
+                self.0.append(&query, &body)
+            }
             "/-/log-read" => self.0.read(&query).await,
             "/-/log-newest" => self.0.newest(&query),
             path => self.0.handle_order(path, &serde_json::from_slice(&body).unwrap_or_default()),
