Bound what clients of run may send and hold

What callers saw: a crowd of 400 connections that send heads without end, or stop short of the end of their bodies, took 122 to 201 MB of a process whose machine has 64 MB, or more descriptors than it has for sockets.

Cause: the server library for callers buffers heads of 400 KB, has no limit on the time of a head, and the handler reads each body into memory without a sum over all connections; the limits that operators declare were read by nobody. The listener for other instances took bodies of 10 MB on each of 512 connections.

Change: the listeners of run have an accept loop of their own on the server part of hyper, with the declared limits on heads, bodies and times, a bound on connections, and one budget for bodies in progress and records that are not stored yet. When it is short, the request that has waited longest without progress is cut off. Rules in connection_table (no I/O), sockets in listener, bounds in caller_limits; serve keeps rocket.

tests/catalogue.rs: the page of settings has had a second part since, whose rows the test took for those of [log]. It now checks the first part as before and each section of run as strictly.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -1,6 +1,9 @@
 //! Responses that an entry instance generates itself: JSON, plain text, bytes and refusals.
 
 use crate::kind::{Kind, Ran, Refusal};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::http::{HeaderName, HeaderValue};
 use rocket::http::{Header, Status};
 use rocket::response::{Responder, Response, Result as RocketResult};
 use rocket::{Request, catch};
@@ -56,6 +59,21 @@
         self.with_header(KIND_HEADER, name).with_header(RAN_HEADER, ran.as_str())
     }
 
+    /// Converts the reply to a `hyper` response.
+    pub fn into_http(self) -> hyper::Response<Full<Bytes>> {
+        let mut response = hyper::Response::new(Full::new(self.body.into()));
+        if let Ok(status) = hyper::StatusCode::from_u16(self.status) {
+            *response.status_mut() = status;
+        }
+        for (name, value) in self.headers {
+            // Values made of callers' text may be no valid header; such a header is left out.
+            if let Ok(value) = HeaderValue::try_from(value) {
+                response.headers_mut().insert(HeaderName::from_static(name), value);
+            }
+        }
+        response
+    }
+
     /// Converts the reply to a `rocket` response.
     pub fn into_response<'r>(self) -> Response<'r> {
         let mut response = Response::new();
--- a/src/batch/declarations.rs
+++ b/src/batch/declarations.rs
@@ -57,6 +57,29 @@
     pub max_at_once: u32,
 }
 
+/// What one request of a caller may send, and how long it may take to arrive.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RequestLimits {
+    pub max_head_bytes: usize,
+    pub max_body_bytes: usize,
+    /// Time from the first byte of a head, or of empty lines before it, to its end.
+    pub head_timeout: Duration,
+    /// Time without a byte between two requests, and within a body.
+    pub idle_timeout: Duration,
+}
+
+impl Default for RequestLimits {
+    /// The limits until operators declare others. They are those of the platform's pages for callers.
+    fn default() -> RequestLimits {
+        RequestLimits {
+            max_head_bytes: 16 << 10,
+            max_body_bytes: 256 << 10,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
 /// One version of the operators' declarations.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Declarations {
@@ -66,6 +89,7 @@
     pub teams: IndexMap<TeamId, Team>,
     /// Team of each valid key.
     pub keys: IndexMap<Arc<str>, TeamId>,
+    pub request_limits: RequestLimits,
 }
 
 impl Declarations {
--- a/src/event.rs
+++ b/src/event.rs
@@ -151,6 +151,7 @@
     UpkeepWaits, 854, Info, "machine reason", "Maintenance of a machine is blocked, although its wave has room.", "See docs/OPERATIONS.md.";
     Reloaded, 860, Info, "signal", "The settings file was reloaded.", "None.";
     ReloadFailed, 861, Warning, "error", "The settings file is invalid; the previous settings stay in force.", "Correct the file.";
+    CallersCut, 870, Warning, "listener reason count connections held_bytes", "In the last second, requests were refused or connections cut off at a listener, because the clients keep outside the limits or there is too little room.", "See docs/operators/caller-limits.md.";
 }
 
 impl LogLevel {
--- a/src/instance/config.rs
+++ b/src/instance/config.rs
@@ -2,6 +2,7 @@
 
 use crate::batch::declarations::Bounds;
 use crate::ids::{EntryId, ZoneId};
+use crate::instance::caller_limits::ProcessRoom;
 use crate::instance::run_settings::RunSettings;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -62,6 +63,7 @@
     /// Time between the stop signal and the forced end of the process.
     pub stop_timeout: Duration,
     pub machine: MachineSize,
+    pub room: ProcessRoom,
     pub bounds: Bounds,
     /// The product's own settings.
     pub settings: RunSettings,
--- a/src/instance/http_api.rs
+++ b/src/instance/http_api.rs
@@ -4,26 +4,27 @@
 use crate::batch::declarations::Queue;
 use crate::batch::job::JobState;
 use crate::event::Event;
-use crate::http_server;
 use crate::ids::TeamId;
 use crate::instance::append_queue::AppendOutcome;
+use crate::instance::caller_limits::{ListenerBounds, ProcessBounds};
+use crate::instance::listener::{
+    BodyError, HeldBody, LimitsInForce, Listener, RequestBody, Server,
+};
 use crate::instance::peers::{JobLookup, OwnerClient};
 use crate::instance::shared::Shared;
 use crate::instance::term::CANCEL_KEY_SUFFIX;
 use crate::platform::job_format;
 use bytes::Bytes;
-use rocket::data::ToByteUnit;
-use rocket::http::Method;
-use rocket::request::Request;
-use rocket::route::{Handler, Outcome, Route};
-use rocket::{Build, Data, Rocket};
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+use hyper::http::uri::Authority;
+use hyper::{Method, Request};
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-/// Longest request body, as limited by the platform.
-const MAX_BODY_BYTES: u64 = 262_144;
 /// Delay in seconds after which a caller may retry a job that has not run; another instance may
 /// accept it immediately.
 const RETRY_AFTER_SECS: &str = "1";
@@ -72,46 +73,58 @@
     owner: OwnerClient,
 }
 
-/// Creates the server for callers.
-pub fn caller_server(shared: &Arc<Shared>) -> Rocket<Build> {
+/// Starts the server for callers.
+pub fn start_caller_server(shared: &Arc<Shared>, bounds: &ProcessBounds) -> io::Result<Server> {
     let api = Arc::new(CallerApi { shared: shared.clone(), owner: OwnerClient::default() });
-    let methods = [Method::Get, Method::Post, Method::Delete, Method::Put];
-    let routes: Vec<Route> =
-        methods.iter().map(|m| Route::new(*m, "/<_..>", CallerHandler(api.clone()))).collect();
-    http_server::base(shared.cfg.callers_addr).mount("/", routes)
+    let listener = new_listener(shared, "callers", bounds.callers);
+    Server::start(shared.cfg.callers_addr, listener, move |req| {
+        let api = api.clone();
+        async move { Ok(api.handle(req).await.into_http()) }
+    })
 }
 
-/// Creates the server for readiness probes and metrics.
-pub fn status_server(shared: &Arc<Shared>, addr: SocketAddr) -> Rocket<Build> {
-    let ready =
-        Route::new(Method::Get, job_format::READINESS_PATH, StatusHandler::Ready(shared.clone()));
-    let metrics = Route::new(Method::Get, "/metrics", StatusHandler::Metrics(shared.clone()));
-    http_server::base(addr).mount("/", [ready, metrics])
+/// Starts a server for readiness probes and metrics.
+pub fn start_status_server(
+    shared: &Arc<Shared>,
+    addr: SocketAddr,
+    bounds: &ProcessBounds,
+) -> io::Result<Server> {
+    let listener = new_listener(shared, "status", bounds.status);
+    let shared = shared.clone();
+    Server::start(addr, listener, move |req| {
+        let reply = status_reply(&shared, &req);
+        async move { Ok(reply.into_http()) }
+    })
 }
 
-#[derive(Clone)]
-enum StatusHandler {
-    Ready(Arc<Shared>),
-    Metrics(Arc<Shared>),
+fn new_listener(shared: &Arc<Shared>, name: &'static str, bounds: ListenerBounds) -> Listener {
+    let limits: LimitsInForce = {
+        let shared = shared.clone();
+        Box::new(move || {
+            let declared = shared.active_config().declarations.request_limits;
+            shared.cfg.settings.caller_limits.request_limits(declared)
+        })
+    };
+    Listener::new(name, bounds, limits, shared.log.clone(), shared.metrics.clone())
 }
 
-#[rocket::async_trait]
-impl Handler for StatusHandler {
-    async fn handle<'r>(&self, _: &'r Request<'_>, _: Data<'r>) -> Outcome<'r> {
-        let reply = match self {
-            StatusHandler::Ready(shared) if is_ready(shared) => Reply::text(200, "ready\n"),
-            StatusHandler::Ready(_) => Reply::text(status::UNAVAILABLE, "not ready\n"),
-            StatusHandler::Metrics(shared) => {
-                shared.metrics.set_ready(is_ready(shared));
-                let age = shared.view_age().unwrap_or_default();
-                shared.metrics.set_view(age, shared.active_config().declarations.version);
-                match shared.metrics.encode() {
-                    Ok(text) => Reply::text(200, text),
-                    Err(e) => Reply::text(500, e.to_string()),
-                }
+/// Answers a readiness probe or a request for the metrics.
+fn status_reply(shared: &Shared, req: &Request<RequestBody>) -> Reply {
+    match (req.method(), req.uri().path()) {
+        (&Method::GET | &Method::HEAD, job_format::READINESS_PATH) => match is_ready(shared) {
+            true => Reply::text(200, "ready\n"),
+            false => Reply::text(status::UNAVAILABLE, "not ready\n"),
+        },
+        (&Method::GET | &Method::HEAD, "/metrics") => {
+            shared.metrics.set_ready(is_ready(shared));
+            let age = shared.view_age().unwrap_or_default();
+            shared.metrics.set_view(age, shared.active_config().declarations.version);
+            match shared.metrics.encode() {
+                Ok(text) => Reply::text(200, text),
+                Err(e) => Reply::text(500, e.to_string()),
             }
-        };
-        Outcome::Success(reply.into_response())
+        }
+        _ => Rejection::new(status::NOT_FOUND, "no such page").into_reply(),
     }
 }
 
@@ -124,69 +137,73 @@
         && shared.store_reachable.load(Ordering::Relaxed)
 }
 
-#[derive(Clone)]
-struct CallerHandler(Arc<CallerApi>);
-
-#[rocket::async_trait]
-impl Handler for CallerHandler {
-    async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+impl CallerApi {
+    async fn handle(&self, req: Request<RequestBody>) -> Reply {
         let started = Instant::now();
-        let api = &self.0;
         let path = req.uri().path().to_string();
-        let reply = match api.handle_call(req, &path, data, started).await {
+        match self.handle_call(req, &path, started).await {
             Ok(reply) => reply,
             Err(rejection) => {
-                api.log_rejection(&path, &rejection, started);
+                self.log_rejection(&path, &rejection, started);
                 rejection.into_reply()
             }
-        };
-        Outcome::Success(reply.into_response())
+        }
     }
-}
 
-impl CallerApi {
     async fn handle_call(
         &self,
-        req: &Request<'_>,
+        req: Request<RequestBody>,
         path: &str,
-        data: Data<'_>,
         started: Instant,
     ) -> Result<Reply, Rejection> {
+        let (head, body) = req.into_parts();
+        let method = match head.method {
+            // The server leaves out the body of the response.
+            Method::HEAD => Method::GET,
+            Method::GET | Method::POST | Method::DELETE | Method::PUT => head.method.clone(),
+            Method::OPTIONS | Method::PATCH | Method::TRACE | Method::CONNECT => {
+                return Err(Rejection::new(status::NOT_FOUND, "no such method"));
+            }
+            _ => return Err(Rejection::new(status::BAD_REQUEST, "no such method")),
+        };
         let active_config = self.shared.active_config();
         let declared = &active_config.declarations;
         if declared.version == 0 {
             return Err(Rejection::new(status::UNAVAILABLE, "no declarations yet"));
         }
-        let host = req.host().map(|h| h.domain().as_str().to_string()).unwrap_or_default();
-        let queue = declared.queue_for_request(&host, path);
+        let host = header(&head, HOST.as_str()).and_then(|host| host.parse::<Authority>().ok());
+        let host = host.as_ref().map_or("", Authority::host);
+        let queue = declared.queue_for_request(host, path);
         let queue = queue.ok_or(Rejection::new(status::NOT_FOUND, "no such queue"))?;
-        let team = self.authorize(req, queue)?;
+        let team = self.authorize(&head, queue)?;
         let id = &path[queue.path_prefix.len()..];
-        let method = req.method();
-        if id.is_empty() && method == Method::Get {
+        if id.is_empty() && method == Method::GET {
             return self.pending_jobs(queue).await;
         }
         if !job_format::is_job_id(id) {
             return Err(Rejection::new(status::NOT_FOUND, "no job id"));
         }
+        if method == Method::POST {
+            let deadline = job_format::parse_deadline(header(&head, job_format::DEADLINE_HEADER));
+            // While the body arrives, which may never end, no memory is held for the head.
+            drop(head);
+            let body = body.read().await?;
+            return self.submit_job(queue, team, id, body, deadline, started).await;
+        }
+        // From here on, the call may have an effect.
+        drop(body);
         match method {
-            Method::Post => {
-                let body = read_body(data).await?;
-                let deadline =
-                    job_format::parse_deadline(req.headers().get_one(job_format::DEADLINE_HEADER));
-                self.submit_job(queue, team, id, &body, deadline, started).await
-            }
-            Method::Get => self.job_state(id).await,
-            Method::Delete => self.cancel_job(id).await,
+            Method::GET => self.job_state(id).await,
+            Method::DELETE => self.cancel_job(id).await,
             _ => Err(Rejection::new(status::METHOD_NOT_ALLOWED, "no such method")),
         }
     }
 
     /// Returns the team of the call's key. Rejects a call without a valid key unless the queue is
     /// open.
-    fn authorize(&self, req: &Request<'_>, queue: &Queue) -> Result<Option<TeamId>, Rejection> {
+    fn authorize(&self, head: &Parts, queue: &Queue) -> Result<Option<TeamId>, Rejection> {
         let active_config = self.shared.active_config();
-        let key = req.headers().get_one(job_format::KEY_HEADER);
+        let key = header(head, job_format::KEY_HEADER);
         let team = key.and_then(|k| active_config.declarations.keys.get(k)).cloned();
         if queue.public {
             return Ok(team);
@@ -205,17 +222,18 @@
         queue: &Queue,
         team: Option<TeamId>,
         id: &str,
-        body: &[u8],
+        body: HeldBody,
         deadline: Option<Duration>,
         started: Instant,
     ) -> Result<Reply, Rejection> {
         let malformed = Rejection::new(status::BAD_REQUEST, "the job cannot be read");
-        if job_format::parse_job(body).is_err() {
+        if job_format::parse_job(body.bytes()).is_err() {
             return Err(malformed);
         }
-        let Ok(record) = job_format::encode_stored_job(queue, team.as_ref(), body) else {
+        let Ok(record) = job_format::encode_stored_job(queue, team.as_ref(), body.bytes()) else {
             return Err(malformed);
         };
+        let record = body.into_record(record);
         let wait = deadline.unwrap_or(DEFAULT_DEADLINE).mul_f64(STORE_TIME_FRACTION);
         self.store_record(id, record, started + wait).await?;
         // The key may have been withdrawn while the record was being stored; such a call must not
@@ -310,11 +328,17 @@
     Reply::bytes(200, body).with_header("content-type", "application/json")
 }
 
-async fn read_body(data: Data<'_>) -> Result<Vec<u8>, Rejection> {
-    let truncated = |_| Rejection::new(status::BAD_REQUEST, "the body was cut");
-    let body = data.open(MAX_BODY_BYTES.bytes()).into_bytes().await.map_err(truncated)?;
-    if !body.is_complete() {
-        return Err(Rejection::new(status::TOO_LARGE, "the body is too long"));
+/// Returns the first value of a header, if it is text.
+fn header<'a>(head: &'a Parts, name: &str) -> Option<&'a str> {
+    std::str::from_utf8(head.headers.get(name)?.as_bytes()).ok()
+}
+
+impl From<BodyError> for Rejection {
+    fn from(e: BodyError) -> Rejection {
+        match e {
+            BodyError::TooLong => Rejection::new(status::TOO_LARGE, "the body is too long"),
+            BodyError::Incomplete => Rejection::new(status::BAD_REQUEST, "the body was cut"),
+            BodyError::NoRoom => Rejection::new(status::UNAVAILABLE, "no room for the body"),
+        }
     }
-    Ok(body.into_inner())
 }
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -1,23 +1,36 @@
 //! RPC between instances, through which any instance queries the owner about jobs and queues.
 
+use crate::batch::declarations::RequestLimits;
 use crate::batch::job::JobState;
 use crate::event::Event;
+use crate::instance::caller_limits::{MAX_PEER_BODY_BYTES, ProcessBounds};
+use crate::instance::listener::{Listener, Server};
 use crate::instance::shared::Shared;
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use jsonrpsee::proc_macros::rpc;
-use jsonrpsee::server::{ServerBuilder, ServerConfig, ServerHandle};
+use jsonrpsee::server::{
+    BatchRequestConfig, HttpRequest, ServerBuilder, ServerConfig, ServerHandle, stop_channel,
+};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
+use tower_service::Service;
 
 /// Timeout of a call to another instance; an early rejection is better for a caller than a late
 /// one.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
-/// Maximum number of open connections; each instance uses a few.
-const MAX_CONNECTIONS: u32 = 512;
+/// Limits on a request of another instance. Instances keep idle connections for 90 s.
+const REQUEST_LIMITS: RequestLimits = RequestLimits {
+    max_head_bytes: 16 << 10,
+    max_body_bytes: MAX_PEER_BODY_BYTES,
+    head_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(120),
+};
+/// Maximum number of calls in progress; more are refused.
+const MAX_CALLS: u32 = 512;
 /// The owner can confirm that a job does not exist only if it read callers' jobs within this time.
 const MAX_JOBS_AGE: Duration = Duration::from_millis(2_000);
 
@@ -67,11 +80,31 @@
     }
 }
 
+/// The RPC server for other instances.
+pub struct PeerServer {
+    pub server: Server,
+    /// The library refuses calls once it is dropped.
+    _rpc: ServerHandle,
+}
+
 /// Starts the RPC server for other instances.
-pub async fn start_server(shared: Arc<Shared>) -> io::Result<ServerHandle> {
-    let cfg = ServerConfig::builder().max_connections(MAX_CONNECTIONS).http_only().build();
-    let server = ServerBuilder::with_config(cfg).build(shared.cfg.peers_addr).await?;
-    Ok(server.start(BatchApiHandler { shared }.into_rpc()))
+pub fn start_server(shared: &Arc<Shared>, bounds: &ProcessBounds) -> io::Result<PeerServer> {
+    let cfg = ServerConfig::builder()
+        .http_only()
+        .max_connections(MAX_CALLS)
+        .max_request_body_size(MAX_PEER_BODY_BYTES as u32)
+        .set_batch_request_config(BatchRequestConfig::Disabled)
+        .build();
+    let (stop, rpc) = stop_channel();
+    let methods = BatchApiHandler { shared: shared.clone() }.into_rpc();
+    let builder = ServerBuilder::with_config(cfg).to_service_builder();
+    let service = builder.build(methods, stop);
+    let (log, metrics) = (shared.log.clone(), shared.metrics.clone());
+    let listener = Listener::new("peers", bounds.peers, Box::new(|| REQUEST_LIMITS), log, metrics);
+    let server = Server::start(shared.cfg.peers_addr, listener, move |req: HttpRequest<_>| {
+        service.clone().call(req)
+    })?;
+    Ok(PeerServer { server, _rpc: rpc })
 }
 
 /// Whether the owner of an earlier term confirms that it no longer sends orders. A restarted
--- a/src/instance/process.rs
+++ b/src/instance/process.rs
@@ -2,8 +2,8 @@
 
 use crate::event::{Event, Log};
 use crate::exit::{CommandError, Exit};
-use crate::http_server;
 use crate::instance::config::InstanceConfig;
+use crate::instance::listener::Server;
 use crate::instance::run_settings::RunSettings;
 use crate::instance::shared::Shared;
 use crate::instance::{http_api, peers, tasks, term, topics};
@@ -38,17 +38,14 @@
         Log::new(LogFormat::Json, LogLevel::Info, std::io::stdout()).with_metrics(metrics.clone());
     let http = Http::new();
     let shared = Arc::new(Shared::new(cfg, log, metrics, http));
-    let peers = peers::start_server(shared.clone()).await.map_err(process_error)?;
-    let mut servers = Vec::new();
-    servers
-        .push(http_server::launch(http_api::caller_server(&shared)).await.map_err(process_error)?);
+    let limits = &shared.cfg.settings.caller_limits;
+    let bounds = limits.bounds(&shared.cfg.room).map_err(process_error)?;
+    let peers = peers::start_server(&shared, &bounds).map_err(process_error)?;
+    let mut servers = vec![http_api::start_caller_server(&shared, &bounds).map_err(process_error)?];
     let status_addrs = [Some(shared.cfg.readiness_addr), shared.cfg.metrics_addr];
     for addr in status_addrs.into_iter().flatten() {
-        servers.push(
-            http_server::launch(http_api::status_server(&shared, addr))
-                .await
-                .map_err(process_error)?,
-        );
+        let server = http_api::start_status_server(&shared, addr, &bounds);
+        servers.push(server.map_err(process_error)?);
     }
     log_listening(&shared);
     let tasks = [
@@ -71,15 +68,11 @@
     shared.stopping.store(true, Ordering::Relaxed);
     shared.heartbeat_needed.notify_one();
     sleep(BALANCER_DRAIN_TIME.min(shared.cfg.stop_timeout / 2)).await;
-    for (_, shutdown, _) in &servers {
-        shutdown.clone().notify();
+    servers.iter().for_each(Server::stop);
+    for server in servers {
+        server.ended().await;
     }
-    for (_, _, task) in servers {
-        // The runtime has already reported a panic of the server.
-        let _ = task.await;
-    }
-    // Fails only if the server has already stopped.
-    let _ = peers.stop();
+    peers.server.stop();
     tasks.iter().for_each(tokio::task::JoinHandle::abort);
     shared.log.event(Event::Stopped, &[]);
     Ok(Report { exit: Exit::Done, text: String::new() })
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -71,6 +71,9 @@
     OWNER_STAGE, "owner_stage_seconds", "histogram", ["stage"], "Durations at the owner: a planning pass, an append of its decisions, a start order until its response, and the delay of a timer.";
     WORKER_CRASHES, "worker_crashes_total", "counter", [], "Crashes of workers under runs of batch jobs, counted by the owner.";
     JOBS_GIVEN_UP, "jobs_given_up_total", "counter", [], "Batch jobs that failed because workers crashed under their tasks.";
+    CONNECTIONS, "connections", "gauge", ["listener"], "Open connections of a listener of run, at most one second old.";
+    HELD_BYTES, "held_body_bytes", "gauge", ["listener"], "Memory held by bodies in progress and by records that are not stored yet.";
+    CUTS, "cut_total", "counter", ["listener", "reason"], "Requests refused and connections cut off by the limits of a listener of run.";
     EVENTS, "events_total", "counter", ["event"], "Log events by number, also those that were suppressed or below the level.";
 }
 
@@ -143,6 +146,9 @@
     owner_stage: HistogramVec,
     worker_crashes: IntCounterVec,
     jobs_given_up: IntCounterVec,
+    connections: IntGaugeVec,
+    held_bytes: IntGaugeVec,
+    cuts: IntCounterVec,
     events: IntCounterVec,
 }
 
@@ -170,6 +176,9 @@
             owner_stage: histogram(r, &OWNER_STAGE)?,
             worker_crashes: zero_counter(r, &WORKER_CRASHES)?,
             jobs_given_up: zero_counter(r, &JOBS_GIVEN_UP)?,
+            connections: gauge(r, &CONNECTIONS)?,
+            held_bytes: gauge(r, &HELD_BYTES)?,
+            cuts: counter(r, &CUTS)?,
             events: counter(r, &EVENTS)?,
             teams: BoundedLabel::new(MAX_TEAMS),
             services: BoundedLabel::new(MAX_SERVICES),
@@ -274,6 +283,18 @@
         self.jobs_given_up.with_label_values::<&str>(&[]).inc();
     }
 
+    /// Sets the open connections of a listener and the memory that their requests hold.
+    pub fn set_connections(&self, listener: &str, count: usize, held_bytes: usize) {
+        let number = |n| i64::try_from(n).unwrap_or(i64::MAX);
+        self.connections.with_label_values(&[listener]).set(number(count));
+        self.held_bytes.with_label_values(&[listener]).set(number(held_bytes));
+    }
+
+    /// Counts a request that is refused or a connection that is cut off.
+    pub fn record_cut(&self, listener: &str, reason: &str) {
+        self.cuts.with_label_values(&[listener, reason]).inc();
+    }
+
     /// Counts a log event.
     pub fn record_event(&self, event: Event) {
         self.events.with_label_values(&[event.info().code.to_string()]).inc();
--- a/src/platform/boot_settings.rs
+++ b/src/platform/boot_settings.rs
@@ -1,6 +1,7 @@
 //! The settings file that the platform writes for a process.
 
 use crate::batch::declarations::Bounds;
+use crate::instance::caller_limits::ProcessRoom;
 use crate::instance::config::{InstanceConfig, MachineSize};
 use crate::instance::run_settings::RunSettings;
 use crate::platform::json;
@@ -68,6 +69,7 @@
         machines_addr: address("cloud"),
         stop_timeout: json::seconds(&bounds, "graceS").unwrap_or(Duration::from_secs(6)),
         machine: decode_machine_size(value.get("limits")),
+        room: decode_room(value.get("limits")),
         bounds: Bounds {
             max_lease: at_least(json::millis(&bounds, "maxHoldMs"), 1_000),
             max_stop_duration: json::millis(&bounds, "stopMs"),
@@ -91,6 +93,20 @@
     }
 }
 
+/// Decodes what the process may use of the machine. What is missing is what the system says.
+fn decode_room(limits: Option<&Value>) -> ProcessRoom {
+    let number = |name| limits.map_or(0, |l| json::number(l, name)) as usize;
+    let system = ProcessRoom::of_system();
+    let known = |number, unit, default| match number {
+        0 => default,
+        number => usize::saturating_mul(number, unit),
+    };
+    ProcessRoom {
+        memory: known(number("memoryMb"), 1 << 20, system.memory),
+        descriptors: known(number("maxFds"), 1, system.descriptors),
+    }
+}
+
 fn at_least(time: Duration, ms: u64) -> Duration {
     time.max(Duration::from_millis(ms))
 }
--- a/src/platform/operator_records.rs
+++ b/src/platform/operator_records.rs
@@ -1,6 +1,6 @@
 //! Records that operators write to the store, and the status reported to them.
 
-use crate::batch::declarations::{Declarations, Pool, Queue, Team, Wave};
+use crate::batch::declarations::{Declarations, Pool, Queue, RequestLimits, Team, Wave};
 use crate::platform::json;
 use indexmap::IndexSet;
 use serde_json::{Value, json};
@@ -57,9 +57,29 @@
         let limit = tenant.get("maxCount").map(json::resources).unwrap_or_default();
         declared.teams.insert(name, Team { weight, limit });
     }
+    declared.request_limits = body.get("limits").map(decode_request_limits).unwrap_or_default();
     Some(declared)
 }
 
+/// Decodes the limits on callers' requests; a missing one, and one of value 0, keeps its default.
+fn decode_request_limits(limits: &Value) -> RequestLimits {
+    let default = RequestLimits::default();
+    let bytes = |name, default| match json::number(limits, name) {
+        0 => default,
+        bytes => usize::try_from(bytes).unwrap_or(usize::MAX),
+    };
+    let time = |name, default| match json::millis(limits, name) {
+        Duration::ZERO => default,
+        time => time,
+    };
+    RequestLimits {
+        max_head_bytes: bytes("maxHeaderBytes", default.max_head_bytes),
+        max_body_bytes: bytes("maxBodyBytes", default.max_body_bytes),
+        head_timeout: time("headerTimeoutMs", default.head_timeout),
+        idle_timeout: time("idleTimeoutMs", default.idle_timeout),
+    }
+}
+
 fn decode_queue(route: &Value) -> Option<Queue> {
     let slack = route.get("slackFactor").and_then(Value::as_f64);
     Some(Queue {
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -3,6 +3,7 @@
 
 use jacinthhook::catalogue;
 use jacinthhook::event::Event;
+use jacinthhook::instance::run_settings;
 use jacinthhook::metrics;
 use jacinthhook::settings;
 use std::collections::HashSet;
@@ -88,6 +89,30 @@
     }
 }
 
+/// Returns the keys in the tables of a part of a page.
+fn documented_keys(part: &str) -> HashSet<String> {
+    let rows = part.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
+    rows.map(str::to_string).collect()
+}
+
+/// Guards against keys of `run` that are missing in the page or unknown. `enabled` is documented once for all sections.
+#[test]
+fn run_settings_page_complete() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/settings.md");
+    let text = std::fs::read_to_string(path).expect("a page");
+    let text = text.split("\n# Settings of `run`\n").nth(1).expect("a second part");
+    for section in run_settings::SECTION_NAMES {
+        let file = format!("[{section}]\nno_such_key = 1\n");
+        let mistakes = run_settings::read("run.ini", &file).expect_err("a mistake");
+        let allowed = mistakes[0].mistake.allowed.trim_start_matches("keys ").split(", ");
+        let known: HashSet<String> = allowed.filter(|k| *k != "enabled").map(Into::into).collect();
+        let title = format!("\n## `[{section}]`\n");
+        let part =
+            text.split(&title).nth(1).map_or("", |part| part.split("\n## ").next().unwrap_or(""));
+        assert_eq!(documented_keys(part), known, "[{section}] in docs/settings.md");
+    }
+}
+
 /// Guards against keys that are missing in the pages, and against documented keys that the parser does
 /// not know.
 #[test]
@@ -110,12 +135,12 @@
     for (page, sections) in pages {
         let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs").join(page);
         let text = std::fs::read_to_string(path).expect("a page");
+        // The settings of `run` follow; the next test checks them.
+        let text = text.split("\n# Settings of `run`\n").next().expect("a first part");
         let parts: Vec<&str> = text.split("\n## ").skip(1).collect();
         assert_eq!(parts.len(), sections.len());
         for (part, section) in parts.iter().zip(sections) {
-            let rows = part.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
-            let rows: HashSet<String> = rows.map(str::to_string).collect();
-            assert_eq!(rows, known(page, section), "[{section}] in docs/{page}");
+            assert_eq!(documented_keys(part), known(page, section), "[{section}] in docs/{page}");
         }
     }
 }
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -22,6 +22,8 @@
     metrics.set_log_reachable(false);
     metrics.set_holds(2);
     metrics.record_owner_stage(OwnerStage::Store, Duration::from_millis(30));
+    metrics.set_connections("callers", 12, 4_096);
+    metrics.record_cut("callers", "memory");
     metrics.record_event(Event::ZoneOut);
     let text = metrics.encode().unwrap();
     for metric in ALL {
