Keep the jobs that a short pool can serve in time

Callers of a pool with too little room were served by due time alone: each job started when it was almost too late, and one wide job held back many small ones. Now jobs beyond the rate of their team go last, and a pool whose waiting tasks do not fit its free room sets aside the jobs with the most work until the others fit before their latest starts (batch::overload, docs/design/overload.md). Jobs that have begun are never set aside; all start where there is room. unlisted_worker moves from the owner to WorkerInfo.

--- a/src/batch.rs
+++ b/src/batch.rs
@@ -15,6 +15,7 @@
 pub mod owner;
 pub mod placement;
 pub mod pool_demand;
+pub mod pool_room;
 pub mod prior_leases;
 pub mod record_parts;
 pub mod records;
--- a/src/batch/declarations.rs
+++ b/src/batch/declarations.rs
@@ -44,6 +44,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Team {
     pub weight: u32,
+    /// Number of jobs per second up to which its jobs go before those of teams that send more; `None` for no limit.
+    pub job_rate: Option<u32>,
     /// Upper limit of the resources in use; zero means no limit for that resource.
     pub limit: Resources,
 }
--- a/src/batch/forecast.rs
+++ b/src/batch/forecast.rs
@@ -15,7 +15,7 @@
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 /// Time from a decision to the first start on a moved machine: a move of 1.5 s, the pass before it
 /// and the poll after it.
-const FORECAST_HORIZON: Duration = Duration::from_millis(2_000);
+pub(super) const FORECAST_HORIZON: Duration = Duration::from_millis(2_000);
 
 /// Upper bound for the growth of the rate within `FORECAST_HORIZON`. The first seconds of new
 /// demand look like an ever steeper rise.
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -256,6 +256,10 @@
     /// Whether a worker has begun a task. Stored with the next change; until then, reports of workers tell
     /// it to the next owner.
     pub any_task_started: bool,
+    /// It arrived beyond the rate of its team. Not known to later owners.
+    pub is_beyond_rate: bool,
+    /// It has been set aside for lack of room.
+    pub was_set_aside: bool,
     /// When the job reached its final state.
     pub ended_at: Option<Moment>,
     /// The record from which the job was restored leaves its tasks to records of their own.
@@ -281,6 +285,8 @@
             open_occurrences: Vec::new(),
             begun_occurrences: 0,
             any_task_started: false,
+            is_beyond_rate: false,
+            was_set_aside: false,
             ended_at: None,
             is_split: false,
         }
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -18,7 +18,7 @@
     FinishedRun, Orders, PaceOrder, RunOutcome, StartOrder, StartOutcome, StopOrder, WorkerReport,
     WorkerTime, is_same,
 };
-use crate::batch::overload::OverloadSettings;
+use crate::batch::overload::{Delay, OverloadSettings, TeamRates};
 use crate::batch::pool_demand::PoolSettings;
 use crate::batch::prior_leases::{
     LeaseRecord, PriorLeases, WorkerLease, fits_open_orders, leases_per_record, remaining_ms,
@@ -123,6 +123,10 @@
         state: JobState,
         job_age: Duration,
     },
+    JobDelayed {
+        job: JobId,
+        delay: Delay,
+    },
     WorkerQuarantined {
         worker: WorkerId,
     },
@@ -269,6 +273,7 @@
     wall_clock: WallClock,
     pub(super) crashes: CrashState,
     pub(super) overload: OverloadSettings,
+    team_rates: TeamRates,
     pub(super) pool_demand: PoolSettings,
     pub(super) run_failures: RunFailures,
 }
@@ -312,6 +317,7 @@
             wall_clock: WallClock::default(),
             crashes: CrashState::default(),
             overload: OverloadSettings::default(),
+            team_rates: TeamRates::default(),
             pool_demand: PoolSettings::default(),
             run_failures: RunFailures::default(),
         }
@@ -469,12 +475,18 @@
         }
     }
 
-    /// Counts a newly submitted job toward the expected demand of its pool.
+    /// Counts a newly submitted job toward the expected demand of its pool and the rate of its team.
     pub fn record_arrival(&mut self, id: &str, now: Time) {
-        let Some(job) = self.jobs.get(id) else { return };
-        if let Some(queue) = job.queue_in(&self.active_config.declarations) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let declared = &self.active_config.declarations;
+        if let Some(queue) = job.queue_in(declared) {
             self.moves.arrivals.record(&queue.pool, &job.spec, now);
         }
+        let team = job.team.as_ref().and_then(|id| declared.teams.get_key_value(id));
+        let delay = team.and_then(|team| self.team_rates.record(team, &self.overload, now));
+        job.is_beyond_rate = delay.is_some();
+        let job = JobId::from(id);
+        self.events.extend(delay.map(|delay| OwnerEvent::JobDelayed { job, delay }));
     }
 
     /// Restores the stored progress of a job or wave, or the machines that received orders.
@@ -576,7 +588,7 @@
         for (task, team, run) in runs {
             let Some(reservation) = self.step_of(&task).map(Step::reservation) else { continue };
             if !self.workers.contains_key(&run.worker) {
-                let mut unlisted = self.new_worker(unlisted_worker(&run.worker), now);
+                let mut unlisted = self.new_worker(WorkerInfo::unlisted(&run.worker), now);
                 unlisted.registered = false;
                 self.workers.insert(run.worker.clone(), unlisted);
             }
@@ -1667,23 +1679,6 @@
     }
 }
 
-/// Returns a placeholder entry for a worker that is no longer listed.
-fn unlisted_worker(id: &WorkerId) -> WorkerInfo {
-    WorkerInfo {
-        id: id.clone(),
-        machine: "".into(),
-        pool: "".into(),
-        zone: "".into(),
-        rack: "".into(),
-        labels: Vec::new(),
-        address: "".into(),
-        capacity: Resources::default(),
-        draining: true,
-        time_left: Duration::ZERO,
-        incarnation: 0,
-    }
-}
-
 /// Calls `f` for each assigned task of a job.
 fn visit_assigned(id: &JobId, job: &Job, mut f: impl FnMut(TaskId, &Assignment)) {
     for occurrence in &job.open_occurrences {
--- a/src/batch/placement.rs
+++ b/src/batch/placement.rs
@@ -98,6 +98,12 @@
         candidates
     }
 
+    /// Sum of what is free on all workers of the pool.
+    pub fn free(&self, pool: &PoolId) -> Resources {
+        let candidates = self.by_pool.get(pool).map_or(&[][..], Vec::as_slice);
+        candidates.iter().fold(Resources::default(), |sum, c| sum.plus(&c.free))
+    }
+
     /// Whether a worker of the pool may have room for a task of the step. Cheap; a search that fails
     /// costs a look at every worker of the pool.
     pub fn may_fit(&self, pool: &PoolId, step: &Step) -> bool {
--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -1,13 +1,15 @@
 //! Selection of the waiting tasks to start, and of their workers.
 //!
-//! Waiting steps are ordered by whether their objective can still be met, the priority of their
-//! queue, the resource use of their team relative to its weight, and their due time.
+//! Waiting steps are ordered by their standing (`batch::overload`), the priority of their queue, the
+//! resource use of their team relative to its weight, and their due time.
 
 use crate::batch::crashes::{Isolation, Suspicion};
 use crate::batch::declarations::{Queue, Team};
 use crate::batch::job::{Job, Occurrence, Phase, Step, Task, TaskId, WorkerId};
-use crate::batch::owner::{Owner, task_id};
+use crate::batch::overload::{self, Delay, Standing, WaitingJob};
+use crate::batch::owner::{Owner, OwnerEvent, task_id};
 use crate::batch::placement::{Candidates, Placement, PlacementRequest};
+use crate::batch::pool_room::{pool_room, waiting_job};
 use crate::fair::Resources;
 use crate::ids::{JobId, PoolId, RackId, TeamId, Time};
 use indexmap::IndexMap;
@@ -30,6 +32,8 @@
     /// Indexes of the tasks that may start, in ascending order.
     tasks: Vec<usize>,
     long_running: bool,
+    /// Latest time at which it has to start for its job to meet its objective.
+    latest_start: Time,
     sort_key: SortKey,
 }
 
@@ -37,8 +41,7 @@
 /// weighted usage is compared between `priority` and `due`.
 #[derive(Clone, Copy, Eq, Ord, PartialEq, PartialOrd)]
 struct SortKey {
-    /// The job cannot meet its objective any more, even if the step starts now.
-    late: bool,
+    standing: Standing,
     priority: u32,
     due: Time,
 }
@@ -54,7 +57,7 @@
 fn next_team(teams: &[(Option<TeamId>, TeamQueue)]) -> Option<usize> {
     let next_steps = teams.iter().enumerate().filter_map(|(position, (_, queue))| {
         let key = queue.steps.last()?.sort_key;
-        Some((position, (key.late, key.priority, queue.weighted_usage, key.due)))
+        Some((position, (key.standing, key.priority, queue.weighted_usage, key.due)))
     });
     next_steps.min_by_key(|(_, key)| *key).map(|(position, _)| position)
 }
@@ -65,6 +68,9 @@
     pub fn schedule_tasks(&mut self, now: Time) {
         let mut candidates = Candidates::new(&self.workers, &self.active_config.zones_out, now);
         let mut steps = self.ready_steps(now);
+        if self.overload.enabled {
+            self.set_aside_steps(&mut steps, &candidates, now);
+        }
         let leaving = self.leaving_tasks(now);
         if !leaving.is_empty() {
             // Those that wait are unavailable already and go first.
@@ -123,6 +129,7 @@
                     if tasks.is_empty() {
                         continue;
                     }
+                    let (sort_key, latest_start) = sort_key(job, step, queue, now);
                     ready_steps.push(ReadyStep {
                         job: id.clone(),
                         team: job.team.clone(),
@@ -131,7 +138,8 @@
                         step,
                         tasks,
                         long_running: job.spec.steps.get(step).is_some_and(|s| s.long_running),
-                        sort_key: sort_key(job, step, queue, now),
+                        latest_start,
+                        sort_key,
                     });
                 }
             }
@@ -139,6 +147,62 @@
         ready_steps
     }
 
+    /// Sets aside jobs of the pools whose room is too small for their waiting tasks.
+    fn set_aside_steps(&mut self, steps: &mut [ReadyStep], candidates: &Candidates, now: Time) {
+        let mut waiting: IndexMap<PoolId, Resources> = IndexMap::new();
+        for ready in steps.iter() {
+            let Some(step) = self.jobs.get(&ready.job).and_then(|j| j.spec.steps.get(ready.step))
+            else {
+                continue;
+            };
+            let tasks = ready.tasks.len() as u64;
+            let sum = waiting.entry(ready.pool.clone()).or_default();
+            *sum = sum.plus(&step.reservation().times(tasks));
+        }
+        waiting.retain(|pool, needed| !needed.fits(&candidates.free(pool)));
+        for pool in waiting.keys() {
+            self.set_aside_in_pool(pool, steps, now);
+        }
+    }
+
+    fn set_aside_in_pool(&mut self, pool: &PoolId, steps: &mut [ReadyStep], now: Time) {
+        // The first step of each job; its later ones do not start sooner.
+        let mut jobs: IndexMap<JobId, WaitingJob> = IndexMap::new();
+        for ready in steps.iter() {
+            let Some(job) = self.jobs.get(&ready.job) else { continue };
+            let can_meet_objective = ready.sort_key.standing == Standing::Kept;
+            if ready.long_running || ready.pool != *pool || !can_meet_objective {
+                continue;
+            }
+            let (priority, latest_start) = (ready.sort_key.priority, ready.latest_start);
+            jobs.entry(ready.job.clone())
+                .and_modify(|job| job.latest_start = job.latest_start.min(latest_start))
+                .or_insert_with(|| waiting_job(job, priority, latest_start));
+        }
+        let room = pool_room(self, pool, now);
+        let inputs: Vec<WaitingJob> = jobs.values().copied().collect();
+        let selection = overload::select(&inputs, &room, now);
+        for ready in steps.iter_mut().filter(|ready| !ready.long_running) {
+            let Some(index) = jobs.get_index_of(&ready.job) else { continue };
+            if selection.set_aside[index] && ready.sort_key.standing == Standing::Kept {
+                ready.sort_key.standing = Standing::SetAside;
+            }
+        }
+        for (index, id) in jobs.keys().enumerate().filter(|(i, _)| selection.set_aside[*i]) {
+            let Some(job) = self.jobs.get_mut(id).filter(|job| !job.was_set_aside) else {
+                continue;
+            };
+            job.was_set_aside = true;
+            let delay = Delay::SetAside {
+                pool: pool.clone(),
+                start_within: inputs[index].latest_start.saturating_sub(now),
+                kept_time: selection.kept_time,
+                set_aside_time: selection.set_aside_time,
+            };
+            self.emit(OwnerEvent::JobDelayed { job: id.clone(), delay });
+        }
+    }
+
     /// Places the tasks of a step for which there is room. Returns whether any was placed.
     fn start_step(
         &mut self,
@@ -291,17 +355,23 @@
     waiting.map(|(index, _)| index).collect()
 }
 
-fn sort_key(job: &Job, index: usize, queue: &Queue, now: Time) -> SortKey {
+/// Returns the position of a step, as far as it depends on its own job, and its latest start.
+fn sort_key(job: &Job, index: usize, queue: &Queue, now: Time) -> (SortKey, Time) {
     if job.spec.steps.get(index).is_some_and(|step| step.long_running) {
         // Long-running tasks go first regardless of the age of their job, because every second of
         // unavailability counts.
-        return SortKey { late: false, priority: 0, due: Time::ZERO };
+        return (SortKey { standing: Standing::Kept, priority: 0, due: Time::ZERO }, Time::ZERO);
     }
     // Callers declare run times of any length, and operators any factor.
     let path_secs = job.critical_path().as_secs_f64() * queue.slack_factor;
     let path = Duration::try_from_secs_f64(path_secs).unwrap_or(Duration::MAX);
     let due = job.first_seen_at.saturating_add(path).saturating_add(queue.target_latency);
+    let latest_start = due.saturating_sub(job.remaining_path(index).saturating_add(STEP_OVERHEAD));
     // A job that cannot meet its objective any more must not hold back one that can.
-    let earliest_end = (now + STEP_OVERHEAD).saturating_add(job.remaining_path(index));
-    SortKey { late: earliest_end > due, priority: queue.priority, due }
+    let standing = match (job.is_beyond_rate, now > latest_start) {
+        (true, _) => Standing::BeyondRate,
+        (false, true) => Standing::Late,
+        (false, false) => Standing::Kept,
+    };
+    (SortKey { standing, priority: queue.priority, due }, latest_start)
 }
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -46,6 +46,25 @@
     pub incarnation: u64,
 }
 
+impl WorkerInfo {
+    /// Returns a placeholder entry for a worker that is no longer listed.
+    pub fn unlisted(id: &WorkerId) -> WorkerInfo {
+        WorkerInfo {
+            id: id.clone(),
+            machine: "".into(),
+            pool: "".into(),
+            zone: "".into(),
+            rack: "".into(),
+            labels: Vec::new(),
+            address: "".into(),
+            capacity: Resources::default(),
+            draining: true,
+            time_left: Duration::ZERO,
+            incarnation: 0,
+        }
+    }
+}
+
 /// Which lease of a worker lasts longest.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LeaseSource {
--- a/src/event.rs
+++ b/src/event.rs
@@ -129,6 +129,8 @@
     BatchJobCancelled, 822, Info, "job status", "A caller cancelled a job.", "None.";
     BatchJobEnded, 823, Info, "job state job_age_ms", "A job reached its final state.", "None.";
     BatchJobGivenUp, 824, Warning, "job task crashes", "A job failed because workers crashed under its task, in the runs and on the workers given.", "Notify its team; see docs/OPERATIONS.md.";
+    BatchJobBeyondRate, 826, Info, "job team job_rate", "A job arrived beyond the rate of its team, in jobs per second; it waits behind those of other teams while room is short.", "If the team may send as much, raise its weight.";
+    BatchJobSetAside, 827, Info, "job pool start_within_ms kept_ms set_aside_ms", "A job that had to start within the given time waits behind others, so that more of these meet their objectives; the pool needs so long for the running and kept work, and for the work set aside.", "If this repeats, the pool has too few machines; see docs/operators/overload.md.";
     TaskPlaced, 830, Info, "task run worker job_age_ms", "A task was assigned to a worker.", "None.";
     StartFailed, 831, Info, "task run worker answer", "A worker did not confirm the start of a task.", "Check the worker if this repeats.";
     RunEnded, 832, Info, "task run worker how", "A worker reported the end of a run.", "None.";
--- a/src/fair.rs
+++ b/src/fair.rs
@@ -69,6 +69,17 @@
         }
     }
 
+    /// Multiplies each resource.
+    pub fn times(&self, count: u64) -> Resources {
+        let count_u32 = u32::try_from(count).unwrap_or(u32::MAX);
+        Resources {
+            slots: self.slots.saturating_mul(count_u32),
+            processors: self.processors.saturating_mul(count),
+            memory: self.memory.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count_u32),
+        }
+    }
+
     /// Subtracts each resource, down to zero.
     pub fn minus(&self, other: &Resources) -> Resources {
         Resources {
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -4,6 +4,7 @@
 //! `known_owner` before `recent_jobs`. No lock is held across an await.
 
 use crate::batch::declarations::ActiveConfig;
+use crate::batch::overload::Delay;
 use crate::batch::owner::{Owner, OwnerEvent, RestartSource};
 use crate::event::{Event, Log};
 use crate::ids::{EntryId, JobId, Time, ZoneId};
@@ -11,7 +12,7 @@
 use crate::instance::boottime;
 use crate::instance::config::{InstanceConfig, MachineSize};
 use crate::instance::unreadable_records::UnreadableRecords;
-use crate::metrics::Metrics;
+use crate::metrics::{DelayReason, Metrics};
 use crate::platform::http::Http;
 use crate::platform::store::{self, Store};
 use crate::platform::worker_client::WorkerClient;
@@ -210,6 +211,29 @@
         }
     }
 
+    fn log_delay(&self, job: &JobId, delay: &Delay) {
+        let ms = |d: &Duration| d.as_millis() as u64;
+        match delay {
+            Delay::BeyondRate { team, job_rate } => {
+                self.metrics.record_job_delayed(DelayReason::BeyondRate);
+                let fields =
+                    [("job", job.into()), ("team", team.into()), ("job_rate", (*job_rate).into())];
+                self.log.event(Event::BatchJobBeyondRate, &fields);
+            }
+            Delay::SetAside { pool, start_within, kept_time, set_aside_time } => {
+                self.metrics.record_job_delayed(DelayReason::SetAside);
+                let fields = [
+                    ("job", job.into()),
+                    ("pool", pool.into()),
+                    ("start_within_ms", ms(start_within).into()),
+                    ("kept_ms", ms(kept_time).into()),
+                    ("set_aside_ms", ms(set_aside_time).into()),
+                ];
+                self.log.event(Event::BatchJobSetAside, &fields);
+            }
+        }
+    }
+
     fn log_owner_event(&self, event: &OwnerEvent) {
         let ms = |d: &Duration| d.as_millis() as u64;
         match event {
@@ -252,6 +276,7 @@
                 ];
                 self.log.event(Event::BatchJobEnded, &fields);
             }
+            OwnerEvent::JobDelayed { job, delay } => self.log_delay(job, delay),
             OwnerEvent::WorkerQuarantined { worker } => {
                 self.log.event(Event::UpstreamSetAside, &[("instance", worker.into())]);
             }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -71,6 +71,7 @@
     OWNER_STAGE, "owner_stage_seconds", "histogram", ["stage"], "Durations at the owner: a planning pass, an append of its decisions, a start order until its response, and the delay of a timer.";
     WORKER_CRASHES, "worker_crashes_total", "counter", [], "Crashes of workers under runs of batch jobs, counted by the owner.";
     JOBS_GIVEN_UP, "jobs_given_up_total", "counter", [], "Batch jobs that failed because workers crashed under their tasks.";
+    JOBS_DELAYED, "jobs_delayed_total", "counter", ["reason"], "Batch jobs that waited behind others for lack of room: beyond_rate if they arrived beyond the rate of their team, set_aside if more callers are served in time that way.";
     EVENTS, "events_total", "counter", ["event"], "Log events by number, also those that were suppressed or below the level.";
 }
 
@@ -94,6 +95,22 @@
     }
 }
 
+/// Why a batch job waits behind others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DelayReason {
+    BeyondRate,
+    SetAside,
+}
+
+impl DelayReason {
+    fn as_str(self) -> &'static str {
+        match self {
+            DelayReason::BeyondRate => "beyond_rate",
+            DelayReason::SetAside => "set_aside",
+        }
+    }
+}
+
 /// Values of a label that have their own time series.
 struct BoundedLabel {
     max: usize,
@@ -143,6 +160,7 @@
     owner_stage: HistogramVec,
     worker_crashes: IntCounterVec,
     jobs_given_up: IntCounterVec,
+    jobs_delayed: IntCounterVec,
     events: IntCounterVec,
 }
 
@@ -170,6 +188,7 @@
             owner_stage: histogram(r, &OWNER_STAGE)?,
             worker_crashes: zero_counter(r, &WORKER_CRASHES)?,
             jobs_given_up: zero_counter(r, &JOBS_GIVEN_UP)?,
+            jobs_delayed: counter(r, &JOBS_DELAYED)?,
             events: counter(r, &EVENTS)?,
             teams: BoundedLabel::new(MAX_TEAMS),
             services: BoundedLabel::new(MAX_SERVICES),
@@ -274,6 +293,11 @@
         self.jobs_given_up.with_label_values::<&str>(&[]).inc();
     }
 
+    /// Counts a batch job that waits behind others.
+    pub fn record_job_delayed(&self, reason: DelayReason) {
+        self.jobs_delayed.with_label_values(&[reason.as_str()]).inc();
+    }
+
     /// Counts a log event.
     pub fn record_event(&self, event: Event) {
         self.events.with_label_values(&[event.info().code.to_string()]).inc();
--- a/src/platform/operator_records.rs
+++ b/src/platform/operator_records.rs
@@ -53,9 +53,11 @@
             }
         }
         let weight = json::number_u32(tenant, "weight");
+        // The platform owes a tenant as many jobs a second as its weight says.
+        let job_rate = (weight > 0).then_some(weight);
         // In tenants, this field holds resources instead of a count.
         let limit = tenant.get("maxCount").map(json::resources).unwrap_or_default();
-        declared.teams.insert(name, Team { weight, limit });
+        declared.teams.insert(name, Team { weight, job_rate, limit });
     }
     Some(declared)
 }
--- a/tests/batch/mod.rs
+++ b/tests/batch/mod.rs
@@ -9,7 +9,9 @@
 use jacinthhook::batch::orders::{
     FinishedRun, RunOutcome, RunningTask, StartOrder, StartOutcome, StopOrder, WorkerReport,
 };
+use jacinthhook::batch::overload::OverloadSettings;
 use jacinthhook::batch::owner::{DecisionBatch, Owner};
+use jacinthhook::batch::pool_demand::PoolSettings;
 use jacinthhook::batch::worker::WorkerInfo;
 use jacinthhook::fair::Resources;
 use jacinthhook::platform::worker_connections::is_same;
@@ -85,7 +87,8 @@
     let mut declarations =
         Declarations { version: 1, queues: vec![queue], ..Declarations::default() };
     declarations.pools.insert(POOL.into(), Pool { enforces_capacity: true, standby: false });
-    declarations.teams.insert(TEAM.into(), Team { weight: 1, limit: Resources::default() });
+    let team = Team { weight: 1, job_rate: None, limit: Resources::default() };
+    declarations.teams.insert(TEAM.into(), team);
     ActiveConfig { declarations: Arc::new(declarations), ..ActiveConfig::default() }
 }
 
@@ -145,6 +148,21 @@
         self.owner.active_config = Arc::new(self.active_config.clone());
     }
 
+    /// Switches the order of `batch::overload` on or off.
+    pub fn with_overload(mut self, enabled: bool) -> Cluster {
+        let overload = OverloadSettings { enabled, ..OverloadSettings::default() };
+        self.owner = self.owner.with_settings(overload, PoolSettings::default());
+        self
+    }
+
+    /// Submits a job that arrives now, so that it counts toward the rate of its team.
+    pub fn submit_by(&mut self, team: &str, id: &str, steps: Vec<Step>) {
+        let spec = JobSpec { payload: "p".into(), steps, ..JobSpec::default() };
+        let team = Some(team.into());
+        self.owner.add_job(id.into(), Arc::new(spec), QUEUE.into(), team, self.now);
+        self.owner.record_arrival(id, self.now);
+    }
+
     pub fn submit(&mut self, id: &str, steps: Vec<Step>) {
         self.submit_to(QUEUE, id, steps);
     }
--- a/tests/batch_owner.rs
+++ b/tests/batch_owner.rs
@@ -23,7 +23,7 @@
     cluster.update_config(|active_config| {
         let mut declarations = Declarations::clone(&active_config.declarations);
         let limit = Resources { processors, ..Resources::default() };
-        declarations.teams.insert(TEAM.into(), Team { weight: 1, limit });
+        declarations.teams.insert(TEAM.into(), Team { weight: 1, job_rate: None, limit });
         active_config.declarations = Arc::new(declarations);
     });
 }
