--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -75,6 +75,7 @@
     CONNECTIONS, "connections", "gauge", ["listener"], "Open connections of a listener of run, at most one second old.";
     HELD_BYTES, "held_body_bytes", "gauge", ["listener"], "Memory held by bodies in progress and by records that are not stored yet.";
     CUTS, "cut_total", "counter", ["listener", "reason"], "Requests refused and connections cut off by the limits of a listener of run.";
+    JOBS_DELAYED, "jobs_delayed_total", "counter", ["reason"], "Batch jobs that waited behind others for lack of room: beyond_rate if they arrived beyond the rate of their team, set_aside if more callers are served in time that way.";
     EVENTS, "events_total", "counter", ["event"], "Log events by number, also those that were suppressed or below the level.";
 }
 
@@ -98,6 +99,22 @@
     }
 }
 
+/// Why a batch job waits behind others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DelayReason {
+    BeyondRate,
+    SetAside,
+}
+
+impl DelayReason {
+    fn as_str(self) -> &'static str {
+        match self {
+            DelayReason::BeyondRate => "beyond_rate",
+            DelayReason::SetAside => "set_aside",
+        }
+    }
+}
+
 /// Values of a label that have their own time series.
 struct BoundedLabel {
     max: usize,
@@ -151,6 +168,7 @@
     connections: IntGaugeVec,
     held_bytes: IntGaugeVec,
     cuts: IntCounterVec,
+    jobs_delayed: IntCounterVec,
     events: IntCounterVec,
 }
 
@@ -182,6 +200,7 @@
             connections: gauge(r, &CONNECTIONS)?,
             held_bytes: gauge(r, &HELD_BYTES)?,
             cuts: counter(r, &CUTS)?,
+            jobs_delayed: counter(r, &JOBS_DELAYED)?,
             events: counter(r, &EVENTS)?,
             teams: BoundedLabel::new(MAX_TEAMS),
             services: BoundedLabel::new(MAX_SERVICES),
@@ -303,6 +322,11 @@
         self.cuts.with_label_values(&[listener, reason]).inc();
     }
 
+    /// Counts a batch job that waits behind others.
+    pub fn record_job_delayed(&self, reason: DelayReason) {
+        self.jobs_delayed.with_label_values(&[reason.as_str()]).inc();
+    }
+
     /// Counts a log event.
     pub fn record_event(&self, event: Event) {
         self.events.with_label_values(&[event.info().code.to_string()]).inc();
