Count work only as far as it uses the pool before a job's latest start

Work now counts up to the latest start, a job is set aside for at most half of the time that it had, priority goes before being set aside, of equal jobs the newest goes, a pool without capacity sets nothing aside, and a machine that is overdue is no room.

--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -258,8 +258,8 @@
     pub any_task_started: bool,
     /// It arrived beyond the rate of its team. Not known to later owners.
     pub is_beyond_rate: bool,
-    /// It has been set aside for lack of room.
-    pub was_set_aside: bool,
+    /// Until when it may be set aside for lack of room; `None` if it never was. Not known to later owners.
+    pub set_aside_until: Option<Time>,
     /// When the job reached its final state.
     pub ended_at: Option<Moment>,
     /// The record from which the job was restored leaves its tasks to records of their own.
@@ -286,7 +286,7 @@
             begun_occurrences: 0,
             any_task_started: false,
             is_beyond_rate: false,
-            was_set_aside: false,
+            set_aside_until: None,
             ended_at: None,
             is_split: false,
         }
--- a/src/batch/overload.rs
+++ b/src/batch/overload.rs
@@ -10,7 +10,6 @@
 use crate::config::SectionReader;
 use crate::ids::{PoolId, TeamId, Time};
 use indexmap::IndexMap;
-use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
@@ -47,9 +46,7 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Standing {
     /// Can meet its objective.
-    Kept,
-    /// Could meet its objective only at the expense of more callers.
-    SetAside,
+    OnTime,
     /// Cannot meet its objective any more.
     Late,
     /// Arrived beyond the rate of its team.
@@ -61,7 +58,7 @@
 pub enum Delay {
     /// The team may send so many jobs per second.
     BeyondRate { team: TeamId, job_rate: u32 },
-    /// The job has to start within `start_within`; the pool needs `kept_time` for the running and kept work.
+    /// The job has to start within `start_within`; the pool needs `kept_time` for the work that it keeps.
     SetAside { pool: PoolId, start_within: Duration, kept_time: Duration, set_aside_time: Duration },
 }
 
@@ -78,8 +75,19 @@
     pub latest_start: Time,
     /// Declared use of all its tasks that have not started.
     pub work: Amounts,
-    /// Some of its tasks have started, so it is not set aside: their work would be of no use for longer.
-    pub has_begun: bool,
+    /// What they use at most at one time.
+    pub width: Amounts,
+    /// It is not set aside: some of its tasks have started, whose work would be of no use for longer, or it was set
+    /// aside for as long as it may.
+    pub is_fixed: bool,
+}
+
+impl WaitingJob {
+    /// Returns what the job can use of a resource until its latest start.
+    fn use_before_latest_start(&self, resource: usize, now: Time) -> u64 {
+        let time = self.latest_start.saturating_sub(now).as_millis() as u64;
+        self.work[resource].min(self.width[resource].saturating_mul(time))
+    }
 }
 
 /// What a pool can do from now on.
@@ -89,8 +97,8 @@
     pub capacity: Amounts,
     /// Capacity of machines that are on their way, and when they can take tasks.
     pub arriving: Vec<(Time, Amounts)>,
-    /// Declared remaining use of running tasks.
-    pub running: Amounts,
+    /// What running tasks use, and for how much longer by their declared run times.
+    pub running: Vec<(Duration, Amounts)>,
 }
 
 impl Room {
@@ -102,14 +110,44 @@
         arriving.fold(use_of(now, &self.capacity), u64::saturating_add)
     }
 
-    /// Returns the resource of which `work` needs the largest part.
-    fn scarcest(&self, work: &Amounts) -> usize {
-        let needed = |resource: &usize| {
-            let work = work[*resource].saturating_add(self.running[*resource]);
-            work.checked_div(self.capacity[*resource]).unwrap_or(work)
-        };
+    /// Returns the resource of which `work` needs the largest part, among those that the pool has.
+    fn scarcest(&self, work: &Amounts) -> Option<usize> {
+        let needed = |resource: &usize| work[*resource] / self.capacity[*resource];
         // The first one if several are equal.
-        (0..work.len()).rev().max_by_key(needed).unwrap_or(0)
+        (0..work.len()).rev().filter(|r| self.capacity[*r] > 0).max_by_key(needed)
+    }
+}
+
+/// Use of one resource by running tasks, for any time from now on.
+struct RunningUse {
+    /// Time left, use of all that end sooner or then, and amount of those that go on; by time left.
+    ends: Vec<(u64, u64, u64)>,
+    amount: u64,
+}
+
+impl RunningUse {
+    fn new(running: &[(Duration, Amounts)], resource: usize) -> RunningUse {
+        let mut tasks: Vec<(u64, u64)> = running
+            .iter()
+            .map(|(left, amounts)| (left.as_millis() as u64, amounts[resource]))
+            .collect();
+        tasks.sort_unstable();
+        let all = tasks.iter().fold(0u64, |sum, (_, amount)| sum.saturating_add(*amount));
+        let (mut used, mut amount) = (0u64, all);
+        let ends = tasks.into_iter().map(|(left, ending)| {
+            used = used.saturating_add(ending.saturating_mul(left));
+            amount = amount.saturating_sub(ending);
+            (left, used, amount)
+        });
+        RunningUse { ends: ends.collect(), amount: all }
+    }
+
+    fn within(&self, time: Duration) -> u64 {
+        let time = time.as_millis() as u64;
+        let ended = self.ends.partition_point(|(left, ..)| *left <= time);
+        let last = ended.checked_sub(1).map(|last| self.ends[last]);
+        let (used, amount) = last.map_or((0, self.amount), |(_, used, amount)| (used, amount));
+        used.saturating_add(amount.saturating_mul(time))
     }
 }
 
@@ -118,53 +156,52 @@
 pub struct Selection {
     /// For each job, whether it is set aside.
     pub set_aside: Vec<bool>,
-    /// Time in which the pool could do the running and kept work.
+    /// Time in which the pool could do the work that is kept.
     pub kept_time: Duration,
     /// The same for the work that is set aside.
     pub set_aside_time: Duration,
 }
 
 /// Selects the jobs that a pool sets aside, so that as many of the others as possible can start in time; none for
-/// one of lower priority. `jobs` can all still meet their objectives if they start now.
+/// one of lower priority. `jobs` can all still meet their objectives if they start now. What runs or is kept counts
+/// as far as it can use the pool before the job that is looked at has to start.
 pub fn select(jobs: &[WaitingJob], room: &Room, now: Time) -> Selection {
+    let mut selection = Selection { set_aside: vec![false; jobs.len()], ..Selection::default() };
     let total = jobs.iter().fold(Amounts::default(), |sum, job| plus(&sum, &job.work));
-    let resource = room.scarcest(&total);
-    let mut set_aside = vec![false; jobs.len()];
-    let begun = jobs.iter().filter(|job| job.has_begun).map(|job| job.work[resource]);
-    let mut kept_work = begun.fold(room.running[resource], u64::saturating_add);
-    let mut order: Vec<(u32, u64, usize)> = jobs
-        .iter()
-        .enumerate()
-        .filter(|(_, job)| !job.has_begun)
-        // A job whose turn comes at its latest start still meets its objective.
-        .map(|(index, job)| (job.priority, job, index))
-        .map(|(priority, job, index)| {
-            let room = room.until(job.latest_start, resource, now);
-            (priority, room.saturating_add(job.work[resource]), index)
-        })
-        .collect();
-    order.sort_unstable();
-    let mut set_aside_work = 0u64;
-    for class in order.chunk_by(|a, b| a.0 == b.0) {
-        let mut kept: BinaryHeap<(u64, Reverse<usize>)> = BinaryHeap::new();
-        for (_, room, index) in class {
-            let work = jobs[*index].work[resource];
-            kept.push((work, Reverse(*index)));
-            kept_work = kept_work.saturating_add(work);
-            if kept_work > *room
-                && let Some((work, Reverse(largest))) = kept.pop()
+    let Some(resource) = room.scarcest(&total) else { return selection };
+    let running = RunningUse::new(&room.running, resource);
+    let mut order: Vec<usize> = (0..jobs.len()).collect();
+    order.sort_by_key(|index| (jobs[*index].priority, jobs[*index].latest_start));
+    let (mut kept_use, mut kept_work, mut set_aside_work) = (0u64, 0u64, 0u64);
+    for class in order.chunk_by(|a, b| jobs[*a].priority == jobs[*b].priority) {
+        // Of jobs with the same work the newest goes first.
+        let mut kept: BinaryHeap<(u64, usize)> = BinaryHeap::new();
+        for index in class {
+            let job = &jobs[*index];
+            let own_use = job.use_before_latest_start(resource, now);
+            if !job.is_fixed {
+                kept.push((job.work[resource], *index));
+            }
+            kept_use = kept_use.saturating_add(own_use);
+            kept_work = kept_work.saturating_add(job.work[resource]);
+            let used = running.within(job.latest_start.saturating_sub(now));
+            let needed = used.saturating_add(kept_use);
+            // A job whose turn comes at its latest start still meets its objective.
+            let available = room.until(job.latest_start, resource, now).saturating_add(own_use);
+            if needed > available
+                && let Some((work, largest)) = kept.pop()
             {
+                let freed = jobs[largest].use_before_latest_start(resource, now);
+                kept_use = kept_use.saturating_sub(freed);
                 kept_work = kept_work.saturating_sub(work);
                 set_aside_work = set_aside_work.saturating_add(work);
-                set_aside[largest] = true;
+                selection.set_aside[largest] = true;
             }
         }
     }
-    let time = |work: u64| {
-        Duration::from_millis(work.checked_div(room.capacity[resource]).unwrap_or(u64::MAX >> 1))
-    };
-    let (kept_time, set_aside_time) = (time(kept_work), time(set_aside_work));
-    Selection { set_aside, kept_time, set_aside_time }
+    let time = |work: u64| Duration::from_millis(work / room.capacity[resource]);
+    (selection.kept_time, selection.set_aside_time) = (time(kept_work), time(set_aside_work));
+    selection
 }
 
 /// Adds each amount.
--- a/src/batch/pool_room.rs
+++ b/src/batch/pool_room.rs
@@ -12,6 +12,8 @@
 
 /// Least time that a running task is expected to go on, also beyond its estimate.
 const MIN_REMAINING_TIME: Duration = Duration::from_millis(100);
+/// Time after which a machine that has not arrived is no room any more: its order may be lost.
+const MAX_MOVE_DELAY: Duration = Duration::from_secs(1);
 
 /// Returns what a pool can do: its workers that take starts, and machines that are moving to it.
 pub fn pool_room(owner: &Owner, pool: &PoolId, now: Time) -> Room {
@@ -33,15 +35,18 @@
             }
             let Some(Phase::Assigned(run)) = job.task(id).map(|task| &task.phase) else { continue };
             let remaining = step.estimate.saturating_sub(now.saturating_sub(run.assigned_at));
-            let used = uses(reservation, remaining.max(MIN_REMAINING_TIME), 1);
-            room.running = plus(&room.running, &used);
+            room.running.push((remaining.max(MIN_REMAINING_TIME), amounts(reservation)));
         }
         room.capacity = plus(&room.capacity, &amounts(&capacity));
     }
     let machine = all.map(|amount| amount.checked_div(count).unwrap_or(0));
     let mut arriving: IndexMap<Time, Amounts> = IndexMap::new();
     for in_flight in owner.moves.in_flight.values().filter(|m| m.to == *pool) {
-        let sum = arriving.entry(in_flight.first_ordered_at + FORECAST_HORIZON).or_default();
+        let arrives_at = in_flight.first_ordered_at + FORECAST_HORIZON;
+        if now > arrives_at + MAX_MOVE_DELAY {
+            continue;
+        }
+        let sum = arriving.entry(arrives_at).or_default();
         *sum = plus(sum, &machine);
     }
     room.arriving = arriving.into_iter().collect();
@@ -50,15 +55,17 @@
 
 /// Describes a job whose next step has to start at `latest_start`.
 pub fn waiting_job(job: &Job, priority: u32, latest_start: Time) -> WaitingJob {
-    let (mut work, mut has_begun) = (Amounts::default(), false);
+    let (mut work, mut width, mut has_begun) = (Amounts::default(), Amounts::default(), false);
     for occurrence in &job.open_occurrences {
         for (step, tasks) in job.spec.steps.iter().zip(&occurrence.steps) {
             let waiting = tasks.iter().filter(|task| task.phase == Phase::Waiting).count();
             has_begun |= waiting < tasks.len();
             work = plus(&work, &step_uses(step, waiting as u64));
+            // Steps that follow each other do not run at one time; the bound may be too high.
+            width = plus(&width, &step_width(step, waiting as u64));
         }
     }
-    WaitingJob { priority, latest_start, work, has_begun }
+    WaitingJob { priority, latest_start, work, width, is_fixed: has_begun }
 }
 
 fn step_uses(step: &Step, tasks: u64) -> Amounts {
@@ -68,6 +75,13 @@
     uses(&step.reservation(), step.estimate, tasks)
 }
 
+fn step_width(step: &Step, tasks: u64) -> Amounts {
+    if step.long_running {
+        return Amounts::default();
+    }
+    amounts(&step.reservation()).map(|amount| amount.saturating_mul(tasks))
+}
+
 fn uses(reservation: &Resources, time: Duration, tasks: u64) -> Amounts {
     let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX).saturating_mul(tasks);
     amounts(reservation).map(|amount| amount.saturating_mul(ms))
--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -43,6 +43,8 @@
 struct SortKey {
     standing: Standing,
     priority: u32,
+    /// Its job could meet its objective only at the expense of more callers of the same priority.
+    is_set_aside: bool,
     due: Time,
 }
 
@@ -57,7 +59,10 @@
 fn next_team(teams: &[(Option<TeamId>, TeamQueue)]) -> Option<usize> {
     let next_steps = teams.iter().enumerate().filter_map(|(position, (_, queue))| {
         let key = queue.steps.last()?.sort_key;
-        Some((position, (key.standing, key.priority, queue.weighted_usage, key.due)))
+        Some((
+            position,
+            (key.standing, key.priority, key.is_set_aside, queue.weighted_usage, key.due),
+        ))
     });
     next_steps.min_by_key(|(_, key)| *key).map(|(position, _)| position)
 }
@@ -169,30 +174,35 @@
         // The first step of each job; its later ones do not start sooner.
         let mut jobs: IndexMap<JobId, WaitingJob> = IndexMap::new();
         for ready in steps.iter() {
-            let Some(job) = self.jobs.get(&ready.job) else { continue };
-            let can_meet_objective = ready.sort_key.standing == Standing::Kept;
-            if ready.long_running || ready.pool != *pool || !can_meet_objective {
+            if ready.long_running
+                || ready.pool != *pool
+                || ready.sort_key.standing != Standing::OnTime
+            {
                 continue;
             }
+            let Some(job) = self.jobs.get(&ready.job) else { continue };
             let (priority, latest_start) = (ready.sort_key.priority, ready.latest_start);
             jobs.entry(ready.job.clone())
                 .and_modify(|job| job.latest_start = job.latest_start.min(latest_start))
-                .or_insert_with(|| waiting_job(job, priority, latest_start));
+                .or_insert_with(|| {
+                    let mut waiting = waiting_job(job, priority, latest_start);
+                    waiting.is_fixed |= job.set_aside_until.is_some_and(|until| now >= until);
+                    waiting
+                });
         }
         let room = pool_room(self, pool, now);
         let inputs: Vec<WaitingJob> = jobs.values().copied().collect();
         let selection = overload::select(&inputs, &room, now);
-        for ready in steps.iter_mut().filter(|ready| !ready.long_running) {
+        for ready in steps.iter_mut().filter(|r| !r.long_running && r.pool == *pool) {
             let Some(index) = jobs.get_index_of(&ready.job) else { continue };
-            if selection.set_aside[index] && ready.sort_key.standing == Standing::Kept {
-                ready.sort_key.standing = Standing::SetAside;
-            }
+            ready.sort_key.is_set_aside = selection.set_aside[index];
         }
         for (index, id) in jobs.keys().enumerate().filter(|(i, _)| selection.set_aside[*i]) {
-            let Some(job) = self.jobs.get_mut(id).filter(|job| !job.was_set_aside) else {
-                continue;
-            };
-            job.was_set_aside = true;
+            let unknown = |job: &&mut Job| job.set_aside_until.is_none();
+            let Some(job) = self.jobs.get_mut(id).filter(unknown) else { continue };
+            // A wide job waits for others for half of the time that it has, and then no longer.
+            let slack = inputs[index].latest_start.saturating_sub(now);
+            job.set_aside_until = Some(now + slack / 2);
             let delay = Delay::SetAside {
                 pool: pool.clone(),
                 start_within: inputs[index].latest_start.saturating_sub(now),
@@ -360,7 +370,8 @@
     if job.spec.steps.get(index).is_some_and(|step| step.long_running) {
         // Long-running tasks go first regardless of the age of their job, because every second of
         // unavailability counts.
-        return (SortKey { standing: Standing::Kept, priority: 0, due: Time::ZERO }, Time::ZERO);
+        let (standing, due) = (Standing::OnTime, Time::ZERO);
+        return (SortKey { standing, priority: 0, is_set_aside: false, due }, Time::ZERO);
     }
     // Callers declare run times of any length, and operators any factor.
     let path_secs = job.critical_path().as_secs_f64() * queue.slack_factor;
@@ -371,7 +382,8 @@
     let standing = match (job.is_beyond_rate, now > latest_start) {
         (true, _) => Standing::BeyondRate,
         (false, true) => Standing::Late,
-        (false, false) => Standing::Kept,
+        (false, false) => Standing::OnTime,
     };
-    (SortKey { standing, priority: queue.priority, due }, latest_start)
+    let key = SortKey { standing, priority: queue.priority, is_set_aside: false, due };
+    (key, latest_start)
 }
