Use one partition for callers' records until operators raise it

Cause: an earlier owner reads the first partition. It takes jobs in others for deleted and deletes their progress; the next owner of this version reads their submissions without progress and takes them for new jobs.

The default of `partitions` is 1; owners read all partitions, as before.

Tests: those of several partitions start instances with deploy/run.ini or set 32. New: default_first_partition, check_deployed_settings, and the default in partitions_in_use_settings.

--- a/src/instance/submissions.rs
+++ b/src/instance/submissions.rs
@@ -23,13 +23,15 @@
 pub struct SubmissionSettings {
     /// Whether the part is in use; otherwise the first partition takes all records.
     pub enabled: bool,
-    /// Most partitions that this instance spreads its callers' records over, a power of two.
+    /// Most partitions that this instance spreads its callers' records over, a power of two. More than 1 only
+    /// once no instance of an earlier version can become the owner: it reads the first partition, and deletes
+    /// the progress of jobs in others, which then run again.
     pub partitions: u32,
 }
 
 impl Default for SubmissionSettings {
     fn default() -> SubmissionSettings {
-        SubmissionSettings { enabled: true, partitions: MAX_PARTITIONS }
+        SubmissionSettings { enabled: true, partitions: 1 }
     }
 }
 
--- a/tests/instance.rs
+++ b/tests/instance.rs
@@ -82,6 +82,10 @@
 
 /// Starts an instance with settings that replace or extend the usual ones.
 fn start_with_settings(name: &str, store: SocketAddr, changed: Value) -> Instance {
+    start_with_args(name, store, changed, &[])
+}
+
+fn start_with_args(name: &str, store: SocketAddr, changed: Value, run_args: &[&str]) -> Instance {
     let dir = std::env::temp_dir().join(format!("jacinthhook-{}-{name}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("create the folder");
     // A process that another test starts holds the listener of `free_port` until it has replaced its
@@ -105,6 +109,7 @@
     std::fs::write(&file, settings.to_string()).expect("write the settings");
     let mut child = Command::new(env!("CARGO_BIN_EXE_jacinthhook"))
         .arg("run")
+        .args(run_args)
         .env("JACINTHHOOK_BOOT", &file)
         .stdout(Stdio::piped())
         .spawn()
@@ -603,12 +608,28 @@
     assert_eq!(a.events("OwnerGone").len(), 0);
 }
 
-/// Starts an instance whose platform offers several partitions a topic.
+/// Starts an instance whose platform offers several partitions a topic, with the deployed settings.
 fn start_with_partitions(name: &str, store: SocketAddr, retention_secs: u64) -> Instance {
     let bounds =
         json!({ "maxHoldMs": 10000, "revokeMs": 5000, "status_s": retention_secs, "graceS": 6 });
     let platform = json!({ "address": store.to_string(), "parts": 32 });
-    start_with_settings(name, store, json!({ "bounds": bounds, "platform": platform }))
+    let args = ["--settings", concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/run.ini")];
+    start_with_args(name, store, json!({ "bounds": bounds, "platform": platform }), &args)
+}
+
+/// Without settings, no job is where an owner of an earlier version does not read it: it would delete the
+/// job's progress, and the next owner would run the job again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn default_first_partition() {
+    let (platform, address) = start_platform().await;
+    let offered = json!({ "platform": { "address": address.to_string(), "parts": 32 } });
+    let a = start_with_settings("default", address, offered);
+    wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
+    wait_until("the instance is ready", async || a.is_ready().await).await;
+    for id in ["00000000000000a1", "00000000000000a2", "00000000000000a3"] {
+        assert_eq!(a.call(post(), &format!("/q/{id}"), "k1", JOB).await.0, 200);
+        assert_eq!(platform.partitions_with("keyed.jobs", id), ["keyed.jobs"]);
+    }
 }
 
 /// Jobs are spread over partitions, one is cancelled, and the owner is killed while they run: the next one
--- a/tests/run_settings.rs
+++ b/tests/run_settings.rs
@@ -2,6 +2,7 @@
 
 use jacinthhook::instance::run_settings::{RunSettings, read};
 use jacinthhook::settings::{CheckedFile, check};
+use std::process::Command;
 
 #[test]
 fn read_empty_file() {
@@ -26,3 +27,19 @@
     let checked = check("run.ini", "[pool_demand]\nenabled = on\n");
     assert!(matches!(checked, Ok(CheckedFile::RunSettings(_))));
 }
+
+/// What the users' platform starts: `deploy/system.toml` names the file, and `check` accepts it.
+#[test]
+fn check_deployed_settings() {
+    let root = env!("CARGO_MANIFEST_DIR");
+    let system = std::fs::read_to_string(format!("{root}/deploy/system.toml")).expect("a file");
+    assert!(system.contains("jacinthhook run --settings deploy/run.ini\""));
+    let check = Command::new(env!("CARGO_BIN_EXE_jacinthhook"))
+        .args(["check", "deploy/run.ini"])
+        .current_dir(root)
+        .output()
+        .expect("run the program");
+    assert!(check.status.success(), "{check:?}");
+    let text = std::fs::read_to_string(format!("{root}/deploy/run.ini")).expect("a file");
+    assert_eq!(read("run.ini", &text).expect("no mistakes").submissions.partitions, 32);
+}
--- a/tests/submissions.rs
+++ b/tests/submissions.rs
@@ -29,6 +29,11 @@
     format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
+/// Settings of an instance once no earlier version runs.
+fn all_partitions() -> SubmissionSettings {
+    SubmissionSettings { partitions: MAX_PARTITIONS, ..SubmissionSettings::default() }
+}
+
 fn owner(partitions: u32) -> Option<OwnerReads> {
     Some(OwnerReads { partitions, heard_at: NOW })
 }
@@ -58,7 +63,7 @@
 /// Guards against a job that the owner does not read.
 #[test]
 fn partitions_in_use_owner() {
-    let settings = SubmissionSettings::default();
+    let settings = all_partitions();
     assert_eq!(settings.partitions_in_use(32, owner(32), NOW), 32);
     assert_eq!(settings.partitions_in_use(32, owner(1), NOW), 1, "an earlier version");
     assert_eq!(settings.partitions_in_use(32, owner(8), NOW), 8);
@@ -68,11 +73,13 @@
 
 #[test]
 fn partitions_in_use_settings() {
-    let off = SubmissionSettings { enabled: false, ..SubmissionSettings::default() };
+    let off = SubmissionSettings { enabled: false, ..all_partitions() };
     assert_eq!(off.partitions_in_use(32, owner(32), NOW), 1);
+    // An earlier version may still become the owner.
+    assert_eq!(SubmissionSettings::default().partitions_in_use(32, owner(32), NOW), 1);
     let few = SubmissionSettings { partitions: 4, ..SubmissionSettings::default() };
     assert_eq!(few.partitions_in_use(32, owner(32), NOW), 4);
-    let settings = SubmissionSettings::default();
+    let settings = all_partitions();
     assert_eq!(settings.partitions_in_use(0, owner(32), NOW), 1);
     assert_eq!(settings.partitions_in_use(12, owner(32), NOW), 8);
     assert_eq!(settings.partitions_in_use(64, owner(64), NOW), MAX_PARTITIONS);
