Drop jobs only as of the time up to which all submissions are known

Cause: the owner dropped the job, and deleted its progress once the records that it knew were deleted. The other record, read later, was a new job. To ask for a read after the drop is not enough: a dropped job is not known any more when its copy is read.

Change: jobs are dropped as of the time at which the oldest of the latest complete reads of all partitions was requested. Until then ended jobs stay known, and a copy is recognised. All partitions count, not only those that may hold the job: while one cannot be read, no job is dropped.

--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -248,6 +248,8 @@
     stored_parts: StoredParts,
     /// Parts that were read, until all records are restored. Those of a job may be read before its record.
     restored_parts: IndexMap<JobId, Vec<(PartKey, Bytes)>>,
+    /// Up to when all submissions stored were read; jobs are dropped as of then, so that a copy is no new job.
+    pub submissions_read_at: Time,
     /// Jobs that are dropped and whose submissions may still be stored.
     dropped_jobs: IndexSet<JobId>,
     pub(super) dirty_waves: IndexSet<u64>,
@@ -259,8 +261,7 @@
     ordered_paces: IndexMap<TaskId, (u32, u32)>,
     /// What the latest record of previous owners says about leases.
     prior_leases: PriorLeases,
-    /// Until when orders of previous owners may have effect on workers that are not synced and that
-    /// `prior_leases` does not name.
+    /// Until when orders of previous owners may affect workers neither synced nor named in `prior_leases`.
     prior_leases_until: Time,
     /// When the leases of workers that the owner has forgotten have expired.
     forgotten_leases_until: Time,
@@ -299,6 +300,7 @@
             dirty_jobs: IndexSet::new(),
             stored_parts: StoredParts::default(),
             restored_parts: IndexMap::new(),
+            submissions_read_at: Time::MAX,
             dropped_jobs: IndexSet::new(),
             dirty_waves: IndexSet::new(),
             orders: Orders::default(),
@@ -507,8 +509,7 @@
                 Some(cancelled_at) => {
                     self.early_cancellations.insert(id, cancelled_at);
                 }
-                // The job's submission was deleted, but its owner ended before it deleted the
-                // progress.
+                // The submission was deleted, but not the progress before its owner ended.
                 None => {
                     self.dropped_jobs.insert(id);
                 }
@@ -1310,7 +1311,7 @@
         self.retry_stops(now);
         self.release_machines(now);
         self.settle_ends();
-        self.drop_old_jobs(now);
+        self.drop_old_jobs(now.min(self.submissions_read_at));
     }
 
     /// Ends a worker's current incarnation and all its runs, because another worker uses its
@@ -1403,8 +1404,7 @@
 
     /// Drops jobs whose retention has passed.
     fn drop_old_jobs(&mut self, now: Time) {
-        let retention = self.bounds.ended_job_retention;
-        let clock = self.wall_clock;
+        let (clock, retention) = (self.wall_clock, self.bounds.ended_job_retention);
         let is_expired = |ended_at: &Moment| clock.least_age(ended_at, now) > retention;
         let has_runs = |id: &JobId| {
             let open = self.jobs.get(id).map_or(&[][..], |j| &j.open_occurrences);
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -80,8 +80,9 @@
     owner_reads: Mutex<Option<OwnerReads>>,
     /// Over how many partitions callers' records were spread last.
     partitions_in_use: AtomicU32,
-    /// When the owner last read each partition of callers' jobs up to its end, by number.
-    jobs_read_at: Mutex<IndexMap<u32, Time>>,
+    /// When the owner last read each partition of callers' jobs up to its end, by number: when that read was
+    /// requested, and when it ended.
+    jobs_read_at: Mutex<IndexMap<u32, (Time, Time)>>,
     /// Recently accepted jobs of this instance, with the time of acceptance.
     recent_jobs: Mutex<IndexMap<JobId, Instant>>,
     unreadable_records: Mutex<UnreadableRecords>,
@@ -189,15 +190,23 @@
     }
 
     /// Records that a partition of callers' jobs was read up to its end.
-    pub fn mark_jobs_read(&self, partition: u32) {
-        self.jobs_read_at.lock().insert(partition, self.now());
+    pub fn mark_jobs_read(&self, partition: u32, requested_at: Time) {
+        self.jobs_read_at.lock().insert(partition, (requested_at, self.now()));
+    }
+
+    /// Returns up to when all records of callers' jobs are known; zero if a partition was never read.
+    pub fn jobs_known_until(&self) -> Time {
+        let read_at = self.jobs_read_at.lock();
+        let requested = (0..self.read_partitions()).map(|n| read_at.get(&n).map(|(at, _)| *at));
+        requested.min().flatten().unwrap_or_default()
     }
 
     /// Returns the longest time since any of these partitions of callers' jobs was read up to its end.
     fn partitions_read_age(&self, mut partitions: impl Iterator<Item = u32>) -> Duration {
         let read_at = self.jobs_read_at.lock();
-        let oldest = partitions
-            .try_fold(Time::MAX, |oldest, number| read_at.get(&number).map(|at| oldest.min(*at)));
+        let oldest = partitions.try_fold(Time::MAX, |oldest, number| {
+            read_at.get(&number).map(|(_, at)| oldest.min(*at))
+        });
         oldest.map_or(Duration::MAX, |at| self.now().saturating_sub(at))
     }
 
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -559,7 +559,7 @@
     term: &Term,
     prior_leases: PriorLeases,
 ) -> Result<Loaded, StoreError> {
-    let started = Instant::now();
+    let (started, requested_at) = (Instant::now(), shared.now());
     let progress = read_latest(shared, term, store::PROGRESS_TOPIC.into()).await?;
     let numbers = 0..shared.read_partitions();
     let reads = numbers.map(|number| read_latest(shared, term, jobs_partition(number)));
@@ -590,6 +590,7 @@
     }
     owner.update_workers(&listed, now);
     owner.finish_restore(now);
+    owner.submissions_read_at = requested_at;
     let fields = [
         ("term", term.number.into()),
         ("jobs", (owner.jobs.len() as u64).into()),
@@ -599,7 +600,7 @@
     ];
     shared.log.event(Event::OwnerReady, &fields);
     *shared.owner.lock() = Some(owner);
-    (0..shared.read_partitions()).for_each(|number| shared.mark_jobs_read(number));
+    (0..shared.read_partitions()).for_each(|number| shared.mark_jobs_read(number, requested_at));
     shared.plan_needed.notify_one();
     let jobs_next = jobs.iter().map(|fetched| fetched.next_offset).collect();
     Ok(Loaded { jobs_next, index, workers_next: workers.next_offset, listed })
@@ -707,6 +708,7 @@
     let partition = jobs_partition(number);
     let mut next = Some(from);
     loop {
+        let requested_at = shared.now();
         match topics::read_topic(&shared, partition, next, JOBS_READ_WAIT).await {
             Ok((fetched, is_full)) => {
                 next = Some(fetched.next_offset);
@@ -721,10 +723,11 @@
                     apply_submission(&shared, owner, partition, record);
                 }
                 drop(index);
-                drop(lock);
                 if fetched.next_offset >= fetched.end {
-                    shared.mark_jobs_read(number);
+                    shared.mark_jobs_read(number, requested_at);
+                    owner.submissions_read_at = shared.jobs_known_until();
                 }
+                drop(lock);
                 if !fetched.records.is_empty() {
                     shared.plan_needed.notify_one();
                 }
--- a/tests/instance.rs
+++ b/tests/instance.rs
@@ -749,3 +749,34 @@
     let starts = platform.start_counts();
     assert!(starts.values().all(|n| *n == 1), "{starts:?}");
 }
+
+/// One of a job's two partitions cannot be read until the retention is over. Guards against deleting the
+/// progress meanwhile: the record that is read later would be a new job.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn second_record_unread_past_retention() {
+    let (platform, address) = start_platform().await;
+    let a = start_with_partitions("rev-two", address, 1);
+    wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
+    wait_until("the instance is ready", async || a.is_ready().await).await;
+    *platform.unreadable.lock() = Some("keyed.jobs".into());
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let id = "00000000000000a3";
+    let stored = json!({ "queue": "q", "team": "team", "job": serde_json::from_str::<Value>(JOB).expect("JSON") });
+    platform.put_record("keyed.jobs", id, &stored);
+    assert_eq!(a.call(post(), &format!("/q/{id}"), "k1", JOB).await.0, 200);
+    wait_until("the job is complete", async || {
+        a.call(get(), &format!("/q/{id}"), "k1", "").await.1["state"] == "complete"
+    })
+    .await;
+    // The retention is 1 s.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert!(!platform.partitions_with("keyed.progress", id).is_empty());
+    *platform.unreadable.lock() = None;
+    wait_until("the job is deleted", async || {
+        platform.partitions_with("keyed.jobs", id).is_empty()
+            && platform.partitions_with("keyed.progress", id).is_empty()
+    })
+    .await;
+    let starts = platform.start_counts();
+    assert!(starts.values().all(|n| *n == 1), "{starts:?}");
+}
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -59,6 +59,8 @@
     worker: Mutex<Worker>,
     /// Makes the store respond with 503 to every call.
     pub store_down: AtomicBool,
+    /// Partition whose reads get 503, as `Partition` writes it.
+    pub unreadable: Mutex<Option<String>>,
 }
 
 /// Time for which a task runs, unless it runs until it is stopped.
@@ -72,6 +74,7 @@
             slow_appends: Mutex::default(),
             worker: Mutex::default(),
             store_down: AtomicBool::new(false),
+            unreadable: Mutex::default(),
         })
     }
 
@@ -171,6 +174,10 @@
         json_response(200, &json!({ "offset": end, "end": topic.records.len() }))
     }
 
+    fn is_unreadable(&self, query: &HashMap<String, String>) -> bool {
+        self.unreadable.lock().as_deref() == Some(&*partition_name(query))
+    }
+
     async fn read(&self, query: &HashMap<String, String>) -> (u16, Vec<u8>) {
         let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(number("waitMs"));
@@ -308,6 +315,7 @@
         let store_down = self.0.store_down.load(Ordering::Relaxed) && path.starts_with("/-/log");
         let (status, body) = match path.as_str() {
             _ if store_down => (503, Vec::new()),
+            "/-/log-read" | "/-/log-newest" if self.0.is_unreadable(&query) => (503, Vec::new()),
             "/-/log-append" => {
                 let slow = self.0.slow_appends.lock().get(&partition_name(&query)).cloned();
                 if let Some(SlowAppends { time, turn }) = slow {
