Read a partition at once after a failed poll

Callers would see: queries for unknown jobs answered 503 for one more poll, 1.3 s, after the partition can be read again; found in review.

Cause: after a failed read the follower began with a poll that waits for a record.

Change: after a failure it reads without waiting first, then polls again.

--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -707,11 +707,12 @@
 ) {
     let partition = jobs_partition(number);
     let mut next = Some(from);
+    let mut wait = JOBS_READ_WAIT;
     loop {
         let requested_at = shared.now();
-        match topics::read_topic(&shared, partition, next, JOBS_READ_WAIT).await {
+        match topics::read_topic(&shared, partition, next, wait).await {
             Ok((fetched, is_full)) => {
-                next = Some(fetched.next_offset);
+                (next, wait) = (Some(fetched.next_offset), JOBS_READ_WAIT);
                 let mut lock = shared.owner.lock();
                 let Some(owner) = lock.as_mut() else { return term.end("the owner state is gone") };
                 let mut index = index.lock();
@@ -733,7 +734,11 @@
                 }
             }
             Err(StoreError::Truncated { .. }) => next = None,
-            Err(_) => sleep(RETRY_DELAY).await,
+            Err(_) => {
+                // A partition that can be read again counts as read at once, not after a poll.
+                wait = Duration::ZERO;
+                sleep(RETRY_DELAY).await;
+            }
         }
     }
 }
