Delete records of dropped jobs once

Seen in review: while the reader of a partition lags, the owner repeats deletions that the store has confirmed, five appends a second.

Change: nothing more is deleted in a partition until its reader has passed the end of the confirmed deletion. One without confirmation is repeated as before. Test: next_deletion_unread.

--- a/src/instance/submissions.rs
+++ b/src/instance/submissions.rs
@@ -126,6 +126,11 @@
     held: IndexMap<JobId, Held>,
     /// Partition from which records were deleted last.
     last_deleted: u32,
+    /// Offset up to which each partition was read.
+    read_to: IndexMap<u32, u64>,
+    /// End of the latest deletion that the store confirmed in each partition. Nothing is deleted there before it
+    /// is read: the same records would be deleted again.
+    deletion_ends: IndexMap<u32, u64>,
 }
 
 /// Records that one append deletes.
@@ -138,6 +143,7 @@
 impl SubmissionIndex {
     /// Forgets what a partition holds, before its records are read anew.
     pub fn clear_partition(&mut self, partition: u32) {
+        self.deletion_ends.swap_remove(&partition);
         self.held.retain(|_, held| {
             held.submission &= !(1 << partition);
             held.cancellation &= !(1 << partition);
@@ -168,6 +174,16 @@
         }
     }
 
+    /// Records that the store confirmed a deletion, after which the partition ended at `end`.
+    pub fn record_deletion(&mut self, partition: u32, end: u64) {
+        self.deletion_ends.insert(partition, end);
+    }
+
+    /// Records that a partition was read up to an offset.
+    pub fn record_read(&mut self, partition: u32, next_offset: u64) {
+        self.read_to.insert(partition, next_offset);
+    }
+
     /// Whether a partition holds a record of the job.
     pub fn holds(&self, job: &str) -> bool {
         self.held.contains_key(job)
@@ -184,7 +200,9 @@
             dropped.filter_map(|id| self.held.get(id).map(|held| (id, *held))).collect();
         let used = dropped.iter().fold(0, |bits, (_, h)| bits | h.submission | h.cancellation);
         let next = (1..=MAX_PARTITIONS).map(|step| (self.last_deleted + step) % MAX_PARTITIONS);
-        let partition = next.into_iter().find(|number| used & (1 << number) != 0)?;
+        let has_read_deletion = |n: &u32| self.deletion_ends.get(n) <= self.read_to.get(n);
+        let may_delete = |n: &u32| used & (1 << n) != 0 && has_read_deletion(n);
+        let partition = next.into_iter().find(may_delete)?;
         self.last_deleted = partition;
         let bit = 1 << partition;
         let here = dropped.iter().filter(|(_, h)| (h.submission | h.cancellation) & bit != 0);
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -723,6 +723,7 @@
                     index.record(number, &record.key, record.value.is_some());
                     apply_submission(&shared, owner, partition, record);
                 }
+                index.record_read(number, fetched.next_offset);
                 drop(index);
                 if fetched.next_offset >= fetched.end {
                     shared.mark_jobs_read(number, requested_at);
@@ -817,8 +818,11 @@
             let records: Vec<(&str, Option<&[u8]>)> =
                 keys.iter().map(|k| (k.as_str(), None)).collect();
             let condition = AppendCondition::default();
-            // Repeated unless the deletion is read. Deleting a key again has no effect.
-            let _ = shared.store.append(jobs_partition(partition), &records, condition).await;
+            // Repeated unless the store confirms it. Deleting a key again has no effect.
+            let result = shared.store.append(jobs_partition(partition), &records, condition).await;
+            if let Ok(end) = result {
+                index.lock().record_deletion(partition, end);
+            }
         }
     }
 }
--- a/tests/submissions.rs
+++ b/tests/submissions.rs
@@ -116,6 +116,24 @@
     assert_eq!(index.next_deletion([&job].into_iter(), 10), None);
 }
 
+/// A confirmed deletion is not sent again before the reader has passed it.
+#[test]
+fn next_deletion_unread() {
+    let job: JobId = id(1).as_str().into();
+    let mut index = SubmissionIndex::default();
+    index.record(9, &job, true);
+    index.record_deletion(9, 7);
+    index.record_read(9, 6);
+    index.record_read(0, 8);
+    assert_eq!(index.next_deletion([&job].into_iter(), 10), None);
+    index.record_read(9, 7);
+    assert!(index.next_deletion([&job].into_iter(), 10).is_some(), "submitted behind it");
+    index.record_deletion(9, 8);
+    index.clear_partition(9);
+    index.record(9, &job, true);
+    assert!(index.next_deletion([&job].into_iter(), 10).is_some(), "the history was cut");
+}
+
 /// A submission that is read behind the deletion stays known. Guards against dropping the progress of a job
 /// whose submission is stored: the next owner would run it again.
 #[test]
