Set the gauge of partitions at the start

Operators saw no value of submission_partitions until the number changed, with one partition never. It is 1 from the start now. No test of its own.

--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -106,6 +106,8 @@
 impl Shared {
     /// Creates the state of a process that has just started.
     pub fn new(cfg: InstanceConfig, log: Log, metrics: Arc<Metrics>, http: Http) -> Shared {
+        // Until an owner is known.
+        metrics.set_submission_partitions(1);
         Shared {
             store: Store::new(http.clone(), cfg.store_addr.clone()),
             worker_client: WorkerClient::new(http.clone()),
