Name the partition that keeps a new owner from loading

Cause: an owner must read all partitions before it decides; a submission that it does not see would be taken for deleted.

Change: that stays.

--- a/src/event.rs
+++ b/src/event.rs
@@ -113,6 +113,7 @@
     StoreBack, 802, Info, "view_age_ms", "The platform's store responds again.", "None.";
     RecordUnreadable, 803, Warning, "topic offset key error", "A record of the store is invalid and was skipped.", "Check for another writer.";
     SubmissionPartitions, 804, Info, "partitions earlier owner_reads age_ms", "The number of the store's partitions over which this instance spreads its callers' records changed. The owner reads owner_reads of them, as it said age_ms ago.", "If it stays at 1, look for owners of an earlier version.";
+    TopicUnread, 805, Warning, "topic error", "A new owner cannot read a partition of the store. It loads nothing and decides nothing until it has read all of them, and tries again. Logged once for each partition and load.", "See docs/OPERATIONS.md.";
     TaskPanicked, 808, Error, "task error", "A task of this instance ended with a panic and was started again.", "Report it with the error.";
     TermConflict, 809, Error, "term entry error", "Another instance acted as the owner of this instance's term; this instance ended its term.", "Report it: a term has one owner. Look for OwnerHere with the same term.";
     OwnerSeen, 810, Info, "entry term", "Another instance is the owner of the decisions.", "None.";
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -636,6 +636,7 @@
     partition: Partition<'_>,
 ) -> Result<store::Fetched, StoreError> {
     let mut read = LatestRead::default();
+    let mut is_logged = false;
     loop {
         match shared.store.continue_read_latest(partition, &mut read).await {
             Ok(fetched) => {
@@ -643,7 +644,14 @@
                 return Ok(fetched);
             }
             Err(e) if !term.may_append(shared.now()) => return Err(e),
-            Err(_) => sleep(RETRY_DELAY).await,
+            Err(e) => {
+                if !std::mem::replace(&mut is_logged, true) {
+                    let (topic, error) = (partition.to_string(), e.to_string());
+                    let fields = [("topic", (&topic).into()), ("error", (&error).into())];
+                    shared.log.event(Event::TopicUnread, &fields);
+                }
+                sleep(RETRY_DELAY).await;
+            }
         }
     }
 }
--- a/tests/instance.rs
+++ b/tests/instance.rs
@@ -750,6 +750,22 @@
     assert!(starts.values().all(|n| *n == 1), "{starts:?}");
 }
 
+/// A partition cannot be read when an owner follows: it waits, and names the partition once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn partition_unread_at_load() {
+    let (platform, address) = start_platform().await;
+    *platform.unreadable.lock() = Some("keyed.jobs/5".into());
+    let a = start_with_partitions("unread", address, 120);
+    wait_until("the partition is named", async || !a.events("TopicUnread").is_empty()).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(a.events("OwnerReady").len(), 0);
+    let named = a.events("TopicUnread");
+    assert_eq!(named.len(), 1, "{named:?}");
+    assert_eq!(named[0]["topic"], "keyed.jobs/5");
+    *platform.unreadable.lock() = None;
+    wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
+}
+
 /// One of a job's two partitions cannot be read until the retention is over. Guards against deleting the
 /// progress meanwhile: the record that is read later would be a new job.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
