--- a/tests/instance.rs
+++ b/tests/instance.rs
@@ -766,6 +766,28 @@
     wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
 }
 
+/// A partition cannot be read: queries for unknown jobs that it may hold are not answered 410, others are, and
+/// so are all of them soon after it can be read again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unknown_job_partition_unread() {
+    let (platform, address) = start_platform().await;
+    let a = start_with_partitions("unknown", address, 120);
+    wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
+    wait_until("the instance is ready", async || a.is_ready().await).await;
+    *platform.unreadable.lock() = Some("keyed.jobs/4".into());
+    // Longer than the poll in flight and the age up to which the owner may say that there is no job.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let (here, elsewhere) = ("/q/00000000000000a1", "/q/5c0e7a21d94b36f8");
+    assert_eq!(a.call(get(), here, "k1", "").await.0, 503);
+    assert_eq!(a.call(get(), elsewhere, "k1", "").await.0, 410);
+    *platform.unreadable.lock() = None;
+    let readable_at = Instant::now();
+    wait_until("the partition is read", async || a.call(get(), here, "k1", "").await.0 == 410)
+        .await;
+    // A poll takes 1.3 s.
+    assert!(readable_at.elapsed() < Duration::from_millis(1_200), "{:?}", readable_at.elapsed());
+}
+
 /// One of a job's two partitions cannot be read until the retention is over. Guards against deleting the
 /// progress meanwhile: the record that is read later would be a new job.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
