--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -559,7 +559,7 @@
     term: &Term,
     prior_leases: PriorLeases,
 ) -> Result<Loaded, StoreError> {
-    let started = Instant::now();
+    let (started, requested_at) = (Instant::now(), shared.now());
     let progress = read_latest(shared, term, store::PROGRESS_TOPIC.into()).await?;
     let numbers = 0..shared.read_partitions();
     let reads = numbers.map(|number| read_latest(shared, term, jobs_partition(number)));
@@ -590,6 +590,7 @@
     }
     owner.update_workers(&listed, now);
     owner.finish_restore(now);
+    owner.submissions_read_at = requested_at;
     let fields = [
         ("term", term.number.into()),
         ("jobs", (owner.jobs.len() as u64).into()),
@@ -599,7 +600,7 @@
     ];
     shared.log.event(Event::OwnerReady, &fields);
     *shared.owner.lock() = Some(owner);
-    (0..shared.read_partitions()).for_each(|number| shared.mark_jobs_read(number));
+    (0..shared.read_partitions()).for_each(|number| shared.mark_jobs_read(number, requested_at));
     shared.plan_needed.notify_one();
     let jobs_next = jobs.iter().map(|fetched| fetched.next_offset).collect();
     Ok(Loaded { jobs_next, index, workers_next: workers.next_offset, listed })
@@ -635,6 +636,7 @@
     partition: Partition<'_>,
 ) -> Result<store::Fetched, StoreError> {
     let mut read = LatestRead::default();
+    let mut is_logged = false;
     loop {
         match shared.store.continue_read_latest(partition, &mut read).await {
             Ok(fetched) => {
@@ -642,7 +644,14 @@
                 return Ok(fetched);
             }
             Err(e) if !term.may_append(shared.now()) => return Err(e),
-            Err(_) => sleep(RETRY_DELAY).await,
+            Err(e) => {
+                if !std::mem::replace(&mut is_logged, true) {
+                    let (topic, error) = (partition.to_string(), e.to_string());
+                    let fields = [("topic", (&topic).into()), ("error", (&error).into())];
+                    shared.log.event(Event::TopicUnread, &fields);
+                }
+                sleep(RETRY_DELAY).await;
+            }
         }
     }
 }
@@ -706,10 +715,12 @@
 ) {
     let partition = jobs_partition(number);
     let mut next = Some(from);
+    let mut wait = JOBS_READ_WAIT;
     loop {
-        match topics::read_topic(&shared, partition, next, JOBS_READ_WAIT).await {
+        let requested_at = shared.now();
+        match topics::read_topic(&shared, partition, next, wait).await {
             Ok((fetched, is_full)) => {
-                next = Some(fetched.next_offset);
+                (next, wait) = (Some(fetched.next_offset), JOBS_READ_WAIT);
                 let mut lock = shared.owner.lock();
                 let Some(owner) = lock.as_mut() else { return term.end("the owner state is gone") };
                 let mut index = index.lock();
@@ -720,17 +731,23 @@
                     index.record(number, &record.key, record.value.is_some());
                     apply_submission(&shared, owner, partition, record);
                 }
+                index.record_read(number, fetched.next_offset);
                 drop(index);
-                drop(lock);
                 if fetched.next_offset >= fetched.end {
-                    shared.mark_jobs_read(number);
+                    shared.mark_jobs_read(number, requested_at);
+                    owner.submissions_read_at = shared.jobs_known_until();
                 }
+                drop(lock);
                 if !fetched.records.is_empty() {
                     shared.plan_needed.notify_one();
                 }
             }
             Err(StoreError::Truncated { .. }) => next = None,
-            Err(_) => sleep(RETRY_DELAY).await,
+            Err(_) => {
+                // A partition that can be read again counts as read at once, not after a poll.
+                wait = Duration::ZERO;
+                sleep(RETRY_DELAY).await;
+            }
         }
     }
 }
@@ -809,8 +826,11 @@
             let records: Vec<(&str, Option<&[u8]>)> =
                 keys.iter().map(|k| (k.as_str(), None)).collect();
             let condition = AppendCondition::default();
-            // Repeated unless the deletion is read. Deleting a key again has no effect.
-            let _ = shared.store.append(jobs_partition(partition), &records, condition).await;
+            // Repeated unless the store confirms it. Deleting a key again has no effect.
+            let result = shared.store.append(jobs_partition(partition), &records, condition).await;
+            if let Ok(end) = result {
+                index.lock().record_deletion(partition, end);
+            }
         }
     }
 }
--- a/tests/instance.rs
+++ b/tests/instance.rs
@@ -82,6 +82,10 @@
 
 /// Starts an instance with settings that replace or extend the usual ones.
 fn start_with_settings(name: &str, store: SocketAddr, changed: Value) -> Instance {
+    start_with_args(name, store, changed, &[])
+}
+
+fn start_with_args(name: &str, store: SocketAddr, changed: Value, run_args: &[&str]) -> Instance {
     let dir = std::env::temp_dir().join(format!("jacinthhook-{}-{name}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("create the folder");
     // A process that another test starts holds the listener of `free_port` until it has replaced its
@@ -105,6 +109,7 @@
     std::fs::write(&file, settings.to_string()).expect("write the settings");
     let mut child = Command::new(env!("CARGO_BIN_EXE_jacinthhook"))
         .arg("run")
+        .args(run_args)
         .env("JACINTHHOOK_BOOT", &file)
         .stdout(Stdio::piped())
         .spawn()
@@ -603,12 +608,28 @@
     assert_eq!(a.events("OwnerGone").len(), 0);
 }
 
-/// Starts an instance whose platform offers several partitions a topic.
+/// Starts an instance whose platform offers several partitions a topic, with the deployed settings.
 fn start_with_partitions(name: &str, store: SocketAddr, retention_secs: u64) -> Instance {
     let bounds =
         json!({ "maxHoldMs": 10000, "revokeMs": 5000, "status_s": retention_secs, "graceS": 6 });
     let platform = json!({ "address": store.to_string(), "parts": 32 });
-    start_with_settings(name, store, json!({ "bounds": bounds, "platform": platform }))
+    let args = ["--settings", concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/run.ini")];
+    start_with_args(name, store, json!({ "bounds": bounds, "platform": platform }), &args)
+}
+
+/// Without settings, no job is where an owner of an earlier version does not read it: it would delete the
+/// job's progress, and the next owner would run the job again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn default_first_partition() {
+    let (platform, address) = start_platform().await;
+    let offered = json!({ "platform": { "address": address.to_string(), "parts": 32 } });
+    let a = start_with_settings("default", address, offered);
+    wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
+    wait_until("the instance is ready", async || a.is_ready().await).await;
+    for id in ["00000000000000a1", "00000000000000a2", "00000000000000a3"] {
+        assert_eq!(a.call(post(), &format!("/q/{id}"), "k1", JOB).await.0, 200);
+        assert_eq!(platform.partitions_with("keyed.jobs", id), ["keyed.jobs"]);
+    }
 }
 
 /// Jobs are spread over partitions, one is cancelled, and the owner is killed while they run: the next one
@@ -728,3 +749,72 @@
     let starts = platform.start_counts();
     assert!(starts.values().all(|n| *n == 1), "{starts:?}");
 }
+
+/// A partition cannot be read when an owner follows: it waits, and names the partition once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn partition_unread_at_load() {
+    let (platform, address) = start_platform().await;
+    *platform.unreadable.lock() = Some("keyed.jobs/5".into());
+    let a = start_with_partitions("unread", address, 120);
+    wait_until("the partition is named", async || !a.events("TopicUnread").is_empty()).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(a.events("OwnerReady").len(), 0);
+    let named = a.events("TopicUnread");
+    assert_eq!(named.len(), 1, "{named:?}");
+    assert_eq!(named[0]["topic"], "keyed.jobs/5");
+    *platform.unreadable.lock() = None;
+    wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
+}
+
+/// A partition cannot be read: queries for unknown jobs that it may hold are not answered 410, others are, and
+/// so are all of them soon after it can be read again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unknown_job_partition_unread() {
+    let (platform, address) = start_platform().await;
+    let a = start_with_partitions("unknown", address, 120);
+    wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
+    wait_until("the instance is ready", async || a.is_ready().await).await;
+    *platform.unreadable.lock() = Some("keyed.jobs/4".into());
+    // Longer than the poll in flight and the age up to which the owner may say that there is no job.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let (here, elsewhere) = ("/q/00000000000000a1", "/q/5c0e7a21d94b36f8");
+    assert_eq!(a.call(get(), here, "k1", "").await.0, 503);
+    assert_eq!(a.call(get(), elsewhere, "k1", "").await.0, 410);
+    *platform.unreadable.lock() = None;
+    let readable_at = Instant::now();
+    wait_until("the partition is read", async || a.call(get(), here, "k1", "").await.0 == 410)
+        .await;
+    // A poll takes 1.3 s.
+    assert!(readable_at.elapsed() < Duration::from_millis(1_200), "{:?}", readable_at.elapsed());
+}
+
+/// One of a job's two partitions cannot be read until the retention is over. Guards against deleting the
+/// progress meanwhile: the record that is read later would be a new job.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn second_record_unread_past_retention() {
+    let (platform, address) = start_platform().await;
+    let a = start_with_partitions("rev-two", address, 1);
+    wait_until("the instance is the owner", async || !a.events("OwnerReady").is_empty()).await;
+    wait_until("the instance is ready", async || a.is_ready().await).await;
+    *platform.unreadable.lock() = Some("keyed.jobs".into());
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let id = "00000000000000a3";
+    let stored = json!({ "queue": "q", "team": "team", "job": serde_json::from_str::<Value>(JOB).expect("JSON") });
+    platform.put_record("keyed.jobs", id, &stored);
+    assert_eq!(a.call(post(), &format!("/q/{id}"), "k1", JOB).await.0, 200);
+    wait_until("the job is complete", async || {
+        a.call(get(), &format!("/q/{id}"), "k1", "").await.1["state"] == "complete"
+    })
+    .await;
+    // The retention is 1 s.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert!(!platform.partitions_with("keyed.progress", id).is_empty());
+    *platform.unreadable.lock() = None;
+    wait_until("the job is deleted", async || {
+        platform.partitions_with("keyed.jobs", id).is_empty()
+            && platform.partitions_with("keyed.progress", id).is_empty()
+    })
+    .await;
+    let starts = platform.start_counts();
+    assert!(starts.values().all(|n| *n == 1), "{starts:?}");
+}
