Skip unknown fields of a submitted job instead of parsing them

Bodies and stored jobs are now parsed by the fields that are read; unknown ones are skipped and not stored.

--- a/src/platform/job_format.rs
+++ b/src/platform/job_format.rs
@@ -3,6 +3,7 @@
 use crate::batch::declarations::Queue;
 use crate::batch::job::{JobSpec, JobState, MAX_OPEN_TASKS, QueueId, Step};
 use crate::ids::TeamId;
+use crate::platform::job_fields::{self, Shape};
 use crate::platform::json;
 use crate::platform::store::MAX_RECORD_BYTES;
 use bytes::Bytes;
@@ -31,10 +32,56 @@
 const STEP_NUMBERS: [&str; 8] =
     ["count", "cpu", "memMb", "gpu", "estimateMs", "antiAffinity", "targetMs", "mayMiss"];
 
+/// Fields of a step that are read.
+const STEP_SHAPE: Shape = Shape::Object(&[
+    ("count", Shape::Scalar),
+    ("cpu", Shape::Scalar),
+    ("memMb", Shape::Scalar),
+    ("gpu", Shape::Scalar),
+    ("estimateMs", Shape::Scalar),
+    ("after", Shape::List(&Shape::Scalar, MAX_STEPS_PER_JOB)),
+    ("gang", Shape::Scalar),
+    ("requirements", Shape::Scalar),
+    ("affinity", Shape::Scalar),
+    ("sameRack", Shape::Scalar),
+    ("antiAffinity", Shape::Scalar),
+    ("speculative", Shape::Scalar),
+    ("longRunning", Shape::Scalar),
+    ("targetMs", Shape::Scalar),
+    ("fills", Shape::Scalar),
+    ("mayMiss", Shape::Scalar),
+]);
+/// Fields of a job that are read. `parse_spec` tells of steps that are too many.
+const JOB_SHAPE: Shape = Shape::Object(&[
+    ("spec", Shape::Scalar),
+    ("steps", Shape::List(&STEP_SHAPE, MAX_STEPS_PER_JOB + 1)),
+    ("repeats", Shape::Scalar),
+    ("startAtMs", Shape::Scalar),
+    ("intervalMs", Shape::Scalar),
+]);
+/// Fields of a stored job.
+const STORED_SHAPE: Shape = Shape::Object(&[
+    ("queue", Shape::Scalar),
+    ("accepted", ACCEPTED_SHAPE),
+    ("team", Shape::Scalar),
+    ("taken_at_ms", Shape::Scalar),
+    ("job", JOB_SHAPE),
+]);
+const ACCEPTED_SHAPE: Shape = Shape::Object(&[
+    ("host", Shape::Scalar),
+    ("path_prefix", Shape::Scalar),
+    ("pool", Shape::Scalar),
+    ("priority", Shape::Scalar),
+    ("max_attempts", Shape::Scalar),
+    ("slack_factor", Shape::Scalar),
+    ("target_latency_ms", Shape::Scalar),
+    ("public", Shape::Scalar),
+    ("requires_advice", Shape::Scalar),
+]);
+
 /// Parses a job that a caller submits. The error describes what is wrong.
 pub fn parse_job(body: &[u8]) -> Result<JobSpec, String> {
-    let body: Value = serde_json::from_slice(body).map_err(|e| format!("invalid JSON: {e}"))?;
-    parse_spec(&body)
+    parse_spec(&job_fields::parse(body, JOB_SHAPE)?)
 }
 
 /// Fails for a field that holds anything but a whole number. Taken for 0, it would lift a limit.
@@ -113,14 +160,14 @@
 }
 
 /// Encodes a submitted job for the store, with the declaration by which it is accepted and the time since the
-/// Unix epoch. Fails if the store would not take it.
+/// Unix epoch; fields that are not read are left out. Fails if the store would not take it.
 pub fn encode_stored_job(
     queue: &Queue,
     team: Option<&TeamId>,
     body: &[u8],
     taken_at: Duration,
 ) -> Result<Bytes, String> {
-    let job: Value = serde_json::from_slice(body).map_err(|e| format!("invalid JSON: {e}"))?;
+    let job = job_fields::parse(body, JOB_SHAPE)?;
     let accepted = json!({
         "host": &*queue.host,
         "path_prefix": &*queue.path_prefix,
@@ -150,7 +197,7 @@
 
 /// Decodes a stored job.
 pub fn decode_stored_job(value: &[u8]) -> Result<StoredJob, String> {
-    let stored: Value = serde_json::from_slice(value).map_err(|e| format!("invalid JSON: {e}"))?;
+    let stored = job_fields::parse(value, STORED_SHAPE)?;
     let queue = json::non_empty_text(&stored, "queue").ok_or("the queue is missing")?;
     let job = stored.get("job").ok_or("the job is missing")?;
     let accepted_queue = stored.get("accepted").and_then(|a| decode_accepted_queue(&queue, a));
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod boot_settings;
 pub mod http;
+pub mod job_fields;
 pub mod job_format;
 pub mod json;
 pub mod machines;
