Bound how many connections wait to be accepted

Each of the four listeners let 1,024 connections wait, with receive buffers of up to 32 KiB that no bound counted: 128 MiB on a machine of 160 MB.

--- a/src/instance/caller_limits.rs
+++ b/src/instance/caller_limits.rs
@@ -28,6 +28,8 @@
 const MAX_PEER_CONNECTIONS: usize = 512;
 /// Fewer connections would not serve a listener's ordinary clients.
 const MIN_CONNECTIONS: usize = 8;
+/// Connections that may wait to be accepted, at each listener. As many as the instances of a large deployment open at once.
+const MAX_BACKLOG: usize = 256;
 /// Memory of a connection beside its buffers: its task and what the system keeps.
 const CONNECTION_BYTES: usize = 4 * KIB;
 /// Smallest read buffer that the HTTP library works with.
@@ -118,6 +120,11 @@
         body_bytes: usize::MAX,
     };
 
+    /// Returns how many connections may wait to be accepted. Each may hold a receive buffer, as many as 16 MiB in all.
+    pub fn backlog(&self) -> u32 {
+        self.connections.min(MAX_BACKLOG) as u32
+    }
+
     /// Returns the maximum number of connections with heads of at most `head_bytes`.
     pub fn connections_for(&self, head_bytes: usize) -> usize {
         if *self == ListenerBounds::NONE {
--- a/src/instance/listener.rs
+++ b/src/instance/listener.rs
@@ -42,8 +42,6 @@
 /// then; a longer wait would keep others waiting too.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(250);
 const ROOM_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Connections that the system accepts ahead of the process.
-const BACKLOG: u32 = 1_024;
 /// Largest step by which the buffer of a body grows.
 const MAX_BODY_STEP: usize = 64 << 10;
 
@@ -144,7 +142,7 @@
         B: Body<Data = Bytes> + Send + 'static,
         B::Error: Into<BoxError>,
     {
-        let socket = bind(addr)?;
+        let socket = bind(addr, listener.bounds.backlog())?;
         let (stop, stopping) = watch::channel(false);
         let task = tokio::spawn(run(Arc::new(listener), socket, handler, stopping));
         Ok(Server { stop, task })
@@ -162,14 +160,14 @@
     }
 }
 
-fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+fn bind(addr: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     // Accepted sockets have the buffers of the listening one. A system that does not take these sizes has its own.
     let _ = socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES as u32);
     let _ = socket.set_send_buffer_size(SOCKET_BUFFER_BYTES as u32);
     socket.bind(addr)?;
-    socket.listen(BACKLOG)
+    socket.listen(backlog)
 }
 
 async fn run<H, F, B>(
