Check the answer to each way of keeping outside the limits

callers_answers: 431, 408, 413 and the statuses of ordinary forms of a request; callers_not_in_use: with the part off, a head of 64 KB is served as before.

Ordinary callers of these tests now wait for 60 s instead of 3 s: in one of four runs beside builds of others (load 25 on 7 cores) the stand-in of the store took longer than the 1.8 s that a caller of 3 s leaves it, and callers_inside_limits got 504. That depends on the machine's speed and not on the limits. Crowds and bounds are unchanged.

--- a/tests/outside_limits.rs
+++ b/tests/outside_limits.rs
@@ -256,6 +256,7 @@
     let call = |n: usize, body: String| {
         let request = client.post(format!("http://{}{}", instance.callers, job_path(n)));
         let request = request.header("host", "host.example").header("x-filler", "a".repeat(15_000));
+        let request = request.header("x-jacinthhook-deadline-ms", crowd::PATIENT_MS);
         request.header("x-jacinthhook-credential", "k1").body(body).send()
     };
     let small: Vec<_> = (0..200).map(|n| call(n, crowd::JOB.into())).collect();
@@ -269,3 +270,56 @@
     }
     instance.check_bounds();
 }
+
+/// Each way to keep outside the limits gets its own answer, and ordinary forms of a request theirs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_answers() {
+    let _running = ONE_AT_A_TIME.lock().await;
+    let (_platform, store) = start_platform().await;
+    let instance = Instance::start("answers", store, LOWERED).await;
+    let with_fields = |fields: &str| head(&job_path(1), fields);
+    let too_many_chunks = b"4000\r\n".iter().chain(&[b' '; 0x4000]).chain(b"\r\n");
+    let too_many_chunks: Vec<u8> = too_many_chunks.copied().collect::<Vec<u8>>().repeat(17);
+    let cases = [
+        ("long head", 431, with_fields(&format!("x-filler: {}\r\n\r\n", "a".repeat(16_384)))),
+        ("endless head", 408, with_fields("x-filler: a")),
+        ("empty lines", 408, b"\r\n\r\n".to_vec()),
+        ("long body", 413, with_fields("content-length: 262145\r\n\r\n")),
+        (
+            "long chunked body",
+            413,
+            [with_fields("transfer-encoding: chunked\r\n\r\n"), too_many_chunks].concat(),
+        ),
+        ("no key", 401, b"POST /q/0 HTTP/1.1\r\nhost: host.example\r\n\r\n".to_vec()),
+        ("unknown host", 404, b"GET /q/ HTTP/1.1\r\nhost: other\r\n\r\n".to_vec()),
+        ("no HTTP", 400, b"hello\r\n\r\n".to_vec()),
+        ("unknown method", 400, b"BREW /q/ HTTP/1.1\r\nhost: host.example\r\n\r\n".to_vec()),
+        (
+            "method without a route",
+            404,
+            b"PATCH /q/ HTTP/1.1\r\nhost: host.example\r\n\r\n".to_vec(),
+        ),
+    ];
+    for (case, status, sent) in cases {
+        assert_eq!(crowd::answer_status(instance.callers, &sent).await, status, "{case}");
+    }
+    for request in
+        ["GET /q/ HTTP/1.1\r\nhost: host.example:80", "HEAD /q/ HTTP/1.1\r\nhost: host.example"]
+    {
+        let request = format!("{request}\r\nx-jacinthhook-credential: k1\r\n\r\n");
+        wait_until(&request, async || {
+            crowd::answer_status(instance.callers, request.as_bytes()).await == 200
+        })
+        .await;
+    }
+}
+
+/// With the part out of use, a head over the limit is read as before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_not_in_use() {
+    let _running = ONE_AT_A_TIME.lock().await;
+    let (_platform, store) = start_platform().await;
+    let settings = "[caller_limits]\nenabled = off\n";
+    let instance = Instance::start_with_settings("off", store, LOWERED, settings).await;
+    assert_eq!(crowd::answer_status(instance.callers, &long_head(2).bytes).await, 200);
+}
