Check the keys of run's settings page

Callers see nothing. The page's table of sections was read as keys of [log], so settings_and_declarations_pages_complete fails since run reads settings of its own. The keys of each section of run are now compared with what its parser knows, and the list of sections as well; the sections of serve are checked as before.

--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -3,9 +3,10 @@
 
 use jacinthhook::catalogue;
 use jacinthhook::event::Event;
+use jacinthhook::instance::run_settings::{self, SECTION_NAMES};
 use jacinthhook::metrics;
 use jacinthhook::settings;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::path::Path;
 
 mod common;
@@ -95,6 +96,9 @@
     let known = |file: &str, section: &str| {
         let text = format!("[{section}]\nno_such_key = 1\n");
         let mistakes = match file {
+            "settings.md" if SECTION_NAMES.contains(&section) => {
+                run_settings::read(file, &text).expect_err("a mistake")
+            }
             "settings.md" => settings::read_settings(file, &text).expect_err("a mistake"),
             _ => settings::check_declarations(file, &text).expect_err("a mistake"),
         };
@@ -103,6 +107,10 @@
         let keys = allowed.trim_start_matches("keys ").split(", ").map(str::to_string);
         keys.collect::<HashSet<String>>()
     };
+    let rows = |part: &str| {
+        let rows = part.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
+        rows.map(str::to_string).collect::<HashSet<String>>()
+    };
     let pages = [
         ("settings.md", ["entry", "limits", "log"].as_slice()),
         ("declarations.md", ["zone x", "team x", "pool x", "profile x", "service x"].as_slice()),
@@ -110,12 +118,26 @@
     for (page, sections) in pages {
         let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs").join(page);
         let text = std::fs::read_to_string(path).expect("a page");
+        let (text, run) = text.split_once("\n# Settings of `run`").unwrap_or((&text, ""));
         let parts: Vec<&str> = text.split("\n## ").skip(1).collect();
         assert_eq!(parts.len(), sections.len());
         for (part, section) in parts.iter().zip(sections) {
-            let rows = part.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
-            let rows: HashSet<String> = rows.map(str::to_string).collect();
-            assert_eq!(rows, known(page, section), "[{section}] in docs/{page}");
+            assert_eq!(rows(part), known(page, section), "[{section}] in docs/{page}");
+        }
+        if page != "settings.md" {
+            continue;
+        }
+        let mut parts = run.split("\n## `[");
+        let listed = rows(parts.next().unwrap_or_default());
+        assert_eq!(listed, HashSet::from(SECTION_NAMES.map(|name| format!("[{name}]"))));
+        let parts: HashMap<&str, &str> = parts.filter_map(|part| part.split_once("]`")).collect();
+        for section in SECTION_NAMES {
+            // A section with no key of its own has no table.
+            let keys = match parts.get(section) {
+                Some(part) => rows(part),
+                None => HashSet::from(["enabled".to_string()]),
+            };
+            assert_eq!(keys, known(page, section), "[{section}] in docs/{page}");
         }
     }
 }
