Send calls to workers that get no answer again before their timeouts

Cause: an unanswered start costs its task 0.6 s, and a poll without an answer hides the ends of all runs of its worker for up to 1.95 s, and keeps starts from it. At 45 lost polls a second every third of 260 workers was not seen at any time.

Change: a call that is overdue by what answers take lately goes out again, starts beside the first attempt, beside a poll the lists alone, within a budget; polls wait at most 0.3 s while answers are being lost. Switch: [start_orders] enabled.

--- a/src/batch.rs
+++ b/src/batch.rs
@@ -14,6 +14,7 @@
 pub mod overload;
 pub mod owner;
 pub mod placement;
+mod poll_waits;
 pub mod pool_demand;
 pub mod prior_leases;
 pub mod record_parts;
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -47,10 +47,6 @@
 /// Time for which a worker delays its response to a poll until a run ends. Leases last 4.5 s and are
 /// extended at least this often.
 pub const POLL_WAIT: Duration = Duration::from_millis(1_000);
-/// Like `POLL_WAIT`, while it is open whether a run has started: no end of a run tells that it has not.
-const OPEN_START_POLL_WAIT: Duration = Duration::from_millis(200);
-/// Time after which a start without a response counts as open; workers respond within a few ms.
-const START_RESPONSE_TIME: Duration = Duration::from_millis(100);
 /// Time between two stop orders for the same run.
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay before a task whose run was lost or did not succeed is started again.
@@ -402,34 +398,6 @@
         Some(worker.lease_until)
     }
 
-    /// Returns for how long a worker may delay its response to a poll that is sent now, until a run ends.
-    pub fn poll_wait(&self, worker: &Worker, now: Time) -> Duration {
-        let is_urgent = !worker.synced
-            || worker.assigned.is_empty()
-            || worker.last_processed > worker.last_stored
-            || worker.unanswered_polls > 0
-            || worker.lease_withheld;
-        if is_urgent {
-            Duration::ZERO
-        } else if worker.assigned.keys().any(|task| self.is_start_open(task, now)) {
-            OPEN_START_POLL_WAIT
-        } else {
-            POLL_WAIT
-        }
-    }
-
-    /// Whether it should be known by now whether the current run of a task has started, and is not. Long-running tasks
-    /// do not count: a stop that is sent sooner may end one at work whose start took effect late.
-    fn is_start_open(&self, id: &TaskId, now: Time) -> bool {
-        if self.step_of(id).is_some_and(|s| s.long_running) {
-            return false;
-        }
-        let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
-        let Some(Phase::Assigned(assignment)) = task.map(|t| &t.phase) else { return false };
-        assignment.start != StartStatus::Started
-            && now >= assignment.assigned_at + START_RESPONSE_TIME
-    }
-
     /// Fencing token for orders to a worker: the term, followed by the number of resyncs of any
     /// worker in this term up to the worker's latest.
     pub fn fence(&self, worker: &str) -> u64 {
--- a/src/event.rs
+++ b/src/event.rs
@@ -121,7 +121,7 @@
     OwnerGone, 814, Warning, "term reason", "This instance is no longer the owner.", "None.";
     OwnerSilent, 815, Info, "term error", "The owner did not respond to this instance.", "Check whether it is still running.";
     EarlierOwnerOver, 816, Info, "entry term wait_ms", "The previous owner confirmed that it sends no more orders.", "None.";
-    OwnerLoad, 817, Info, "term pending_jobs passes pass_ms stored_bytes store_ms starts start_ms polls delay_ms", "Load of the owner in the last 2 s: counts, the longest pass, append and start, and the longest delay of a timer.", "If store_ms or delay_ms stay at some hundred while jobs are pending, the machine is too small.";
+    OwnerLoad, 817, Info, "term pending_jobs passes pass_ms stored_bytes store_ms starts start_ms polls repeats delay_ms", "Load of the owner in the last 2 s: counts, the longest pass, append and start, and the longest delay of a timer.", "If store_ms or delay_ms stay at some hundred while jobs are pending, the machine is too small.";
     PoolLoad, 818, Info, "term pool machines wanted idle long_running_only processors_permille memory_permille waiting_processors", "Use of a pool of workers, as the owner knows it, every 2 s.", "If waiting_processors stays high while idle or other pools' idle is too, check that moves succeed.";
     OwnerRecordIgnored, 819, Warning, "entry term known_term", "An owner record of an earlier term, or of another owner of the known term, was applied late and is not followed.", "None for an earlier term; for the known term, see TermConflict.";
     BatchJobAccepted, 820, Info, "job queue team view_age_ms took_ms", "A job was stored and accepted.", "None.";
@@ -135,6 +135,7 @@
     RunLost, 833, Info, "task run worker reason", "A run counts as over although its end was not reported; the task was queued again.", "None.";
     DrainStopOrdered, 834, Info, "task run worker left_ms has_room", "A run was ordered to stop because its worker leaves, in left_ms at the earliest; has_room is 1 if another worker had room for its task.", "If has_room is 0 often, see docs/operators/leaving-workers.md.";
     StartWaits, 835, Info, "task run worker", "A start waits until the store confirms the owner's term again.", "If this repeats, look for a slow store or link of the owner.";
+    StartRepeated, 836, Info, "task run worker open_ms usual_ms", "A start without an answer after open_ms was sent again beside the earlier attempts; nine of ten answers take up to usual_ms.", "If this repeats at one worker, check it.";
     WorkerReborn, 840, Info, "worker earlier_incarnation incarnation source", "A worker restarted; its next report settles the tasks that it had.", "None.";
     WorkerLapsed, 841, Warning, "worker tasks silent_ms lease", "A worker did not respond before its lease expired.", "Check the worker.";
     LookFailed, 842, Info, "worker error", "A worker did not respond to a poll.", "Check the worker if this repeats.";
--- a/src/instance/owner_load.rs
+++ b/src/instance/owner_load.rs
@@ -24,6 +24,8 @@
     starts: u64,
     longest_start: Duration,
     polls: u64,
+    /// Starts and polls that were sent again early.
+    repeats: u64,
     /// Longest delay of a timer.
     longest_delay: Duration,
 }
@@ -67,6 +69,12 @@
         self.interval.lock().polls += 1;
     }
 
+    /// Counts a start or a poll that is sent again before its timeout.
+    pub fn record_repeat(&self, shared: &Shared) {
+        shared.metrics.record_worker_call_repeat();
+        self.interval.lock().repeats += 1;
+    }
+
     fn record_delay(&self, delay: Duration) {
         let mut interval = self.interval.lock();
         interval.longest_delay = interval.longest_delay.max(delay);
@@ -106,6 +114,7 @@
         ("starts", interval.starts.into()),
         ("start_ms", ms(interval.longest_start).into()),
         ("polls", interval.polls.into()),
+        ("repeats", interval.repeats.into()),
         ("delay_ms", ms(interval.longest_delay).into()),
     ];
     shared.log.event(Event::OwnerLoad, &fields);
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -16,6 +16,7 @@
 use crate::instance::owner_load::{self, OwnerLoad};
 use crate::instance::repeated_append::RepeatedAppend;
 use crate::instance::shared::{OwnerInfo, Shared};
+use crate::instance::start_attempts::{CallRepeats, StartSettings};
 use crate::instance::topics::{self, OWNER_KEY};
 use crate::instance::{machine_orders, peers, tasks, workers};
 use crate::platform::store::{self, AppendCondition, Fetched, LatestRead, Record, StoreError};
@@ -239,11 +240,16 @@
     /// Notified when the store has confirmed a heartbeat.
     heartbeat_stored: Notify,
     pub load: OwnerLoad,
+    /// Starts of the term, and which of them are sent again early.
+    pub starts: Mutex<CallRepeats>,
+    /// The same for polls.
+    pub polls: Mutex<CallRepeats>,
 }
 
 impl Term {
     /// Creates a term whose first append was sent at `now`.
     pub fn new(number: u64, now: Time) -> Term {
+        let repeats = || Mutex::new(CallRepeats::new(StartSettings::default()));
         Term {
             number,
             end_reason: Mutex::new(None),
@@ -253,6 +259,8 @@
             last_heartbeat_at: Mutex::new(None),
             heartbeat_stored: Notify::new(),
             load: OwnerLoad::default(),
+            starts: repeats(),
+            polls: repeats(),
         }
     }
 
@@ -263,6 +271,13 @@
         self
     }
 
+    /// Sets when calls to workers are sent again.
+    pub fn with_start_settings(self, settings: StartSettings) -> Term {
+        *self.starts.lock() = CallRepeats::new(settings);
+        *self.polls.lock() = CallRepeats::new(settings);
+        self
+    }
+
     /// Ends the term. Only the first reason is kept.
     pub fn end(&self, reason: &str) {
         self.end_reason.lock().get_or_insert_with(|| reason.to_string());
@@ -330,7 +345,7 @@
     earlier: Option<(OwnerInfo, Time)>,
 ) {
     let number = term.number;
-    let term = Arc::new(term);
+    let term = Arc::new(term.with_start_settings(shared.cfg.settings.start_orders));
     *shared.term.lock() = Some(number);
     let heartbeats = Heartbeats::new(number, shared.incarnation, topic_end);
     let mut tasks = JoinSet::new();
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -11,10 +11,14 @@
 use crate::instance::topics;
 use crate::platform::http::Permit;
 use crate::platform::store::{self, StoreError};
-use crate::platform::worker_client::{PollAnswer, PollError, PollRequest, WorkerTarget};
-use futures::stream::{self, StreamExt};
+use crate::platform::worker_client::{
+    ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollAnswer, PollError, PollRequest, WorkerTarget,
+};
+use futures::stream::{self, FuturesUnordered, StreamExt};
 use indexmap::IndexMap;
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use tokio::task::{self, JoinSet};
 use tokio::time::{sleep, timeout};
@@ -31,7 +35,8 @@
 /// Start orders to one worker in flight at a time. A worker takes 64 connections, an instance some
 /// thousand in all, and polls need one a worker.
 const MAX_CONCURRENT_STARTS: usize = 2;
-/// Maximum number of attempts to send a start that gets no response.
+/// Maximum number of attempts to send a start that gets no response, each after the timeout of the one before. Early
+/// repeats come on top, and take the place of the last of these.
 const MAX_START_ATTEMPTS: u32 = 3;
 /// Longest time between two checks whether a start that waits for the store is still wanted.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -143,7 +148,15 @@
         return PollStep::AwaitStore;
     }
     let synced = worker.synced;
-    let wait = owner.poll_wait(worker, shared.now());
+    let now = shared.now();
+    let is_lossy = term.starts.lock().loses_answers(now) || term.polls.lock().loses_answers(now);
+    let wait = match is_lossy {
+        true => {
+            let longest = shared.cfg.settings.start_orders.lossy_poll_wait;
+            owner.lossy_poll_wait(worker, longest, now)
+        }
+        false => owner.poll_wait(worker, now),
+    };
     let target = WorkerTarget {
         address: worker.info.address.clone(),
         worker: id.clone(),
@@ -166,12 +179,11 @@
     request: PollRequest,
     lease_order: Option<LeaseOrderId>,
 ) -> Duration {
-    let requested_at = shared.now();
-    let result = shared.worker_client.poll(target, request, requested_at).await;
+    let (result, end) = request_report(shared, term, target, request).await;
     let mut lock = shared.owner.lock();
     let Some(owner) = lock.as_mut() else { return POLL_INTERVAL };
     if let Some(order) = lease_order {
-        owner.end_lease_order(id, order, poll_end(target, &result));
+        owner.end_lease_order(id, order, end);
     }
     match result {
         Ok(answer) => {
@@ -208,6 +220,49 @@
     }
 }
 
+/// Sends a poll. One that is overdue is left for the lists alone, requested beside it, if these come first. Also
+/// returns how the poll ended if it carried a lease.
+async fn request_report(
+    shared: &Shared,
+    term: &Term,
+    target: &WorkerTarget,
+    request: PollRequest,
+) -> (Result<PollAnswer, PollError>, LeaseOrderEnd) {
+    let requested_at = shared.now();
+    let mut poll = pin!(shared.worker_client.poll(target, request, requested_at));
+    let overdue_after = {
+        let mut polls = term.polls.lock();
+        polls.record_call(requested_at);
+        polls.overdue_after(0, POLL_TIMEOUT_MARGIN)
+    };
+    let patience = request.wait + overdue_after.unwrap_or(POLL_TIMEOUT_MARGIN);
+    let mut answered = timeout(patience, &mut poll).await.ok();
+    if answered.is_none() && overdue_after.is_some() && term.polls.lock().try_repeat(shared.now()) {
+        term.load.record_repeat(shared);
+        let look = shared.worker_client.look(target, requested_at);
+        tokio::select! {
+            biased;
+            result = &mut poll => answered = Some(result),
+            // Without an answer to it, the poll decides.
+            Ok(report) = look => {
+                term.polls.lock().record_lost(shared.now());
+                let answer = PollAnswer { report, acknowledged: 0, lease_sent: false };
+                return (Ok(answer), LeaseOrderEnd::Unanswered);
+            }
+        }
+    }
+    let result = match answered {
+        Some(result) => result,
+        None => poll.await,
+    };
+    let took = shared.now().saturating_sub(requested_at);
+    if result.is_ok() && took >= request.wait {
+        term.polls.lock().record_answer(took - request.wait);
+    }
+    let end = poll_end(target, &result);
+    (result, end)
+}
+
 /// Returns how a poll with a lease ended.
 pub fn poll_end(target: &WorkerTarget, result: &Result<PollAnswer, PollError>) -> LeaseOrderEnd {
     match result {
@@ -291,40 +346,119 @@
     Arc::new(move || term.start_permission(shared.now()) == StartPermission::Granted)
 }
 
-async fn send_start(shared: &Shared, term: &Term, start: StartOrder, permit: Permit) {
-    let started = Instant::now();
-    let mut outcome = StartOutcome::NotSent;
-    for _ in 0..MAX_START_ATTEMPTS {
-        let Some((target, lease, order)) = await_authorization(shared, term, &start).await else {
-            break;
-        };
+/// A start order that is being sent.
+struct Start<'a> {
+    shared: &'a Shared,
+    term: &'a Term,
+    order: &'a StartOrder,
+    permit: Permit,
+    /// Whether the latest attempt has been written: before that it finds out which process answers.
+    is_written: Arc<AtomicBool>,
+}
+
+/// Where to send an attempt, the lease that it carries and its number among the orders with a lease.
+type Authorization = (WorkerTarget, WorkerTime, LeaseOrderId);
+
+impl Start<'_> {
+    /// Sends the order once, and returns the number of the attempt and its outcome as far as it is known. One that is
+    /// dropped stays among the orders without a response.
+    async fn attempt(
+        &self,
+        number: u32,
+        (target, lease, lease_order): Authorization,
+    ) -> (u32, StartOutcome) {
+        let (shared, term, start) = (self.shared, self.term, self.order);
+        let is_written = self.is_written.clone();
+        is_written.store(false, Ordering::Relaxed);
+        let may_write = self.permit.clone();
+        let permit: Permit = Arc::new(move || {
+            is_written.store(true, Ordering::Relaxed);
+            may_write()
+        });
         let sent_at = shared.now();
-        let (attempt, clock) =
-            shared.worker_client.start(&target, &start, lease, permit.clone()).await;
-        let answer = attempt;
-        let attempt = match shared.owner.lock().as_mut() {
-            Some(owner) => owner.end_start_attempt(&start, order, answer, clock, sent_at),
-            None => answer,
-        };
-        outcome = outcome.merge_retry(attempt);
-        if attempt != StartOutcome::OtherWorker
+        let (answer, clock) = shared.worker_client.start(&target, start, lease, permit).await;
+        if clock.is_some() {
+            term.starts.lock().record_answer(shared.now().saturating_sub(sent_at));
+        }
+        let mut lock = shared.owner.lock();
+        let Some(owner) = lock.as_mut() else { return (number, answer) };
+        let outcome = owner.end_start_attempt(start, lease_order, answer, clock, sent_at);
+        if outcome != StartOutcome::OtherWorker
             && let Some(clock) = clock
-            && let Some(owner) = shared.owner.lock().as_mut()
         {
-            owner.record_start_clock(&start, clock, sent_at, shared.now());
+            owner.record_start_clock(start, clock, sent_at, shared.now());
         }
-        if attempt == StartOutcome::Fenced
-            && let Some(owner) = shared.owner.lock().as_ref()
-        {
+        if outcome == StartOutcome::Fenced {
             end_term_if_fenced(term, owner, &target);
         }
-        // A start that may have been carried out is sent again, to learn whether it was.
-        let is_open = outcome == StartOutcome::Unknown
-            && matches!(attempt, StartOutcome::Unknown | StartOutcome::NotSent);
-        if !is_open {
-            break;
+        (number, outcome)
+    }
+
+    /// Returns what an early repeat needs, if the order may be sent again now.
+    fn authorize_repeat(&self) -> Option<Authorization> {
+        let (shared, now) = (self.shared, self.shared.now());
+        let is_permitted = self.is_written.load(Ordering::Relaxed)
+            && self.term.start_permission(now) == StartPermission::Granted
+            && self.shared.owner.lock().as_ref().is_some_and(|o| o.is_start_valid(self.order, now))
+            && self.term.starts.lock().try_repeat(now);
+        if is_permitted { authorize_start(shared, self.order) } else { None }
+    }
+}
+
+/// Sends a start until the worker has answered, or enough attempts had no response. A start that is overdue goes out
+/// again beside the earlier attempts.
+async fn send_start(shared: &Shared, term: &Term, start: StartOrder, permit: Permit) {
+    let started = Instant::now();
+    let is_written = Arc::new(AtomicBool::new(false));
+    let sending = Start { shared, term, order: &start, permit, is_written };
+    let mut outcome = StartOutcome::NotSent;
+    let mut open = FuturesUnordered::new();
+    let (mut attempts, mut repeats, mut is_rejected) = (0, 0, false);
+    loop {
+        if open.is_empty() {
+            let Some(authorization) = await_authorization(shared, term, &start).await else {
+                break;
+            };
+            attempts += 1;
+            term.starts.lock().record_call(shared.now());
+            open.push(sending.attempt(attempts + repeats, authorization));
+        }
+        let overdue_after = match is_rejected {
+            true => None,
+            false => term.starts.lock().overdue_after(repeats, ORDER_TIMEOUT),
+        };
+        tokio::select! {
+            biased;
+            Some((number, answer)) = open.next() => {
+                outcome = outcome.merge_retry(answer);
+                match answer {
+                    StartOutcome::Started | StartOutcome::Over => {
+                        if number > 1 {
+                            term.starts.lock().record_lost(shared.now());
+                        }
+                        break;
+                    }
+                    StartOutcome::Unknown | StartOutcome::NotSent => {}
+                    _ => is_rejected = true,
+                }
+                // A start that may have been carried out is sent again, to learn whether it was.
+                let is_open = outcome == StartOutcome::Unknown && !is_rejected;
+                let is_last = attempts + repeats.min(1) >= MAX_START_ATTEMPTS;
+                if open.is_empty() && (!is_open || is_last) {
+                    break;
+                }
+            }
+            () = sleep(overdue_after.unwrap_or_default()), if overdue_after.is_some() => {
+                if let Some(authorization) = sending.authorize_repeat() {
+                    repeats += 1;
+                    term.load.record_repeat(shared);
+                    log_repeated_start(shared, term, &start, started);
+                    open.push(sending.attempt(attempts + repeats, authorization));
+                }
+            }
         }
     }
+    drop(open);
     term.load.record_start(shared, started);
     let mut lock = shared.owner.lock();
     let Some(owner) = lock.as_mut() else { return };
@@ -353,7 +487,7 @@
     shared: &Shared,
     term: &Term,
     start: &StartOrder,
-) -> Option<(WorkerTarget, WorkerTime, LeaseOrderId)> {
+) -> Option<Authorization> {
     let mut has_waited = false;
     loop {
         match term.start_permission(shared.now()) {
@@ -374,6 +508,19 @@
     }
 }
 
+fn log_repeated_start(shared: &Shared, term: &Term, start: &StartOrder, started: Instant) {
+    let task = start.task.to_string();
+    let usual = term.starts.lock().usual_answer_time();
+    let fields = [
+        ("task", (&task).into()),
+        ("run", start.run.into()),
+        ("worker", (&start.worker).into()),
+        ("open_ms", (started.elapsed().as_millis() as u64).into()),
+        ("usual_ms", (usual.as_millis() as u64).into()),
+    ];
+    shared.log.event(Event::StartRepeated, &fields);
+}
+
 fn log_waiting_start(shared: &Shared, start: &StartOrder) {
     let task = start.task.to_string();
     let fields =
@@ -382,10 +529,7 @@
 }
 
 /// Returns where to send a start order, and the lease that it carries, if it may be sent now.
-fn authorize_start(
-    shared: &Shared,
-    start: &StartOrder,
-) -> Option<(WorkerTarget, WorkerTime, LeaseOrderId)> {
+fn authorize_start(shared: &Shared, start: &StartOrder) -> Option<Authorization> {
     let mut lock = shared.owner.lock();
     let owner = lock.as_mut()?;
     let now = shared.now();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -71,6 +71,7 @@
     OWNER_STAGE, "owner_stage_seconds", "histogram", ["stage"], "Durations at the owner: a planning pass, an append of its decisions, a start order until its response, and the delay of a timer.";
     WORKER_CRASHES, "worker_crashes_total", "counter", [], "Crashes of workers under runs of batch jobs, counted by the owner.";
     JOBS_GIVEN_UP, "jobs_given_up_total", "counter", [], "Batch jobs that failed because workers crashed under their tasks.";
+    WORKER_CALL_REPEATS, "worker_call_repeats_total", "counter", [], "Starts and polls of workers that the owner sent again before their timeouts.";
     EVENTS, "events_total", "counter", ["event"], "Log events by number, also those that were suppressed or below the level.";
 }
 
@@ -143,6 +144,7 @@
     owner_stage: HistogramVec,
     worker_crashes: IntCounterVec,
     jobs_given_up: IntCounterVec,
+    worker_call_repeats: IntCounterVec,
     events: IntCounterVec,
 }
 
@@ -170,6 +172,7 @@
             owner_stage: histogram(r, &OWNER_STAGE)?,
             worker_crashes: zero_counter(r, &WORKER_CRASHES)?,
             jobs_given_up: zero_counter(r, &JOBS_GIVEN_UP)?,
+            worker_call_repeats: zero_counter(r, &WORKER_CALL_REPEATS)?,
             events: counter(r, &EVENTS)?,
             teams: BoundedLabel::new(MAX_TEAMS),
             services: BoundedLabel::new(MAX_SERVICES),
@@ -274,6 +277,11 @@
         self.jobs_given_up.with_label_values::<&str>(&[]).inc();
     }
 
+    /// Counts a start or a poll that the owner sends again before its timeout.
+    pub fn record_worker_call_repeat(&self) {
+        self.worker_call_repeats.with_label_values::<&str>(&[]).inc();
+    }
+
     /// Counts a log event.
     pub fn record_event(&self, event: Event) {
         self.events.with_label_values(&[event.info().code.to_string()]).inc();
--- a/src/platform/worker_client.rs
+++ b/src/platform/worker_client.rs
@@ -16,9 +16,9 @@
 use std::time::Duration;
 
 /// Timeout of an order; workers respond within a few ms.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
 /// Additional timeout of a poll that waits for the end of a run.
-const POLL_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
+pub const POLL_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 
 /// Timeouts of the polls that show which incarnation a new connection ends at, each on a connection of its
 /// own. Short ones first, since an answer that is lost never comes; in all, the margin of a poll.
@@ -227,6 +227,29 @@
         Ok(PollAnswer { report, acknowledged: 0, lease_sent: false })
     }
 
+    /// Requests the lists alone, without a lease or an acknowledgement, beside a poll that has no answer yet. The
+    /// connection is kept for the next poll.
+    pub async fn look(
+        &self,
+        target: &WorkerTarget,
+        requested_at: Time,
+    ) -> Result<WorkerReport, PollError> {
+        if let Some(mut kept) = self.take_verified(target) {
+            let (plain, timeout) = (PollRequest::PLAIN, VERIFY_TIMEOUTS[0]);
+            match self.request_lists(target, &mut kept, plain, timeout, requested_at).await {
+                Ok(report) => {
+                    self.connections.put(&target.address, kept);
+                    return Ok(report);
+                }
+                Err(ListsError::NotSent | ListsError::Poll(PollError::Lost)) => {}
+                Err(ListsError::Poll(e)) => return Err(e),
+            }
+        }
+        let (new, report) = self.verify_new(target, requested_at).await?;
+        self.connections.put(&target.address, new);
+        Ok(report)
+    }
+
     /// Takes an idle connection that ends at the incarnation of `target`.
     fn take_verified(&self, target: &WorkerTarget) -> Option<WorkerConnection> {
         let kept = self.connections.take(&target.address, target.incarnation)?;
--- a/tests/instance.rs
+++ b/tests/instance.rs
@@ -239,6 +239,38 @@
     assert_eq!(placed.len(), 4, "the owner logs each start");
 }
 
+/// A share of the starts of a job gets no answer and is carried out seconds later. Guards against a job that waits for
+/// their timeouts, and against a task that runs again by the late order.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn job_with_lost_starts() {
+    let (platform, address) = start_platform().await;
+    let a = start("lost-starts", address);
+    wait_until("the instance is ready", async || a.is_ready().await).await;
+    let submit = async |id: u64| {
+        let path = format!("/q/{id:016x}");
+        let job = r#"{"spec":"x","steps":[{"count":16,"cpu":500,"memMb":64,"estimateMs":100}]}"#;
+        let submitted_at = Instant::now();
+        assert_eq!(a.call(post(), &path, "k1", job).await.0, 200);
+        wait_until("the job is complete", async || {
+            a.call(get(), &path, "k1", "").await.1["state"] == "complete"
+        })
+        .await;
+        submitted_at.elapsed()
+    };
+    // The owner is there, and knows the worker.
+    submit(0xa1).await;
+    platform.lost_starts.store(3, Ordering::Relaxed);
+    let took = submit(0xa2).await;
+    // Three attempts at one start go out within 300 ms; by their timeouts alone they take 1.2 s.
+    assert!(took < Duration::from_millis(1_200), "{took:?}");
+    assert_eq!(platform.lost_starts.load(Ordering::Relaxed), 0);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let starts = platform.start_counts();
+    assert_eq!(starts.len(), 32);
+    assert!(starts.values().all(|n| *n == 1), "{starts:?}");
+    assert!(!a.events("StartRepeated").is_empty());
+}
+
 /// A withdrawn key is rejected, also while the store does not respond.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn withdrawn_key_is_refused() {
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -15,7 +15,7 @@
 use std::io::Cursor;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 #[derive(Default)]
@@ -40,6 +40,8 @@
     ended: Vec<(u64, String, u64, &'static str)>,
     ended_count: u64,
     start_counts: HashMap<String, u32>,
+    /// Highest run of each task that has ended or was stopped.
+    ended_runs: HashMap<String, u64>,
 }
 
 /// State of the stand-in.
@@ -49,10 +51,14 @@
     worker: Mutex<Worker>,
     /// Makes the store respond with 503 to every call.
     pub store_down: AtomicBool,
+    /// Starts that get no answer and are carried out after `LATE_START`, counted from the next one.
+    pub lost_starts: AtomicU32,
 }
 
 /// Time for which a task runs, unless it runs until it is stopped.
 const TASK_DURATION: Duration = Duration::from_millis(150);
+/// Time after which a start without an answer is carried out, after all attempts to send it.
+const LATE_START: Duration = Duration::from_secs(3);
 
 impl Platform {
     pub fn new() -> Arc<Platform> {
@@ -61,6 +67,7 @@
             topics: Mutex::default(),
             worker: Mutex::default(),
             store_down: AtomicBool::new(false),
+            lost_starts: AtomicU32::new(0),
         })
     }
 
@@ -198,6 +205,7 @@
             .collect();
         for (task, run, done) in ended {
             worker.running.remove(&task);
+            worker.ended_runs.insert(task.clone(), run);
             worker.ended_count += 1;
             let number = worker.ended_count;
             worker.ended.push((number, task, run, if done { "done" } else { "lapsed" }));
@@ -218,6 +226,9 @@
         let run = body["run"].as_u64().unwrap_or(0);
         match path {
             "/-/run-start" => {
+                if worker.ended_runs.get(&task).is_some_and(|ended| run <= *ended) {
+                    return json_response(409, &json!({ "clockMs": clock, "reason": "old" }));
+                }
                 if !worker.running.contains_key(&task) {
                     *worker.start_counts.entry(task.clone()).or_insert(0) += 1;
                     let runs_until_stopped = body["spec"] == "until-stopped";
@@ -229,6 +240,7 @@
                 json_response(200, &json!({ "clockMs": clock }))
             }
             "/-/run-stop" => {
+                worker.ended_runs.insert(task.clone(), run);
                 if worker.running.remove(&task).is_some() {
                     worker.ended_count += 1;
                     let number = worker.ended_count;
@@ -271,6 +283,22 @@
             .map(|q| q.segments().map(|(k, v)| (k.to_string(), v.to_string())).collect())
             .unwrap_or_default();
         let store_down = self.0.store_down.load(Ordering::Relaxed) && path.starts_with("/-/log");
+        let take_one = |left: u32| left.checked_sub(1);
+        if path == "/-/run-start"
+            && self
+                .0
+                .lost_starts
+                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take_one)
+                .is_ok()
+        {
+            let platform = self.0.clone();
+            let order: Value = serde_json::from_slice(&body).unwrap_or_default();
+            tokio::spawn(async move {
+                tokio::time::sleep(LATE_START).await;
+                platform.handle_order("/-/run-start", &order);
+            });
+            return std::future::pending().await;
+        }
         let (status, body) = match path.as_str() {
             _ if store_down => (503, Vec::new()),
             "/-/log-append" => self.0.append(&query, &body),
--- a/tests/worker_connections.rs
+++ b/tests/worker_connections.rs
@@ -270,3 +270,29 @@
     assert_eq!(second, Err(PollError::Lost));
     assert_eq!(poll_end(&target, &second), LeaseOrderEnd::Unanswered);
 }
+
+/// The answer to a poll is lost. Guards against waiting for its timeout to learn what the lists say, and against a
+/// lease or an acknowledgement in the request beside it, which would be accounted for twice.
+#[tokio::test]
+async fn look_unanswered_poll() {
+    let process = Process::start(0, EARLIER).await;
+    let client = WorkerClient::new(Http::new());
+    let target = target(process.address, EARLIER);
+    assert!(client.poll(&target, lease_request(0), Duration::ZERO).await.is_ok());
+    process.incarnation.store(SILENT, Ordering::Relaxed);
+    let lost = client.poll(&target, lease_request(3), Duration::ZERO);
+    let look = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        process.incarnation.store(EARLIER, Ordering::Relaxed);
+        client.look(&target, Duration::ZERO).await
+    };
+    tokio::select! {
+        answer = lost => panic!("{answer:?}"),
+        report = look => assert_eq!(report.map(|r| r.incarnation), Ok(EARLIER)),
+    }
+    let holds = process.received("/-/hold");
+    assert_eq!(holds.len(), 3);
+    assert_eq!(holds[2].as_object().map(|o| o.len()), Some(2), "fence and index: {holds:?}");
+    let next = client.poll(&target, lease_request(3), Duration::ZERO).await;
+    assert!(next.is_ok_and(|answer| answer.lease_sent), "on the connection that has answered");
+}
