Count with attempts at a start that are still open when it is answered

A start that is sent again early is answered while an earlier attempt may still be under way. If its worker restarts and stays silent, the task was started elsewhere after the usual lease, although the late copy could begin the run at the worker's next process: two runs at the same time. An assignment now counts its open attempts, and the longest lease is waited for as after an unanswered start. Also, answers no longer count as being lost while the part is off.

--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -157,6 +157,8 @@
     pub process: WorkerProcess,
     pub assigned_at: Time,
     pub start: StartStatus,
+    /// Attempts to send the start that have no answer; any of them may still be carried out.
+    pub open_attempts: u32,
     /// When the worker confirmed the start; `None` while the start order may still be in flight.
     pub confirmed_at: Option<Time>,
     /// A stop order was issued.
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -898,6 +898,15 @@
         }
     }
 
+    /// Adds an attempt to send a start order to its worker.
+    pub fn begin_start_attempt(&mut self, start: &StartOrder, now: Time) -> Option<LeaseOrderId> {
+        let order = self.begin_lease_order(&start.worker, now)?;
+        if let Some(assignment) = self.assignment_mut(&start.task, start.run) {
+            assignment.open_attempts += 1;
+        }
+        Some(order)
+    }
+
     /// Records how an attempt to send a start order ended, by the worker's clock in the answer if there was one. Returns
     /// the outcome as far as it is known: a process other than the one that the order was meant for, shown by a clock
     /// that went back or a restart that is known by now, may be running the task.
@@ -920,6 +929,11 @@
             }
             _ => worker.lease_orders.end(order, LeaseOrderEnd::Settled),
         }
+        if outcome != StartOutcome::Unknown
+            && let Some(assignment) = self.assignment_mut(&start.task, start.run)
+        {
+            assignment.open_attempts = assignment.open_attempts.saturating_sub(1);
+        }
         outcome
     }
 
@@ -1302,8 +1316,9 @@
             return false;
         }
         match assignment.start {
-            StartStatus::Started => false,
-            StartStatus::InFlight | StartStatus::Unanswered => {
+            // An earlier attempt may be carried out by the next process all the same.
+            StartStatus::Started if assignment.open_attempts == 0 => false,
+            StartStatus::Started | StartStatus::InFlight | StartStatus::Unanswered => {
                 matches!(worker.stray_lease, StrayLease::Open(_))
                     && now <= assignment.assigned_at + self.order_horizon()
             }
@@ -1440,6 +1455,7 @@
             process,
             assigned_at: now,
             start: StartStatus::InFlight,
+            open_attempts: 0,
             confirmed_at: None,
             stop_ordered: false,
             speed_percent: 0,
--- a/src/batch/records.rs
+++ b/src/batch/records.rs
@@ -314,6 +314,7 @@
             worker,
             assigned_at: now,
             start: StartStatus::Inherited,
+            open_attempts: 0,
             confirmed_at: Some(now),
             stop_ordered: state.is_final(),
             speed_percent: 0,
--- a/src/instance/start_attempts.rs
+++ b/src/instance/start_attempts.rs
@@ -139,7 +139,7 @@
         self.advance(now);
         let lost = self.current.lost + self.previous.lost;
         let calls = self.current.calls + self.previous.calls;
-        lost >= MIN_LOST && lost * 100 >= calls * MIN_LOST_PERCENT
+        self.settings.enabled && lost >= MIN_LOST && lost * 100 >= calls * MIN_LOST_PERCENT
     }
 
     /// Returns the time within which nine of ten of the latest answers came; zero before the first.
--- a/src/instance/workers.rs
+++ b/src/instance/workers.rs
@@ -534,7 +534,7 @@
     let owner = lock.as_mut()?;
     let now = shared.now();
     let lease = owner.authorize_start(start, now)?;
-    let order = owner.begin_lease_order(&start.worker, now)?;
+    let order = owner.begin_start_attempt(start, now)?;
     let address = owner.workers.get(&start.worker)?.info.address.clone();
     let (worker, fence) = (start.worker.clone(), start.fence);
     let target = WorkerTarget { address, worker, fence, incarnation: start.incarnation };
--- a/tests/batch_stray_leases.rs
+++ b/tests/batch_stray_leases.rs
@@ -624,3 +624,23 @@
         assert_eq!(!next.owner.workers[&worker].assigned.is_empty(), waits, "{age:?}");
     }
 }
+
+/// Like tick_unanswered_start_silent_restarted_worker, but an early repeat was answered: the first attempt is still open.
+#[test]
+fn tick_repeated_start_silent_restarted_worker() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit(JOB, vec![short_step(1)]);
+    let start = cluster.decide().orders.starts.remove(0);
+    let worker = start.worker.clone();
+    let sent_at = cluster.now;
+    // Dropped without an answer.
+    cluster.owner.begin_start_attempt(&start, sent_at).expect("a worker");
+    let second = cluster.owner.begin_start_attempt(&start, sent_at).expect("a worker");
+    let answer = StartOutcome::Started;
+    let answer = cluster.owner.end_start_attempt(&start, second, answer, None, sent_at);
+    cluster.owner.record_start_outcome(&start, answer, cluster.now);
+    cluster.owner.record_unanswered_poll(&worker);
+    restart(&mut cluster, &worker, 2);
+    list_workers(&mut cluster);
+    assert_waits_for_longest_lease(&mut cluster, sent_at + LATEST_ORDER);
+}
--- a/tests/start_attempts.rs
+++ b/tests/start_attempts.rs
@@ -76,3 +76,13 @@
     let settings = StartSettings { enabled: false, ..StartSettings::default() };
     assert_eq!(CallRepeats::new(settings).overdue_after(0, TIMEOUT), None);
 }
+
+#[test]
+fn loses_answers_disabled() {
+    let settings = StartSettings { enabled: false, ..StartSettings::default() };
+    let mut repeats = CallRepeats::new(settings);
+    let now = Duration::from_secs(5);
+    (0..100).for_each(|_| repeats.record_call(now));
+    (0..3).for_each(|_| repeats.record_lost(now));
+    assert!(!repeats.loses_answers(now));
+}
