Repeat starts beyond a few only while repeats are answered

In a dark rack or a zone that is cut off, a fifth of all starts were repeated to workers that answer nothing. Repeats beyond eight in two seconds now need that half of the earlier ones were answered. Whether this is the whole cause is not known.

Result: try_repeat_nothing_answered, with a lower bound than before.

--- a/src/instance/start_attempts.rs
+++ b/src/instance/start_attempts.rs
@@ -17,7 +17,8 @@
 const MAX_EARLY_REPEATS: u32 = 2;
 /// Time over which calls and repeats are counted; the count spans one to two of these.
 const WINDOW: Duration = Duration::from_secs(1);
-/// Early repeats in two windows that need no share of the calls: a few callers' jobs on an idle fleet.
+/// Early repeats in two windows that need no share of the calls: a few callers' jobs on an idle fleet, and the first ones
+/// that show whether repeats are answered.
 const FREE_REPEATS: u32 = 8;
 /// Lost answers in two windows, and their share of the calls in percent, from which on answers count as being lost.
 /// A single one may be a connection that ended.
@@ -128,8 +129,12 @@
     pub fn try_repeat(&mut self, now: Time) -> bool {
         self.advance(now);
         let sum = |count: fn(&Window) -> u32| count(&self.current) + count(&self.previous);
-        let share = u64::from(sum(|w| w.calls)) * u64::from(self.settings.repeat_percent) / 100;
-        let is_within = u64::from(sum(|w| w.repeats)) < u64::from(FREE_REPEATS) + share;
+        let (lost, repeats) = (sum(|w| w.lost), sum(|w| w.repeats));
+        // Repeats that nobody answers, for instance in a zone that is cut off, only take connections.
+        let are_answered = lost >= MIN_LOST && lost * 2 >= repeats;
+        let percent = if are_answered { self.settings.repeat_percent } else { 0 };
+        let share = u64::from(sum(|w| w.calls)) * u64::from(percent) / 100;
+        let is_within = u64::from(repeats) < u64::from(FREE_REPEATS) + share;
         self.current.repeats += u32::from(is_within);
         is_within
     }
--- a/tests/start_attempts.rs
+++ b/tests/start_attempts.rs
@@ -58,7 +58,7 @@
 #[test]
 fn try_repeat_nothing_answered() {
     let (sent, repeated, mut calls) = play(1, TIMEOUT, 5);
-    assert!(repeated * 100 <= sent * 25, "{repeated} of {sent}");
+    assert!(repeated <= 8, "{repeated} of {sent}");
     assert!(!calls.loses_answers(MS * 5_000), "silence is no loss of answers");
 }
 
