--- a/src/batch.rs
+++ b/src/batch.rs
@@ -14,6 +14,7 @@
 pub mod overload;
 pub mod owner;
 pub mod placement;
+mod poll_waits;
 pub mod pool_demand;
 pub mod pool_room;
 pub mod prior_leases;
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -47,10 +47,6 @@
 /// Time for which a worker delays its response to a poll until a run ends. Leases last 4.5 s and are
 /// extended at least this often.
 pub const POLL_WAIT: Duration = Duration::from_millis(1_000);
-/// Like `POLL_WAIT`, while it is open whether a run has started: no end of a run tells that it has not.
-const OPEN_START_POLL_WAIT: Duration = Duration::from_millis(200);
-/// Time after which a start without a response counts as open; workers respond within a few ms.
-const START_RESPONSE_TIME: Duration = Duration::from_millis(100);
 /// Time between two stop orders for the same run.
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay before a task whose run was lost or did not succeed is started again.
@@ -410,34 +406,6 @@
         Some(worker.lease_until)
     }
 
-    /// Returns for how long a worker may delay its response to a poll that is sent now, until a run ends.
-    pub fn poll_wait(&self, worker: &Worker, now: Time) -> Duration {
-        let is_urgent = !worker.synced
-            || worker.assigned.is_empty()
-            || worker.last_processed > worker.last_stored
-            || worker.unanswered_polls > 0
-            || worker.lease_withheld;
-        if is_urgent {
-            Duration::ZERO
-        } else if worker.assigned.keys().any(|task| self.is_start_open(task, now)) {
-            OPEN_START_POLL_WAIT
-        } else {
-            POLL_WAIT
-        }
-    }
-
-    /// Whether it should be known by now whether the current run of a task has started, and is not. Long-running tasks
-    /// do not count: a stop that is sent sooner may end one at work whose start took effect late.
-    fn is_start_open(&self, id: &TaskId, now: Time) -> bool {
-        if self.step_of(id).is_some_and(|s| s.long_running) {
-            return false;
-        }
-        let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
-        let Some(Phase::Assigned(assignment)) = task.map(|t| &t.phase) else { return false };
-        assignment.start != StartStatus::Started
-            && now >= assignment.assigned_at + START_RESPONSE_TIME
-    }
-
     /// Fencing token for orders to a worker: the term, followed by the number of resyncs of any
     /// worker in this term up to the worker's latest.
     pub fn fence(&self, worker: &str) -> u64 {
@@ -943,6 +911,15 @@
         }
     }
 
+    /// Adds an attempt to send a start order to its worker.
+    pub fn begin_start_attempt(&mut self, start: &StartOrder, now: Time) -> Option<LeaseOrderId> {
+        let order = self.begin_lease_order(&start.worker, now)?;
+        if let Some(assignment) = self.assignment_mut(&start.task, start.run) {
+            assignment.open_attempts += 1;
+        }
+        Some(order)
+    }
+
     /// Records how an attempt to send a start order ended, by the worker's clock in the answer if there was one. Returns
     /// the outcome as far as it is known: a process other than the one that the order was meant for, shown by a clock
     /// that went back or a restart that is known by now, may be running the task.
@@ -965,6 +942,11 @@
             }
             _ => worker.lease_orders.end(order, LeaseOrderEnd::Settled),
         }
+        if outcome != StartOutcome::Unknown
+            && let Some(assignment) = self.assignment_mut(&start.task, start.run)
+        {
+            assignment.open_attempts = assignment.open_attempts.saturating_sub(1);
+        }
         outcome
     }
 
@@ -1347,8 +1329,9 @@
             return false;
         }
         match assignment.start {
-            StartStatus::Started => false,
-            StartStatus::InFlight | StartStatus::Unanswered => {
+            // An earlier attempt may be carried out by the next process all the same.
+            StartStatus::Started if assignment.open_attempts == 0 => false,
+            StartStatus::Started | StartStatus::InFlight | StartStatus::Unanswered => {
                 matches!(worker.stray_lease, StrayLease::Open(_))
                     && now <= assignment.assigned_at + self.order_horizon()
             }
@@ -1484,6 +1467,7 @@
             process,
             assigned_at: now,
             start: StartStatus::InFlight,
+            open_attempts: 0,
             confirmed_at: None,
             stop_ordered: false,
             speed_percent: 0,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -76,6 +76,7 @@
     HELD_BYTES, "held_body_bytes", "gauge", ["listener"], "Memory held by bodies in progress and by records that are not stored yet.";
     CUTS, "cut_total", "counter", ["listener", "reason"], "Requests refused and connections cut off by the limits of a listener of run.";
     JOBS_DELAYED, "jobs_delayed_total", "counter", ["reason"], "Batch jobs that waited behind others for lack of room: beyond_rate if they arrived beyond the rate of their team, set_aside if more callers are served in time that way.";
+    WORKER_CALL_REPEATS, "worker_call_repeats_total", "counter", [], "Starts and polls of workers that the owner sent again before their timeouts.";
     EVENTS, "events_total", "counter", ["event"], "Log events by number, also those that were suppressed or below the level.";
 }
 
@@ -169,6 +170,7 @@
     held_bytes: IntGaugeVec,
     cuts: IntCounterVec,
     jobs_delayed: IntCounterVec,
+    worker_call_repeats: IntCounterVec,
     events: IntCounterVec,
 }
 
@@ -201,6 +203,7 @@
             held_bytes: gauge(r, &HELD_BYTES)?,
             cuts: counter(r, &CUTS)?,
             jobs_delayed: counter(r, &JOBS_DELAYED)?,
+            worker_call_repeats: zero_counter(r, &WORKER_CALL_REPEATS)?,
             events: counter(r, &EVENTS)?,
             teams: BoundedLabel::new(MAX_TEAMS),
             services: BoundedLabel::new(MAX_SERVICES),
@@ -327,6 +330,11 @@
         self.jobs_delayed.with_label_values(&[reason.as_str()]).inc();
     }
 
+    /// Counts a start or a poll that the owner sends again before its timeout.
+    pub fn record_worker_call_repeat(&self) {
+        self.worker_call_repeats.with_label_values::<&str>(&[]).inc();
+    }
+
     /// Counts a log event.
     pub fn record_event(&self, event: Event) {
         self.events.with_label_values(&[event.info().code.to_string()]).inc();
