--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -21,6 +21,7 @@
     metrics.set_view(Duration::from_millis(1_500), 77);
     metrics.set_log_reachable(false);
     metrics.set_holds(2);
+    metrics.set_submission_partitions(32);
     metrics.record_owner_stage(OwnerStage::Store, Duration::from_millis(30));
     metrics.set_connections("callers", 12, 4_096);
     metrics.record_cut("callers", "memory");
@@ -37,6 +38,7 @@
         "jacinthhook_units_held{team=\"huts\"} 9",
         "jacinthhook_units_used{team=\"huts\"} 8",
         "jacinthhook_view_age_seconds 1.5",
+        "jacinthhook_submission_partitions 32",
         "jacinthhook_owner_stage_seconds_bucket{stage=\"store\",le=\"0.05\"} 1",
         "jacinthhook_events_total{event=\"404\"} 1",
     ];
