Leave the order of jobs in short pools off by default

read_disabled_parts becomes read_switched_parts: with the new default its check of a disabled [overload] would always pass. It now checks both defaults, both switches and the range of team_burst_ms.

--- a/src/batch/overload.rs
+++ b/src/batch/overload.rs
@@ -30,7 +30,7 @@
 
 impl Default for OverloadSettings {
     fn default() -> OverloadSettings {
-        OverloadSettings { enabled: true, team_burst: Duration::from_secs(1) }
+        OverloadSettings { enabled: false, team_burst: Duration::from_secs(1) }
     }
 }
 
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -116,7 +116,8 @@
 }
 
 fn record(rates: &mut TeamRates, team: &Team, count: usize, now: Duration) -> usize {
-    let (id, settings): (TeamId, _) = (TEAM.into(), OverloadSettings::default());
+    let id: TeamId = TEAM.into();
+    let settings = OverloadSettings { enabled: true, ..OverloadSettings::default() };
     let delays = (0..count).filter_map(|_| rates.record((&id, team), &settings, now));
     let beyond = Delay::BeyondRate { team: id.clone(), job_rate: team.job_rate.unwrap_or(0) };
     delays.inspect(|delay| assert_eq!(*delay, beyond)).count()
--- a/tests/run_settings.rs
+++ b/tests/run_settings.rs
@@ -2,17 +2,24 @@
 
 use jacinthhook::instance::run_settings::{RunSettings, read};
 use jacinthhook::settings::{CheckedFile, check};
+use std::time::Duration;
 
 #[test]
 fn read_empty_file() {
     assert_eq!(read("run.ini", ""), Ok(RunSettings::default()));
 }
 
+/// `[overload]` is off by default, the other parts are on.
 #[test]
-fn read_disabled_parts() {
-    let settings = read("run.ini", "[overload]\nenabled = off\n").expect("no mistakes");
-    assert!(!settings.overload.enabled);
-    assert!(settings.pool_demand.enabled);
+fn read_switched_parts() {
+    let defaults = RunSettings::default();
+    assert!(!defaults.overload.enabled && defaults.pool_demand.enabled);
+    let text = "[overload]\nenabled = on\nteam_burst_ms = 250\n[pool_demand]\nenabled = off\n";
+    let settings = read("run.ini", text).expect("no mistakes");
+    assert!(settings.overload.enabled && settings.submissions.enabled);
+    assert_eq!(settings.overload.team_burst, Duration::from_millis(250));
+    assert!(!settings.pool_demand.enabled);
+    assert!(read("run.ini", "[overload]\nteam_burst_ms = 60001\n").is_err());
 }
 
 #[test]
