--- a/src/batch.rs
+++ b/src/batch.rs
@@ -15,7 +15,6 @@
 pub mod owner;
 pub mod placement;
 mod poll_waits;
-pub mod pool_demand;
 pub mod pool_room;
 pub mod prior_leases;
 pub mod record_parts;
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -19,7 +19,6 @@
     WorkerTime, is_same,
 };
 use crate::batch::overload::{Delay, OverloadSettings, TeamRates};
-use crate::batch::pool_demand::PoolSettings;
 use crate::batch::prior_leases::{
     LeaseRecord, PriorLeases, WorkerLease, fits_open_orders, leases_per_record, remaining_ms,
 };
@@ -271,7 +270,6 @@
     pub(super) crashes: CrashState,
     pub(super) overload: OverloadSettings,
     team_rates: TeamRates,
-    pub(super) pool_demand: PoolSettings,
     pub(super) run_failures: RunFailures,
 }
 
@@ -316,14 +314,13 @@
             crashes: CrashState::default(),
             overload: OverloadSettings::default(),
             team_rates: TeamRates::default(),
-            pool_demand: PoolSettings::default(),
             run_failures: RunFailures::default(),
         }
     }
 
-    /// Sets how the owner decides while there is too little room, and how many machines pools want.
-    pub fn with_settings(mut self, overload: OverloadSettings, pools: PoolSettings) -> Owner {
-        (self.overload, self.pool_demand) = (overload, pools);
+    /// Sets how the owner decides while there is too little room.
+    pub fn with_overload_settings(mut self, overload: OverloadSettings) -> Owner {
+        self.overload = overload;
         self
     }
 
--- a/src/instance/run_settings.rs
+++ b/src/instance/run_settings.rs
@@ -4,7 +4,6 @@
 //! hold. `check` reports all mistakes of such a file at once.
 
 use crate::batch::overload::OverloadSettings;
-use crate::batch::pool_demand::PoolSettings;
 use crate::config::{Mistake, SectionReader, did_you_mean};
 use crate::file::{FileMistake, FileSections};
 use crate::instance::caller_limits::CallerLimits;
@@ -13,8 +12,7 @@
 use indexmap::IndexMap;
 
 /// Sections of the file. None of them is a section of declarations or of settings of an entry instance.
-pub const SECTION_NAMES: [&str; 5] =
-    ["caller_limits", "overload", "start_orders", "submissions", "pool_demand"];
+pub const SECTION_NAMES: [&str; 4] = ["caller_limits", "overload", "start_orders", "submissions"];
 
 /// Settings of the parts of an instance, fixed while the process runs.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -27,8 +25,6 @@
     pub start_orders: StartSettings,
     /// How callers' records are stored.
     pub submissions: SubmissionSettings,
-    /// How many machines a pool wants.
-    pub pool_demand: PoolSettings,
 }
 
 /// Reads and checks a settings file.
@@ -56,8 +52,7 @@
             "caller_limits" => settings.caller_limits.read(&mut reader),
             "overload" => settings.overload.read(&mut reader),
             "start_orders" => settings.start_orders.read(&mut reader),
-            "submissions" => settings.submissions.read(&mut reader),
-            _ => settings.pool_demand.read(&mut reader),
+            _ => settings.submissions.read(&mut reader),
         }
         reader.finish();
     }
--- a/src/instance/term.rs
+++ b/src/instance/term.rs
@@ -582,7 +582,7 @@
     let workers = read_latest(shared, term, store::WORKERS_TOPIC.into()).await?;
     let now = shared.now();
     let mut owner = Owner::new(term.number, shared.cfg.bounds, shared.active_config(), now)
-        .with_settings(shared.cfg.settings.overload, shared.cfg.settings.pool_demand)
+        .with_overload_settings(shared.cfg.settings.overload)
         .with_prior_leases(prior_leases);
     let mut index = SubmissionIndex::default();
     for (key, job) in submissions_in_order(shared, &jobs, &mut index) {
--- a/tests/batch/mod.rs
+++ b/tests/batch/mod.rs
@@ -11,7 +11,6 @@
 };
 use jacinthhook::batch::overload::OverloadSettings;
 use jacinthhook::batch::owner::{DecisionBatch, Owner};
-use jacinthhook::batch::pool_demand::PoolSettings;
 use jacinthhook::batch::worker::WorkerInfo;
 use jacinthhook::fair::Resources;
 use jacinthhook::platform::worker_connections::is_same;
@@ -151,7 +150,7 @@
     /// Switches the order of `batch::overload` on or off.
     pub fn with_overload(mut self, enabled: bool) -> Cluster {
         let overload = OverloadSettings { enabled, ..OverloadSettings::default() };
-        self.owner = self.owner.with_settings(overload, PoolSettings::default());
+        self.owner = self.owner.with_overload_settings(overload);
         self
     }
 
--- a/tests/run_settings.rs
+++ b/tests/run_settings.rs
@@ -3,17 +3,24 @@
 use jacinthhook::instance::run_settings::{RunSettings, read};
 use jacinthhook::settings::{CheckedFile, check};
 use std::process::Command;
+use std::time::Duration;
 
 #[test]
 fn read_empty_file() {
     assert_eq!(read("run.ini", ""), Ok(RunSettings::default()));
 }
 
+/// `[overload]` is off by default, the other parts are on.
 #[test]
-fn read_disabled_parts() {
-    let settings = read("run.ini", "[overload]\nenabled = off\n").expect("no mistakes");
-    assert!(!settings.overload.enabled);
-    assert!(settings.pool_demand.enabled);
+fn read_switched_parts() {
+    let defaults = RunSettings::default();
+    assert!(!defaults.overload.enabled && defaults.start_orders.enabled);
+    let text = "[overload]\nenabled = on\nteam_burst_ms = 250\n[start_orders]\nenabled = off\n";
+    let settings = read("run.ini", text).expect("no mistakes");
+    assert!(settings.overload.enabled && settings.submissions.enabled);
+    assert_eq!(settings.overload.team_burst, Duration::from_millis(250));
+    assert!(!settings.start_orders.enabled);
+    assert!(read("run.ini", "[overload]\nteam_burst_ms = 60001\n").is_err());
 }
 
 #[test]
@@ -24,7 +31,7 @@
 
 #[test]
 fn check_run_settings() {
-    let checked = check("run.ini", "[pool_demand]\nenabled = on\n");
+    let checked = check("run.ini", "[start_orders]\nenabled = on\n");
     assert!(matches!(checked, Ok(CheckedFile::RunSettings(_))));
 }
 
