--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -3,7 +3,7 @@
 
 use jacinthhook::event::Event;
 use jacinthhook::kind::Kind;
-use jacinthhook::metrics::{ALL, MAX_TEAMS, Metrics, OTHER_LABEL, OwnerStage};
+use jacinthhook::metrics::{ALL, DelayReason, MAX_TEAMS, Metrics, OTHER_LABEL, OwnerStage};
 use jacinthhook::record::Class;
 use std::time::Duration;
 
@@ -25,6 +25,7 @@
     metrics.record_owner_stage(OwnerStage::Store, Duration::from_millis(30));
     metrics.set_connections("callers", 12, 4_096);
     metrics.record_cut("callers", "memory");
+    metrics.record_job_delayed(DelayReason::SetAside);
     metrics.record_event(Event::ZoneOut);
     let text = metrics.encode().unwrap();
     for metric in ALL {
