Count runs that are being stopped toward the limit of tasks a worker

Cause: after a zone was cut off, two tasks had been started again there; their first runs turned out to be done, the second ones were being stopped, and only assigned tasks counted.

Runs with a stop under way count now.

--- a/src/batch/drains.rs
+++ b/src/batch/drains.rs
@@ -154,7 +154,7 @@
     fn distribution_of(&self, task: &TaskId) -> Distribution {
         let open = |job: &'_ Job| {
             let occurrence = job.open_occurrences.iter().find(|o| o.number == task.occurrence)?;
-            Some(self.count_assigned(occurrence, task.step as usize))
+            Some(self.count_assigned(&task.job, occurrence, task.step as usize))
         };
         let (by_worker, by_rack) = self.jobs.get(&task.job).and_then(open).unwrap_or_default();
         Distribution { by_worker, by_rack }
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -255,7 +255,7 @@
     orders: Orders,
     events: Vec<OwnerEvent>,
     /// When a run was last ordered to stop.
-    stop_ordered_at: IndexMap<StopOrder, Time>,
+    pub(super) stop_ordered_at: IndexMap<StopOrder, Time>,
     /// Run and ordered speed of each best-effort task.
     ordered_paces: IndexMap<TaskId, (u32, u32)>,
     /// What the latest record of previous owners says about leases.
--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -232,7 +232,7 @@
             return false;
         };
         let (mut tasks_per_worker, mut tasks_per_rack) =
-            self.count_assigned(occurrence, ready.step);
+            self.count_assigned(&ready.job, occurrence, ready.step);
         // Assigned once it is known that a gang fits as a whole.
         let mut chosen: Vec<(TaskId, WorkerId, u32)> = Vec::new();
         let gang_run = occurrence.steps[ready.step].iter().map(|t| t.run).max().unwrap_or(0) + 1;
@@ -305,18 +305,32 @@
         !chosen.is_empty()
     }
 
-    /// Counts the assigned tasks of a step by worker and by rack.
+    /// Counts the assigned tasks of a step by worker and by rack, with runs that are being stopped.
     pub(super) fn count_assigned(
         &self,
+        job: &JobId,
         occurrence: &Occurrence,
         step: usize,
     ) -> (IndexMap<WorkerId, u32>, IndexMap<RackId, u32>) {
         let (mut tasks_per_worker, mut tasks_per_rack) = (IndexMap::new(), IndexMap::new());
-        for task in &occurrence.steps[step] {
-            let Phase::Assigned(assignment) = &task.phase else { continue };
-            *tasks_per_worker.entry(assignment.worker.clone()).or_insert(0) += 1;
-            if let Some(worker) = self.workers.get(&assignment.worker) {
-                *tasks_per_rack.entry(worker.info.rack.clone()).or_insert(0) += 1;
+        let tasks = &occurrence.steps[step];
+        let assigned = tasks.iter().filter_map(|task| match &task.phase {
+            Phase::Assigned(assignment) => Some(&assignment.worker),
+            Phase::Waiting | Phase::Done => None,
+        });
+        let is_of_step = |id: &TaskId| {
+            id.job == *job && id.occurrence == occurrence.number && id.step as usize == step
+        };
+        let stopping = self.stop_ordered_at.keys().filter(|stop| {
+            // A run that is still assigned counts above.
+            let task = tasks.get(stop.task.index as usize);
+            is_of_step(&stop.task)
+                && task.is_some_and(|task| !matches!(task.phase, Phase::Assigned(_)))
+        });
+        for worker in assigned.chain(stopping.map(|stop| &stop.worker)) {
+            *tasks_per_worker.entry(worker.clone()).or_insert(0) += 1;
+            if let Some(known) = self.workers.get(worker) {
+                *tasks_per_rack.entry(known.info.rack.clone()).or_insert(0) += 1;
             }
         }
         (tasks_per_worker, tasks_per_rack)
--- a/tests/batch_capacity.rs
+++ b/tests/batch_capacity.rs
@@ -149,6 +149,40 @@
     assert_eq!(cluster.decide().orders.starts.len(), 3);
 }
 
+/// As schedule_tasks_beside_run_of_done_task, with a step of one task a worker. Guards against a second task of the step
+/// beside the run that is being stopped.
+#[test]
+fn schedule_tasks_worker_limit_run_of_done_task() {
+    let mut cluster = Cluster::new(3);
+    cluster.submit(JOB, vec![Step { max_per_worker: 1, ..short_step(3) }]);
+    cluster.settle();
+    let runs = cluster.running_tasks();
+    let worker_of =
+        |index: u32| runs.iter().find(|(_, task, _)| task.index == index).expect("a run");
+    let (silent, task, run) = worker_of(0).clone();
+    let (free, freed_task, freed_run) = worker_of(1).clone();
+    let (lost, _, _) = worker_of(2).clone();
+    cluster.finish_run(&silent, &task, run, RunOutcome::Done);
+    cluster.finish_run(&free, &freed_task, freed_run, RunOutcome::Done);
+    cluster.poll(&free);
+    for worker in [&silent, &lost] {
+        cluster.owner.record_unanswered_poll(worker);
+    }
+    cluster.advance(Duration::from_secs(20));
+    cluster.poll(&free);
+    cluster.decide();
+    cluster.advance(Duration::from_millis(100));
+    let starts = cluster.decide().orders.starts;
+    assert_eq!((starts.len(), &starts[0].worker), (1, &free), "the others are silent");
+    assert_eq!(starts[0].task, task);
+    assert_eq!(send(&mut cluster, starts), 1);
+    cluster.poll(&free);
+    cluster.poll(&silent);
+    let batch = cluster.decide();
+    assert_eq!(batch.orders.stops.len(), 1, "the task is done");
+    assert!(batch.orders.starts.iter().all(|s| s.worker != free), "{:?}", batch.orders.starts);
+}
+
 /// The end of a run arrives after its task was started again elsewhere. Guards against starts beside the
 /// second run, which goes on until it is stopped.
 #[test]
