Take the order of Moore and Hodgson by what a job can use, and fixed jobs first

They are ordered by their room with their own use again; jobs that are not set aside count first in their class, and a pool that is still full at the latest start lends no room.

--- a/src/batch/overload.rs
+++ b/src/batch/overload.rs
@@ -142,12 +142,13 @@
         RunningUse { ends: ends.collect(), amount: all }
     }
 
-    fn within(&self, time: Duration) -> u64 {
+    /// Returns what running tasks use within a time, and what they still use at its end.
+    fn within(&self, time: Duration) -> (u64, u64) {
         let time = time.as_millis() as u64;
         let ended = self.ends.partition_point(|(left, ..)| *left <= time);
         let last = ended.checked_sub(1).map(|last| self.ends[last]);
         let (used, amount) = last.map_or((0, self.amount), |(_, used, amount)| (used, amount));
-        used.saturating_add(amount.saturating_mul(time))
+        (used.saturating_add(amount.saturating_mul(time)), amount)
     }
 }
 
@@ -170,13 +171,25 @@
     let total = jobs.iter().fold(Amounts::default(), |sum, job| plus(&sum, &job.work));
     let Some(resource) = room.scarcest(&total) else { return selection };
     let running = RunningUse::new(&room.running, resource);
-    let mut order: Vec<usize> = (0..jobs.len()).collect();
-    order.sort_by_key(|index| (jobs[*index].priority, jobs[*index].latest_start));
+    let room_for = |job: &WaitingJob| {
+        let (used, still_used) = running.within(job.latest_start.saturating_sub(now));
+        let free = room.until(job.latest_start, resource, now).saturating_sub(used);
+        match still_used < room.capacity[resource] {
+            // A job whose turn comes at its latest start still meets its objective.
+            true => free.saturating_add(job.use_before_latest_start(resource, now)),
+            false => free,
+        }
+    };
+    let indexed = jobs.iter().enumerate();
+    // Those that are not set aside count from the beginning of their class on.
+    let mut order: Vec<(u32, bool, u64, usize)> =
+        indexed.map(|(index, job)| (job.priority, !job.is_fixed, room_for(job), index)).collect();
+    order.sort_unstable();
     let (mut kept_use, mut kept_work, mut set_aside_work) = (0u64, 0u64, 0u64);
-    for class in order.chunk_by(|a, b| jobs[*a].priority == jobs[*b].priority) {
+    for class in order.chunk_by(|a, b| a.0 == b.0) {
         // Of jobs with the same work the newest goes first.
         let mut kept: BinaryHeap<(u64, usize)> = BinaryHeap::new();
-        for index in class {
+        for (.., available, index) in class {
             let job = &jobs[*index];
             let own_use = job.use_before_latest_start(resource, now);
             if !job.is_fixed {
@@ -184,11 +197,7 @@
             }
             kept_use = kept_use.saturating_add(own_use);
             kept_work = kept_work.saturating_add(job.work[resource]);
-            let used = running.within(job.latest_start.saturating_sub(now));
-            let needed = used.saturating_add(kept_use);
-            // A job whose turn comes at its latest start still meets its objective.
-            let available = room.until(job.latest_start, resource, now).saturating_add(own_use);
-            if needed > available
+            if kept_use > *available
                 && let Some((work, largest)) = kept.pop()
             {
                 let freed = jobs[largest].use_before_latest_start(resource, now);
