--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -1,7 +1,7 @@
 //! The cases: each plays one order of events and checks one rule as RULES.md states it.
 
 use crate::record::RunTrace;
-use crate::world::{config, World};
+use crate::world::{config, World, RARE_KIND};
 use std::collections::HashSet;
 use std::thread::sleep;
 use std::time::Duration;
@@ -245,6 +245,64 @@
     verdict(&world, !idle.is_empty(), &text)
 }
 
+/// LOST: the runners under two jobs crash three times; a third job needs a runner of the same kind, of which there are
+/// two.
+pub fn job_beside_suspects(path: &str, trouble: bool) -> Verdict {
+    const ROUNDS: usize = 3;
+    let mut world = World::start(path, 3, 16, &config(1, 0));
+    let job = |time: u64, cpu: u64| {
+        format!(
+            r#"{{"spec":"ms={time} cpu={cpu}","steps":[{{"count":1,"cpu":{cpu},"memMb":500,"estimateMs":{time},"requirements":"{RARE_KIND}"}}]}}"#
+        )
+    };
+    let long = ["00000000000000f1", "00000000000000f2"];
+    for (number, id) in long.iter().enumerate() {
+        world.submit(number, id, &job(300_000, 2_000));
+    }
+    let works = |w: &World, id: &str| w.runners.iter().any(|r| r.runs(&format!("{id}.0.0.0")));
+    let rare: Vec<_> = world.runners.iter().filter(|r| r.kind == RARE_KIND).cloned().collect();
+    for round in 1..=ROUNDS {
+        if !world.wait(Duration::from_secs(20), |w| long.iter().all(|id| works(w, id))) {
+            world.give_up("a job does not run before the last round");
+        }
+        sleep(Duration::from_secs(2));
+        if trouble {
+            let runs_one = |r: &crate::runner::Runner| {
+                long.iter().any(|id| r.runs(&format!("{id}.0.0.0")))
+            };
+            let hit: Vec<_> = rare.iter().filter(|r| runs_one(r)).cloned().collect();
+            world.record.write(&format!("round {round}: {} runners of 16 crash", hit.len()));
+            hit.iter().for_each(|runner| runner.crash());
+            sleep(Duration::from_millis(1_000));
+            hit.iter().for_each(|runner| runner.up());
+        }
+    }
+    // The long jobs run again, and all machines are in touch.
+    if !world.wait(Duration::from_secs(20), |w| long.iter().all(|id| works(w, id))) {
+        world.give_up("a job does not run after the last round");
+    }
+    sleep(Duration::from_secs(5));
+    let id = "00000000000000f3";
+    world.submit(2, id, &job(1_000, 1_000));
+    let accepted_at = world.record.now();
+    sleep(FINISH_TIME + IDLE_LIMIT);
+    let (_, answer) = world.call(1, "GET", id, "");
+    let waited = world.record.now() - accepted_at;
+    let runs = world.record.runs_of(id).len();
+    let used = 2_000 * long.iter().filter(|id| works(&world, id)).count() as u64;
+    let room = |runners: &mut dyn Iterator<Item = u64>| runners.sum::<u64>();
+    let of_kind = room(&mut rare.iter().map(|r| r.capacity.0));
+    let all = room(&mut world.runners.iter().map(|r| r.capacity.0));
+    let text = format!(
+        "{} ms after it was accepted, a job of 1000 thousandths of a core, under which no runner has crashed, is shown \
+         as {} and has had {runs} runs; {used} of {of_kind} are in use on the runners that it may run on, and of {all} \
+         in the service",
+        ms(waited),
+        answer.text("state"),
+    );
+    verdict(&world, runs == 0, &text)
+}
+
 /// LOST: a change of the config lowers a tenant's `maxCount` a little below what a gang needs.
 pub fn gang_above_limit(path: &str, trouble: bool) -> Verdict {
     const BEFORE: u64 = 8_000;
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -21,6 +21,7 @@
         "crashes" => cases::job_given_up(path, trouble),
         "lasting" => cases::lasting_tasks_one_by_one(path, trouble),
         "isolated" => cases::suspect_without_worker(path, trouble),
+        "bystander" => cases::job_beside_suspects(path, trouble),
         "gang" => cases::gang_above_limit(path, trouble),
         _ => {
             println!("no such case");
--- a/review/standin-3/runner.rs
+++ b/review/standin-3/runner.rs
@@ -84,6 +84,7 @@
     pub service: String,
     pub zone: String,
     pub rack: String,
+    pub kind: String,
     /// `cpu` and `memMb`.
     pub capacity: (u64, u64),
     port: u16,
@@ -100,6 +101,7 @@
     pub service: &'a str,
     pub zone: &'a str,
     pub rack: &'a str,
+    pub kind: &'a str,
     pub port: u16,
 }
 
@@ -118,6 +120,7 @@
             service: place.service.into(),
             zone: place.zone.into(),
             rack: place.rack.into(),
+            kind: place.kind.into(),
             capacity: (16_000, 32_768),
             port: place.port,
             store: store.clone(),
@@ -209,7 +212,7 @@
             ("cpu", self.capacity.0.into()),
             ("memMb", self.capacity.1.into()),
         ]);
-        let labels = Value::List(vec!["a".into(), self.rack.as_str().into()]);
+        let labels = Value::List(vec![self.kind.as_str().into(), self.rack.as_str().into()]);
         let entry = object(vec![
             ("service", self.service.as_str().into()),
             ("address", format!("127.0.0.1:{}", self.port).as_str().into()),
--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -14,6 +14,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Two runners, in different zones and racks, are of another kind than all others.
+pub const RARE_KIND: &str = "b";
+const RARE_RUNNERS: [usize; 2] = [0, 5];
 pub const HOST: &str = "jobs.example";
 /// Time for which clients wait for an answer, as the customers' sheets state it.
 const TIME_BUDGET: Duration = Duration::from_secs(3);
@@ -110,8 +113,9 @@
         let gangs = Arc::new(Gangs::default());
         for number in 0..runners {
             let (zone, rack) = (format!("z{}", number % 3 + 1), format!("k{}", number / 4 + 1));
-            let place =
-                Place { service: "pool", zone: &zone, rack: &rack, port: world.free_port() };
+            let kind = if RARE_RUNNERS.contains(&number) { RARE_KIND } else { "a" };
+            let port = world.free_port();
+            let place = Place { service: "pool", zone: &zone, rack: &rack, kind, port };
             let runner = Runner::start(number + 1, &place, &world.store, &world.record, &gangs);
             world.runners.push(runner);
         }
