--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -262,7 +262,7 @@
     let works = |w: &World, id: &str| w.runners.iter().any(|r| r.runs(&format!("{id}.0.0.0")));
     let rare: Vec<_> = world.runners.iter().filter(|r| r.kind == RARE_KIND).cloned().collect();
     for round in 1..=ROUNDS {
-        if !world.wait(Duration::from_secs(20), |w| long.iter().all(|id| works(w, id))) {
+        if !world.wait(Duration::from_secs(10), |w| long.iter().all(|id| works(w, id))) {
             world.give_up("a job does not run before the last round");
         }
         sleep(Duration::from_secs(2));
@@ -278,7 +278,7 @@
         }
     }
     // The long jobs run again, and all machines are in touch.
-    if !world.wait(Duration::from_secs(20), |w| long.iter().all(|id| works(w, id))) {
+    if !world.wait(Duration::from_secs(10), |w| long.iter().all(|id| works(w, id))) {
         world.give_up("a job does not run after the last round");
     }
     sleep(Duration::from_secs(5));
